--- /dev/null
+++ b/src/command/health.h
@@ -0,0 +1,78 @@
+#ifndef COMMAND_HEALTH_H
+#define COMMAND_HEALTH_H
+
+/**
+ * DOC: detection, ejection, readmission and the floor
+ */
+
+#include "core/state.h"
+
+/**
+ * health_observe() - take in the end of one exchange
+ * @state: the state
+ * @service: its service
+ * @backend: whom it was with
+ * @ticket: the request, still with its times
+ * @evidence: what it showed
+ * @now: the time
+ * @out: gets audit records
+ */
+void health_observe(struct state *state, struct service *service,
+		    struct backend *backend, const struct ticket *ticket,
+		    const struct evidence *evidence, struct instant now,
+		    struct event_list *out);
+
+/**
+ * health_observe_probe() - take in a probe; it only adds suspicion or drain
+ * @state: the state
+ * @service: its service
+ * @backend: who was probed
+ * @result: what the probe said
+ * @now: the time
+ * @out: gets audit records
+ */
+void health_observe_probe(struct state *state, struct service *service,
+			  struct backend *backend,
+			  const struct probe_result *result, struct instant now,
+			  struct event_list *out);
+
+/**
+ * health_observe_digest() - take in another home's evidence
+ * @state: the state
+ * @service: the service
+ * @sender: peer address of the other home
+ * @digest: its evidence
+ * @now: the time
+ * @out: gets audit records
+ */
+void health_observe_digest(struct state *state, struct service *service,
+			   struct net_addr sender,
+			   const struct peer_digest *digest, struct instant now,
+			   struct event_list *out);
+
+/**
+ * health_tick() - eject, withhold, trickle, ramp and readmit as time goes on
+ * @state: the state
+ * @service: the service
+ * @now: the time
+ * @out: gets audit records
+ */
+void health_tick(struct state *state, struct service *service,
+		 struct instant now, struct event_list *out);
+
+/**
+ * health_carry_over() - keep what is known when a new document comes in force
+ * @state: the state
+ * @service: the service, with its new document and backend servers
+ * @old: backend servers of the document before, NULL at the first
+ * @old_count: entries of @old
+ * @now: the time
+ * @out: gets audit records
+ *
+ * A backend server that an existing service gains starts cold, on a ramp.
+ */
+void health_carry_over(struct state *state, struct service *service,
+		       const struct backend *old, uint32_t old_count,
+		       struct instant now, struct event_list *out);
+
+#endif
--- /dev/null
+++ b/src/command/member.h
@@ -0,0 +1,63 @@
+#ifndef COMMAND_MEMBER_H
+#define COMMAND_MEMBER_H
+
+/**
+ * DOC: membership: the published list, probes, suspicion, rumours
+ */
+
+#include "core/state.h"
+
+/**
+ * member_accept_list() - take in the platform's list of instances
+ * @state: the state
+ * @list: the list
+ * @count: its entries
+ * @now: the time
+ * @out: gets audit records
+ *
+ * Sets state->homes_dirty when home sets may change.
+ */
+void member_accept_list(struct state *state, const struct instance_doc *list,
+			uint32_t count, struct instant now,
+			struct event_list *out);
+
+/**
+ * member_message() - take in what every datagram carries, and probes
+ * @state: the state
+ * @message: a checked message
+ * @now: the time
+ * @out: gets answers, pulls and audit records
+ */
+void member_message(struct state *state, const struct peer_message *message,
+		    struct instant now, struct event_list *out);
+
+/**
+ * member_tick() - probe the next instance, raise and end suspicions, choose
+ *	the platform's readers
+ * @state: the state
+ * @now: the time
+ * @out: gets probes, roles and audit records
+ */
+void member_tick(struct state *state, struct instant now,
+		 struct event_list *out);
+
+/**
+ * member_send() - send a message with rumours and offers piggybacked
+ * @state: the state
+ * @to: peer address
+ * @message: kind and its member; the rest is filled in here; taken over
+ * @out: gets EVENT_PEER_SEND
+ */
+void member_send(struct state *state, struct net_addr to,
+		 struct peer_message *message, struct event_list *out);
+
+/**
+ * member_announce_leaving() - tell the others of the planned stop
+ * @state: the state
+ * @now: the time
+ * @out: gets datagrams
+ */
+void member_announce_leaving(struct state *state, struct instant now,
+			     struct event_list *out);
+
+#endif
--- /dev/null
+++ b/src/core/command.c
@@ -0,0 +1,129 @@
+#include "core/command.h"
+
+#include "core/report.h"
+
+struct query_port *query_port_new(void)
+{
+	struct query_port *port = g_new0(struct query_port, 1);
+
+	port->refs = 1;
+	port->ring = ring_new(sizeof(struct query_reply), 1, 0);
+	return port;
+}
+
+struct query_port *query_port_ref(struct query_port *port)
+{
+	g_atomic_int_inc(&port->refs);
+	return port;
+}
+
+void query_port_unref(struct query_port *port)
+{
+	struct query_reply reply;
+
+	if (!port || !g_atomic_int_dec_and_test(&port->refs))
+		return;
+	if (ring_pop(port->ring, &reply, 0) == RING_OK)
+		query_reply_clear(&reply);
+	ring_free(port->ring);
+	g_free(port);
+}
+
+void query_reply_clear(struct query_reply *reply)
+{
+	switch (reply->kind) {
+	case QUERY_ENTRIES:
+	case QUERY_READY:
+		break;
+	case QUERY_STATUS:
+		status_report_free(reply->status);
+		break;
+	case QUERY_METRICS:
+		metrics_report_free(reply->metrics);
+		break;
+	case QUERY_AUDIT:
+		g_array_unref(reply->records);
+		break;
+	case QUERY_DOCUMENT:
+		service_doc_unref(reply->doc);
+		break;
+	case QUERY_OFFERS:
+		g_array_unref(reply->offers);
+		break;
+	}
+}
+
+void command_clear(struct command *command)
+{
+	switch (command->kind) {
+	case COMMAND_ADMIT:
+		request_unref(command->admit.request);
+		break;
+	case COMMAND_FINISH:
+		answer_held_free(command->finish.held);
+		break;
+	case COMMAND_CANCEL:
+		request_unref(command->cancel.request);
+		break;
+	case COMMAND_ACCEPT_CONFIG:
+		service_doc_unref(command->accept_config.doc);
+		break;
+	case COMMAND_ACCEPT_INSTANCES:
+		g_free(command->accept_instances.list);
+		break;
+	case COMMAND_PEER_MESSAGE:
+		g_free(command->peer_message);
+		break;
+	case COMMAND_TICK:
+	case COMMAND_REFUSE_CONFIG:
+	case COMMAND_PROBE_RESULT:
+	case COMMAND_PLATFORM_STATE:
+	case COMMAND_LEAVE:
+		break;
+	}
+}
+
+enum ring_result send_command(struct ring *dispatch,
+			      const struct command *command)
+{
+	struct message message = {
+		.kind = MESSAGE_COMMAND,
+		.command = *command,
+	};
+
+	switch (command->kind) {
+	case COMMAND_FINISH:
+	case COMMAND_CANCEL:
+	case COMMAND_LEAVE:
+		return ring_push_reserved(dispatch, &message);
+	case COMMAND_ADMIT:
+	case COMMAND_TICK:
+	case COMMAND_ACCEPT_CONFIG:
+	case COMMAND_REFUSE_CONFIG:
+	case COMMAND_ACCEPT_INSTANCES:
+	case COMMAND_PEER_MESSAGE:
+	case COMMAND_PROBE_RESULT:
+	case COMMAND_PLATFORM_STATE:
+		break;
+	}
+	return ring_push(dispatch, &message);
+}
+
+enum ring_result ask_query(struct ring *dispatch, struct query *query,
+			   struct query_reply *reply, uint64_t deadline_us)
+{
+	struct query_port *port = query_port_new();
+	struct message message = { .kind = MESSAGE_QUERY };
+	enum ring_result result;
+
+	query->reply = query_port_ref(port);
+	message.query = *query;
+	result = ring_push(dispatch, &message);
+	if (result == RING_OK)
+		result = ring_pop(port->ring, reply, deadline_us);
+	else
+		query_port_unref(query->reply);
+	query->reply = NULL;
+	query_port_unref(port);
+	return result;
+}
--- /dev/null
+++ b/src/core/document.c
@@ -0,0 +1,38 @@
+#include "core/document.h"
+
+struct service_doc *service_doc_ref(struct service_doc *doc)
+{
+	g_atomic_int_inc(&doc->refs);
+	return doc;
+}
+
+void service_doc_unref(struct service_doc *doc)
+{
+	if (!doc || !g_atomic_int_dec_and_test(&doc->refs))
+		return;
+	g_free(doc->text);
+	g_free(doc->backends);
+	g_free(doc->routes);
+	g_free(doc);
+}
+
+uint32_t service_doc_slots(const struct service_doc *doc)
+{
+	uint32_t slots = 0;
+	uint32_t i;
+
+	for (i = 0; i < doc->backend_count; i++)
+		slots += doc->backends[i].capacity_slots;
+	return slots;
+}
+
+uint32_t service_doc_floor_slots(const struct service_doc *doc)
+{
+	switch (doc->floor.kind) {
+	case FLOOR_SLOTS:
+		return doc->floor.slots;
+	case FLOOR_PERCENT:
+		return (service_doc_slots(doc) * doc->floor.percent + 99) / 100;
+	}
+	return service_doc_slots(doc);
+}
--- /dev/null
+++ b/src/core/document.h
@@ -0,0 +1,248 @@
+#ifndef CORE_DOCUMENT_H
+#define CORE_DOCUMENT_H
+
+/**
+ * DOC: service document and instance settings
+ *
+ * A service document is immutable once parsed and is shared between threads
+ * by reference count. A document cannot name a point in time, so its limits
+ * are spans ("_ms"); they become deadlines when a request comes in.
+ */
+
+#include <glib.h>
+
+#include "core/ids.h"
+
+#define DOC_BACKENDS_MAX 512
+#define DOC_ROUTES_MAX 256
+#define DOC_CLASSES_MAX 8
+#define DOC_HOSTS_MAX 16
+#define DOC_BYTES_MAX (1024 * 1024)
+#define DOC_SLOTS_MAX 1024
+
+/**
+ * enum http_method - request methods that are passed on
+ */
+enum http_method {
+	METHOD_GET,
+	METHOD_HEAD,
+	METHOD_OPTIONS,
+	METHOD_POST,
+	METHOD_PUT,
+	METHOD_PATCH,
+	METHOD_DELETE,
+	METHOD_COUNT,
+};
+
+/**
+ * struct backend_doc - one backend server as its service team states it
+ * @addr: where it listens
+ * @domain: its failure domain
+ * @capacity_slots: requests it works on at once
+ * @connections_max: connections it takes from the whole fleet
+ * @draining: it shall get no new work
+ */
+struct backend_doc {
+	struct net_addr addr;
+	struct name domain;
+	uint32_t capacity_slots;
+	uint32_t connections_max;
+	bool draining;
+};
+
+/**
+ * struct route_doc - how requests of one kind are treated
+ * @path_prefix: longest matching prefix wins
+ * @method_mask: bit (1 << enum http_method) for each method it covers
+ * @class_index: index into the document's classes
+ * @budget_ms: time a request has when its caller names no deadline
+ * @idempotent: may run more than once
+ * @long_work: runs many times longer than the rest
+ */
+struct route_doc {
+	char path_prefix[PATH_BYTES_MAX];
+	uint32_t method_mask;
+	uint32_t class_index;
+	uint32_t budget_ms;
+	bool idempotent;
+	bool long_work;
+};
+
+/**
+ * struct class_doc - a priority class
+ * @name: unique in the document
+ * @priority: 0 goes first
+ * @queue_max_requests: requests that may wait at one instance
+ */
+struct class_doc {
+	struct name name;
+	uint32_t priority;
+	uint32_t queue_max_requests;
+};
+
+/**
+ * enum floor_kind - how a team states its healthy floor
+ */
+enum floor_kind { FLOOR_SLOTS, FLOOR_PERCENT };
+
+/**
+ * struct floor_doc - healthy capacity that ejections must leave
+ * @kind: which member of the union holds
+ * @slots: with FLOOR_SLOTS
+ * @percent: with FLOOR_PERCENT, of all slots in the document, rounded up
+ */
+struct floor_doc {
+	enum floor_kind kind;
+	union {
+		uint32_t slots;
+		uint32_t percent;
+	};
+};
+
+/**
+ * struct marker_doc - answer header by which a backend server says something
+ * @header: header name, empty when the service has none
+ * @value: expected value, compared without case
+ */
+struct marker_doc {
+	char header[NAME_BYTES_MAX];
+	char value[NAME_BYTES_MAX];
+};
+
+/**
+ * struct service_doc - one accepted service document
+ * @refs: reference count, atomic
+ * @service: its key
+ * @version: version the platform gave it
+ * @hash: hash of @text
+ * @text: body as published, for peers
+ * @text_bytes: length of @text
+ * @hosts: Host names that select the service
+ * @host_count: used entries of @hosts
+ * @path_prefix: path that selects the service, empty for none
+ * @backends: backend servers
+ * @backend_count: entries of @backends
+ * @routes: routes
+ * @route_count: entries of @routes
+ * @classes: classes; there is at least one
+ * @class_count: used entries of @classes
+ * @floor: healthy floor
+ * @shed: says "not run, I am full"; with a 503 status
+ * @drain: says "no new work"
+ * @probe_path: health path, empty for none
+ * @load_path: load report path, empty for none
+ * @default_budget_ms: for requests that no route covers
+ */
+struct service_doc {
+	gint refs;
+	struct name service;
+	uint64_t version;
+	uint64_t hash;
+	char *text;
+	uint32_t text_bytes;
+	struct name hosts[DOC_HOSTS_MAX];
+	uint32_t host_count;
+	char path_prefix[PATH_BYTES_MAX];
+	struct backend_doc *backends;
+	uint32_t backend_count;
+	struct route_doc *routes;
+	uint32_t route_count;
+	struct class_doc classes[DOC_CLASSES_MAX];
+	uint32_t class_count;
+	struct floor_doc floor;
+	struct marker_doc shed;
+	struct marker_doc drain;
+	char probe_path[PATH_BYTES_MAX];
+	char load_path[PATH_BYTES_MAX];
+	uint32_t default_budget_ms;
+};
+
+/**
+ * enum log_format - how log lines look
+ */
+enum log_format { LOG_TEXT, LOG_JSON };
+
+/**
+ * struct settings - one instance's settings file
+ * @caller_listen: where callers connect
+ * @peer_listen: where peers connect, UDP and TCP
+ * @operator_listen: where operators connect, loopback unless set
+ * @domain: own failure domain
+ * @platform: the platform's configuration service
+ * @worker_threads: callers served at once
+ * @body_max_bytes: largest request body
+ * @head_max_bytes: largest request head
+ * @hold_max_bytes: answers up to this are held whole before they go out
+ * @entries_ttl_ms: how long callers may keep an answer to entries
+ * @drain_max_ms: longest planned stop
+ * @log_format: text or JSON
+ * @log_level: GLib log level mask that is shown
+ * @random_seed: seed of the decisions' random numbers; 0 takes one and logs it
+ */
+struct settings {
+	struct net_addr caller_listen;
+	struct net_addr peer_listen;
+	struct net_addr operator_listen;
+	struct name domain;
+	struct net_addr platform;
+	uint32_t worker_threads;
+	uint32_t body_max_bytes;
+	uint32_t head_max_bytes;
+	uint32_t hold_max_bytes;
+	uint32_t entries_ttl_ms;
+	uint32_t drain_max_ms;
+	enum log_format log_format;
+	uint32_t log_level;
+	uint32_t random_seed;
+};
+
+/**
+ * enum instance_status - what the platform's list says of an instance
+ */
+enum instance_status { INSTANCE_LIVE, INSTANCE_LEAVING };
+
+/**
+ * struct instance_doc - one entry of the platform's list
+ * @caller: where callers connect
+ * @peer: where peers connect; names the instance
+ * @domain: its failure domain
+ * @status: live or leaving
+ */
+struct instance_doc {
+	struct net_addr caller;
+	struct net_addr peer;
+	struct name domain;
+	enum instance_status status;
+};
+
+/**
+ * service_doc_ref() - take a reference
+ * @doc: the document
+ *
+ * Return: @doc.
+ */
+struct service_doc *service_doc_ref(struct service_doc *doc);
+
+/**
+ * service_doc_unref() - give a reference back; the last one frees
+ * @doc: the document, or NULL
+ */
+void service_doc_unref(struct service_doc *doc);
+
+/**
+ * service_doc_slots() - all slots that the document states
+ * @doc: the document
+ *
+ * Return: the sum, in slots.
+ */
+uint32_t service_doc_slots(const struct service_doc *doc);
+
+/**
+ * service_doc_floor_slots() - the floor in slots
+ * @doc: the document
+ *
+ * Return: slots that must stay in service.
+ */
+uint32_t service_doc_floor_slots(const struct service_doc *doc);
+
+#endif
--- /dev/null
+++ b/src/core/evidence.c
@@ -0,0 +1,24 @@
+#include "core/evidence.h"
+
+bool evidence_not_run(const struct evidence *evidence)
+{
+	return evidence->kind == EVIDENCE_SHED || !evidence->request_sent;
+}
+
+bool evidence_failed(const struct evidence *evidence)
+{
+	switch (evidence->kind) {
+	case EVIDENCE_OK:
+	case EVIDENCE_SHED:
+	case EVIDENCE_CANCELLED:
+		return false;
+	case EVIDENCE_SERVER_ERROR:
+	case EVIDENCE_CONNECT:
+	case EVIDENCE_TIMEOUT:
+	case EVIDENCE_RESET:
+	case EVIDENCE_TRUNCATED:
+	case EVIDENCE_BAD_ANSWER:
+		return true;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/core/evidence.h
@@ -0,0 +1,73 @@
+#ifndef CORE_EVIDENCE_H
+#define CORE_EVIDENCE_H
+
+/**
+ * DOC: evidence
+ *
+ * What one exchange with a backend server showed. The exchange duty fills it,
+ * the decisions judge it.
+ */
+
+#include "core/ids.h"
+
+/**
+ * enum evidence_kind - how an exchange ended
+ * @EVIDENCE_OK: a whole answer that is not a server error
+ * @EVIDENCE_SERVER_ERROR: a whole answer with status 5xx that is no shed
+ * @EVIDENCE_SHED: a whole answer with the service's shed marker
+ * @EVIDENCE_CONNECT: no connection was made
+ * @EVIDENCE_TIMEOUT: the deadline came first
+ * @EVIDENCE_RESET: the connection ended before a whole head
+ * @EVIDENCE_TRUNCATED: the connection ended in the body
+ * @EVIDENCE_BAD_ANSWER: not a valid HTTP answer, or above a bound
+ * @EVIDENCE_CANCELLED: stopped because the caller is gone
+ */
+enum evidence_kind {
+	EVIDENCE_OK,
+	EVIDENCE_SERVER_ERROR,
+	EVIDENCE_SHED,
+	EVIDENCE_CONNECT,
+	EVIDENCE_TIMEOUT,
+	EVIDENCE_RESET,
+	EVIDENCE_TRUNCATED,
+	EVIDENCE_BAD_ANSWER,
+	EVIDENCE_CANCELLED,
+};
+
+/**
+ * struct evidence - the end of one exchange
+ * @kind: how it ended
+ * @request_sent: a byte of the request may have reached the backend server
+ * @head_given: the answer has begun to go to the caller
+ * @reused: the connection had served an exchange before
+ * @draining: the answer had the service's drain marker
+ * @status: HTTP status, 0 when there was none
+ * @service_us: time from send to the end of the answer
+ */
+struct evidence {
+	enum evidence_kind kind;
+	bool request_sent;
+	bool head_given;
+	bool reused;
+	bool draining;
+	uint32_t status;
+	uint64_t service_us;
+};
+
+/**
+ * evidence_not_run() - whether it is proved that the work did not run
+ * @evidence: the end of an exchange
+ *
+ * Return: true when no byte was sent or the backend server said it shed it.
+ */
+bool evidence_not_run(const struct evidence *evidence);
+
+/**
+ * evidence_failed() - whether the end speaks against the backend server
+ * @evidence: the end of an exchange
+ *
+ * Return: false for whole answers, sheds and cancellations.
+ */
+bool evidence_failed(const struct evidence *evidence);
+
+#endif
--- /dev/null
+++ b/src/duty/audit.h
@@ -0,0 +1,40 @@
+#ifndef DUTY_AUDIT_H
+#define DUTY_AUDIT_H
+
+/**
+ * DOC: audit duty: logs the audit trail
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct audit_duty;
+
+/**
+ * audit_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with audit_stop(), or NULL.
+ */
+struct audit_duty *audit_start(const struct settings *settings,
+			       struct ring *dispatch, GError **error);
+
+/**
+ * audit_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void audit_stop(struct audit_duty *duty);
+
+/**
+ * audit_send() - log a record
+ * @duty: the duty
+ * @record: copied
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED.
+ */
+enum ring_result audit_send(struct audit_duty *duty,
+			    const struct audit_record *record);
+
+#endif
--- /dev/null
+++ b/src/duty/operator.h
@@ -0,0 +1,30 @@
+#ifndef DUTY_OPERATOR_H
+#define DUTY_OPERATOR_H
+
+/**
+ * DOC: operator duty: status, audit, metrics, ready and live over HTTP
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct operator_duty;
+
+/**
+ * operator_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with operator_stop(), or NULL.
+ */
+struct operator_duty *operator_start(const struct settings *settings,
+				     struct ring *dispatch, GError **error);
+
+/**
+ * operator_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void operator_stop(struct operator_duty *duty);
+
+#endif
--- /dev/null
+++ b/src/duty/peer_pull.h
@@ -0,0 +1,40 @@
+#ifndef DUTY_PEER_PULL_H
+#define DUTY_PEER_PULL_H
+
+/**
+ * DOC: peer pull duty: fetches documents from other instances over TCP
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct peer_pull_duty;
+
+/**
+ * peer_pull_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with peer_pull_stop(), or NULL.
+ */
+struct peer_pull_duty *peer_pull_start(const struct settings *settings,
+				       struct ring *dispatch, GError **error);
+
+/**
+ * peer_pull_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void peer_pull_stop(struct peer_pull_duty *duty);
+
+/**
+ * peer_pull_send() - fetch documents
+ * @duty: the duty
+ * @order: what to fetch and from whom
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED.
+ */
+enum ring_result peer_pull_send(struct peer_pull_duty *duty,
+				const struct config_pull_event *order);
+
+#endif
--- /dev/null
+++ b/src/duty/peer_send.h
@@ -0,0 +1,40 @@
+#ifndef DUTY_PEER_SEND_H
+#define DUTY_PEER_SEND_H
+
+/**
+ * DOC: peer sender duty: sends datagrams to other instances
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct peer_send_duty;
+
+/**
+ * peer_send_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with peer_send_stop(), or NULL.
+ */
+struct peer_send_duty *peer_send_start(const struct settings *settings,
+				       struct ring *dispatch, GError **error);
+
+/**
+ * peer_send_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void peer_send_stop(struct peer_send_duty *duty);
+
+/**
+ * peer_send_send() - send a datagram
+ * @duty: the duty
+ * @order: taken over on RING_OK, untouched otherwise
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED.
+ */
+enum ring_result peer_send_send(struct peer_send_duty *duty,
+				const struct peer_send_event *order);
+
+#endif
--- /dev/null
+++ b/src/duty/peer_serve.h
@@ -0,0 +1,30 @@
+#ifndef DUTY_PEER_SERVE_H
+#define DUTY_PEER_SERVE_H
+
+/**
+ * DOC: peer server duty: takes datagrams and pulls of other instances
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct peer_serve_duty;
+
+/**
+ * peer_serve_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with peer_serve_stop(), or NULL.
+ */
+struct peer_serve_duty *peer_serve_start(const struct settings *settings,
+					 struct ring *dispatch, GError **error);
+
+/**
+ * peer_serve_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void peer_serve_stop(struct peer_serve_duty *duty);
+
+#endif
--- /dev/null
+++ b/src/duty/probe.h
@@ -0,0 +1,40 @@
+#ifndef DUTY_PROBE_H
+#define DUTY_PROBE_H
+
+/**
+ * DOC: probe duty: health and load paths of backend servers
+ */
+
+#include "core/error.h"
+#include "core/event.h"
+
+struct probe_duty;
+
+/**
+ * probe_start() - start the duty's thread
+ * @settings: must outlive the duty
+ * @dispatch: ring of struct message
+ * @error: DUTY_ERROR on failure
+ *
+ * Return: the duty, to be ended with probe_stop(), or NULL.
+ */
+struct probe_duty *probe_start(const struct settings *settings,
+			       struct ring *dispatch, GError **error);
+
+/**
+ * probe_stop() - end the thread and free the duty
+ * @duty: the duty, or NULL
+ */
+void probe_stop(struct probe_duty *duty);
+
+/**
+ * probe_send() - replace the plan of what to probe
+ * @duty: the duty
+ * @plan: taken over on RING_OK, untouched otherwise
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED.
+ */
+enum ring_result probe_send(struct probe_duty *duty,
+			    const struct probe_plan_event *plan);
+
+#endif
--- /dev/null
+++ b/src/query/homes.h
@@ -0,0 +1,45 @@
+#ifndef QUERY_HOMES_H
+#define QUERY_HOMES_H
+
+/**
+ * DOC: home sets by rendezvous hashing
+ */
+
+#include "core/state.h"
+
+/**
+ * homes_choose() - the home set of a service by the published list
+ * @state: only read
+ * @service: only its document is used
+ * @out: peer addresses, best rank first
+ *
+ * Return: how many.
+ */
+uint32_t homes_choose(const struct state *state, const struct service *service,
+		      struct net_addr out[HOMES_MAX]);
+
+/**
+ * homes_rank_for_backend() - order of the homes for one backend server
+ * @service: the service with its homes
+ * @backend: the backend server
+ * @home: index into service->homes
+ *
+ * Return: 0 for the first; it also probes the backend server.
+ */
+uint32_t homes_rank_for_backend(const struct service *service,
+				struct net_addr backend, uint32_t home);
+
+/**
+ * homes_share() - slots of a backend server that belong to one home
+ * @service: the service with its homes
+ * @backend: the backend server
+ * @home: index into service->homes
+ * @long_slots: gets how many of them long work may use
+ *
+ * Return: slots.
+ */
+uint32_t homes_share(const struct service *service,
+		     const struct backend *backend, uint32_t home,
+		     uint32_t *long_slots);
+
+#endif
--- /dev/null
+++ b/src/query/listing.h
@@ -0,0 +1,58 @@
+#ifndef QUERY_LISTING_H
+#define QUERY_LISTING_H
+
+/**
+ * DOC: listings for operators and peers
+ */
+
+#include "core/report.h"
+#include "core/state.h"
+
+/**
+ * list_status() - copy what status shows
+ * @state: only read
+ * @service: one service, or an empty name for all
+ * @now: the time
+ *
+ * Return: an owned report.
+ */
+struct status_report *list_status(const struct state *state,
+				  const struct name *service,
+				  struct instant now);
+
+/**
+ * list_metrics() - copy the counters
+ * @state: only read
+ * @now: the time
+ *
+ * Return: an owned report; dispatch_ring_refused is left to the duty.
+ */
+struct metrics_report *list_metrics(const struct state *state,
+				    struct instant now);
+
+/**
+ * list_audit() - copy the kept records after a sequence
+ * @state: only read
+ * @since_sequence: records above it
+ *
+ * Return: an owned array of struct audit_record, oldest first.
+ */
+GArray *list_audit(const struct state *state, uint64_t since_sequence);
+
+/**
+ * list_offers() - what documents this instance holds
+ * @state: only read
+ *
+ * Return: an owned array of struct config_offer, by key.
+ */
+GArray *list_offers(const struct state *state);
+
+/**
+ * offers_digest() - one hash over all documents held
+ * @state: only read
+ *
+ * Return: the same on instances that hold the same.
+ */
+uint64_t offers_digest(const struct state *state);
+
+#endif
--- /dev/null
+++ b/test/unit/ring_test.cc
@@ -0,0 +1,127 @@
+/* The bounded ring: tables of single-threaded cases, then two threads. */
+#include <gtest/gtest.h>
+
+#include <thread>
+
+extern "C" {
+#include "core/clock.h"
+#include "ring/ring.h"
+}
+
+namespace
+{
+
+enum step_kind { PUSH, PUSH_RESERVED, POP, CLOSE };
+
+struct step {
+	enum step_kind kind;
+	int32_t value;
+	enum ring_result result;
+};
+
+struct ring_case {
+	const char *name;
+	uint32_t room_items;
+	uint32_t reserve_items;
+	std::vector<struct step> steps;
+};
+
+const struct ring_case ring_cases[] = {
+	{ "full ring refuses",
+	  2,
+	  0,
+	  { { PUSH, 1, RING_OK },
+	    { PUSH, 2, RING_OK },
+	    { PUSH, 3, RING_FULL },
+	    { POP, 1, RING_OK },
+	    { PUSH, 4, RING_OK },
+	    { POP, 2, RING_OK },
+	    { POP, 4, RING_OK },
+	    { POP, 0, RING_TIMEOUT } } },
+	{ "reserve is kept for what must not be lost",
+	  2,
+	  1,
+	  { { PUSH, 1, RING_OK },
+	    { PUSH, 2, RING_FULL },
+	    { PUSH_RESERVED, 3, RING_OK },
+	    { PUSH_RESERVED, 4, RING_FULL },
+	    { POP, 1, RING_OK },
+	    { POP, 3, RING_OK } } },
+	{ "closed ring drains, then says so",
+	  2,
+	  0,
+	  { { PUSH, 1, RING_OK },
+	    { CLOSE, 0, RING_OK },
+	    { PUSH, 2, RING_CLOSED },
+	    { POP, 1, RING_OK },
+	    { POP, 0, RING_CLOSED } } },
+};
+
+enum ring_result take(struct ring *ring, const struct step &step)
+{
+	int32_t value = step.value;
+	enum ring_result result = RING_OK;
+
+	switch (step.kind) {
+	case PUSH:
+		return ring_push(ring, &value);
+	case PUSH_RESERVED:
+		return ring_push_reserved(ring, &value);
+	case POP:
+		result = ring_pop(ring, &value, 0);
+		EXPECT_TRUE(result != RING_OK || value == step.value);
+		return result;
+	case CLOSE:
+		ring_close(ring);
+		return RING_OK;
+	}
+	return result;
+}
+
+TEST(RingTest, Steps)
+{
+	for (const auto &c : ring_cases) {
+		SCOPED_TRACE(c.name);
+		struct ring *ring = ring_new(sizeof(int32_t), c.room_items,
+					     c.reserve_items);
+		for (const auto &step : c.steps)
+			EXPECT_EQ(take(ring, step), step.result);
+		ring_free(ring);
+	}
+}
+
+TEST(RingTest, PopWaitsForItsDeadlineOnly)
+{
+	struct ring *ring = ring_new(sizeof(int32_t), 1, 0);
+	uint64_t deadline_us = clock_now_us() + 20 * US_PER_MS;
+	int32_t value = 0;
+
+	EXPECT_EQ(ring_pop(ring, &value, deadline_us), RING_TIMEOUT);
+	EXPECT_GE(clock_now_us(), deadline_us);
+	ring_free(ring);
+}
+
+TEST(RingTest, TwoThreadsKeepOrder)
+{
+	const int32_t count = 20000;
+	struct ring *ring = ring_new(sizeof(int32_t), 64, 0);
+	std::thread writer([ring] {
+		for (int32_t i = 0; i < count;) {
+			if (ring_push(ring, &i) == RING_OK)
+				i++;
+			else
+				std::this_thread::yield();
+		}
+		ring_close(ring);
+	});
+	int32_t value = 0;
+	int32_t expected = 0;
+
+	while (ring_pop(ring, &value, DEADLINE_NONE_US) == RING_OK)
+		EXPECT_EQ(value, expected++);
+	EXPECT_EQ(expected, count);
+	writer.join();
+	ring_free(ring);
+}
+
+} // namespace
