Tell a digest's charge and cold start

Cause: two homes that eject different backend servers at once must not cross the floor together; a home may follow an ejection only while the home that pays for it says so. A cold start is seen by one prober alone. Change: struct digest_entry has charged and cold, struct health_view with it.

--- a/src/core/health.h
+++ b/src/core/health.h
@@ -32,7 +32,8 @@
  * @begins_us: start of the span
  * @ok_requests: whole answers in time
  * @failed_requests: failures
- * @slow_requests: whole answers, slow against the other backend servers
+ * @slow_requests: whole answers, slow against the other backend servers, and
+ *	running work that is already as late
  */
 struct health_bucket {
 	uint64_t begins_us;
@@ -44,19 +45,27 @@
 /**
  * struct health_view - what another home told of this backend server
  * @home: peer address of that home, port 0 for an unused view
+ * @domain_hash: of that home's failure domain
  * @fresh_until_us: not to be used after this
  * @ok_requests: in its window
  * @failed_requests: in its window
  * @slow_requests: in its window
- * @ejected: it gives no work
+ * @ejected: it gives no work, or not yet all
+ * @charged: its part of the ejection budget pays for that
+ * @draining: it knows that the backend server drains
+ * @cold: its probe says that the backend server starts cold
  */
 struct health_view {
 	struct net_addr home;
+	uint64_t domain_hash;
 	uint64_t fresh_until_us;
 	uint32_t ok_requests;
 	uint32_t failed_requests;
 	uint32_t slow_requests;
 	bool ejected;
+	bool charged;
+	bool draining;
+	bool cold;
 };
 
 /**
@@ -64,13 +73,27 @@
  * @state: what work it gets
  * @buckets: own evidence, a circle
  * @views: other homes' evidence
- * @next_step_us: when an ejection, a ramp step or a back-off ends
+ * @next_step_us: when a back-off, a trickle without work or a ramp step ends
  * @relapses: how often in a row it was ejected, doubles the back-off
  * @relapse_forgotten_us: when @relapses goes back to 0
- * @trickle_ok: whole answers in a row while in HEALTH_TRICKLE
+ * @trickle_ok: whole answers in time in a row while in HEALTH_TRICKLE
+ * @trickle_slow: slow answers while in HEALTH_TRICKLE
  * @ramp_permille: open part of its slots while in HEALTH_RAMP
- * @charged: this home's floor budget pays for the ejection
+ * @out: sick and not yet fully readmitted; does not count as capacity
+ * @charged: this home's part of the ejection budget pays for @out
+ * @charge_ends_us: a charge given back still binds the budget until then, for
+ *	other homes may still rely on it
+ * @path_cut: the path from here is cut, and not yet proved whole again
+ * @cold_start: it is in HEALTH_RAMP because it is new or cold
+ * @cold_until_us: a cold report counts until then; 0 when there was none
+ * @suspected: it gets fewer new requests
+ * @suspected_us: when the own evidence began to speak against it, 0 for not
+ * @probe_bad_until_us: the last probe spoke against it
+ * @drain_audited: AUDIT_DRAIN_BEGUN was given
+ * @sick_permille: failed and slow share when it was ejected
  * @withheld_until_us: a withheld ejection is not audited again before this
+ * @ticked_us: last judgement
+ * @resumed_us: evidence of work begun before this is ignored
  */
 struct health {
 	enum health_state state;
@@ -80,9 +103,22 @@
 	uint32_t relapses;
 	uint64_t relapse_forgotten_us;
 	uint32_t trickle_ok;
+	uint32_t trickle_slow;
 	uint32_t ramp_permille;
+	bool out;
 	bool charged;
+	uint64_t charge_ends_us;
+	bool path_cut;
+	bool cold_start;
+	uint64_t cold_until_us;
+	bool suspected;
+	uint64_t suspected_us;
+	uint64_t probe_bad_until_us;
+	bool drain_audited;
+	uint32_t sick_permille;
 	uint64_t withheld_until_us;
+	uint64_t ticked_us;
+	uint64_t resumed_us;
 };
 
 #endif
--- a/src/core/peer.h
+++ b/src/core/peer.h
@@ -59,8 +59,10 @@
  * @ok_requests: whole answers in the window
  * @failed_requests: failures in the window
  * @slow_requests: slow ones in the window
- * @ejected: the sender gives it no work
+ * @ejected: the sender gives it no work, or not yet all, because it is sick
+ * @charged: the sender's part of the ejection budget pays for that
  * @draining: the sender knows that it drains
+ * @cold: the sender's probe says that it starts cold
  */
 struct digest_entry {
 	struct net_addr backend;
@@ -68,7 +70,9 @@
 	uint32_t failed_requests;
 	uint32_t slow_requests;
 	bool ejected;
+	bool charged;
 	bool draining;
+	bool cold;
 };
 
 /**
