Hold the state of probes, rumours and offers in the membership

The SWIM decisions need a running probe, a shuffled round, relays and the queues of rumours and offers. struct membership gains them, made by membership_init() and freed by membership_clear(); state_new() and state_free() call these.

--- a/src/core/member.c
+++ b/src/core/member.c
@@ -1,5 +1,28 @@
 #include "core/member.h"
 
+void membership_init(struct membership *membership,
+		     const struct settings *settings)
+{
+	membership->self.caller = settings->caller_listen;
+	membership->self.peer = settings->peer_listen;
+	membership->self.domain = settings->domain;
+	membership->members = g_array_new(FALSE, TRUE, sizeof(struct member));
+	membership->probe_order =
+		g_array_new(FALSE, TRUE, sizeof(struct net_addr));
+	membership->rumours =
+		g_array_new(FALSE, TRUE, sizeof(struct rumour_task));
+	membership->offers =
+		g_array_new(FALSE, TRUE, sizeof(struct offer_task));
+}
+
+void membership_clear(struct membership *membership)
+{
+	g_array_unref(membership->members);
+	g_array_unref(membership->probe_order);
+	g_array_unref(membership->rumours);
+	g_array_unref(membership->offers);
+}
+
 struct member *membership_find(const struct membership *membership,
 			       struct net_addr peer)
 {
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -8,6 +8,8 @@
 #include "core/peer.h"
 
 #define MEMBERS_MAX 1024
+#define MEMBER_RELAYS_MAX 32
+#define MEMBER_PULLS_MAX 64
 
 /**
  * struct member - one other instance
@@ -27,6 +29,72 @@
 	uint64_t heard_us;
 };
 
+/**
+ * struct probe - the probe of the running period
+ * @target: who is probed; port 0 for nobody
+ * @sequence: names the probe in answers
+ * @sent_us: when it went out
+ * @indirect_due_us: others are asked to probe then; DEADLINE_NONE_US once done
+ * @answered: it was heard since
+ */
+struct probe {
+	struct net_addr target;
+	uint64_t sequence;
+	uint64_t sent_us;
+	uint64_t indirect_due_us;
+	bool answered;
+};
+
+/**
+ * struct probe_relay - a probe made for another instance
+ * @origin: who asked; port 0 for an unused entry
+ * @origin_sequence: its name for the probe
+ * @target: who is probed
+ * @sequence: own name for the probe
+ * @expires_us: an answer after this is of no use
+ */
+struct probe_relay {
+	struct net_addr origin;
+	uint64_t origin_sequence;
+	struct net_addr target;
+	uint64_t sequence;
+	uint64_t expires_us;
+};
+
+/**
+ * struct rumour_task - a belief that still has to be spread
+ * @peer: about whom
+ * @sends_left: datagrams that will still carry it
+ */
+struct rumour_task {
+	struct net_addr peer;
+	uint32_t sends_left;
+};
+
+/**
+ * struct offer_task - a document whose change still has to be spread
+ * @key: service
+ * @sends_left: datagrams that will still carry it
+ */
+struct offer_task {
+	struct name key;
+	uint32_t sends_left;
+};
+
+/**
+ * struct pull_hold - a version that is not to be pulled for a while
+ * @key: service, empty for an unused entry
+ * @version: up to this version
+ * @hash: of its text
+ * @until_us: when it may be pulled again
+ */
+struct pull_hold {
+	struct name key;
+	uint64_t version;
+	uint64_t hash;
+	uint64_t until_us;
+};
+
 /**
  * struct membership - this instance and the others
  * @self: own entry as settings and list give it
@@ -34,6 +102,22 @@
  * @incarnation: own incarnation
  * @members: array of struct member, by peer address
  * @list_known: a list was read at least once
+ * @started: the first tick was seen
+ * @last_tick_us: when time was last looked at, tells a pause of the process
+ * @probe: the running probe
+ * @probe_due_us: when the next period begins
+ * @probe_order: array of struct net_addr, the shuffled round
+ * @probe_next: next of @probe_order
+ * @probe_periods: periods begun
+ * @dead_next: where the search for the next dead member to probe begins
+ * @sequence: last name given to a probe
+ * @relays: probes made for others
+ * @rumours: array of struct rumour_task, a queue
+ * @offers: array of struct offer_task, a queue
+ * @pull_holds: versions not to be pulled now
+ * @config_digest: hash over all documents held
+ * @list_pulls: pulls of whole lists in a row that ended no difference
+ * @list_pull_due_us: no pull of a whole list before this
  */
 struct membership {
 	struct instance_doc self;
@@ -41,8 +125,38 @@
 	uint32_t incarnation;
 	GArray *members;
 	bool list_known;
+	bool started;
+	uint64_t last_tick_us;
+	struct probe probe;
+	uint64_t probe_due_us;
+	GArray *probe_order;
+	uint32_t probe_next;
+	uint64_t probe_periods;
+	uint32_t dead_next;
+	uint64_t sequence;
+	struct probe_relay relays[MEMBER_RELAYS_MAX];
+	GArray *rumours;
+	GArray *offers;
+	struct pull_hold pull_holds[MEMBER_PULLS_MAX];
+	uint64_t config_digest;
+	uint32_t list_pulls;
+	uint64_t list_pull_due_us;
 };
 
+/**
+ * membership_init() - make the membership of an instance that knows nobody
+ * @membership: filled
+ * @settings: own addresses and failure domain
+ */
+void membership_init(struct membership *membership,
+		     const struct settings *settings);
+
+/**
+ * membership_clear() - free what a membership owns
+ * @membership: the membership
+ */
+void membership_clear(struct membership *membership);
+
 /**
  * membership_find() - find another instance
  * @membership: the membership
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -25,11 +25,7 @@
 	for (i = TICKETS_MAX; i-- > 0;)
 		g_array_append_val(state->free_tickets, i);
 	state->ticket_by_request = g_hash_table_new(NULL, NULL);
-	state->membership.members =
-		g_array_new(FALSE, TRUE, sizeof(struct member));
-	state->membership.self.caller = settings->caller_listen;
-	state->membership.self.peer = settings->peer_listen;
-	state->membership.self.domain = settings->domain;
+	membership_init(&state->membership, settings);
 	state->audit = g_new0(struct audit_record, AUDIT_KEPT_RECORDS);
 	state->audit_next = 1;
 	state->long_workers_max = settings->worker_threads / 2;
@@ -49,7 +45,7 @@
 	g_hash_table_unref(state->ticket_by_request);
 	g_hash_table_unref(state->by_host);
 	g_hash_table_unref(state->services);
-	g_array_unref(state->membership.members);
+	membership_clear(&state->membership);
 	g_rand_free(state->rand);
 	g_free(state->audit);
 	g_free(state);
