--- a/src/command/member.h
+++ b/src/command/member.h
@@ -60,4 +60,23 @@
 void member_announce_leaving(struct state *state, struct instant now,
 			     struct event_list *out);
 
+/**
+ * member_spread_offer() - let the next datagrams carry a changed document
+ * @state: the state
+ * @key: its service
+ */
+void member_spread_offer(struct state *state, const struct name *key);
+
+/**
+ * member_hold_pull() - leave a version alone for a while
+ * @state: the state
+ * @offer: the version
+ * @until_us: how long
+ * @now: the time
+ *
+ * Return: false when it is held already, which stays as it is.
+ */
+bool member_hold_pull(struct state *state, const struct config_offer *offer,
+		      uint64_t until_us, struct instant now);
+
 #endif
