Add the stand-ins: configuration service, backend servers, fault proxy

Cause: tests need outside systems that fail on order and count what ran. Change: one program, one mode a file. Backend servers log each piece of work by request id; the fault proxy holds, delays, cuts, truncates and silences by rule and by source address.

--- /dev/null
+++ b/test/standin/config.c
@@ -0,0 +1,436 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "core/clock.h"
+#include "http.h"
+#include "standin.h"
+
+#define WORKERS 256
+#define WAIT_MAX_MS 60000
+#define HANG_MAX_US (600 * US_PER_S)
+
+/**
+ * enum config_mode - how the service behaves
+ * @MODE_UP: answers
+ * @MODE_REFUSE: closes without an answer
+ * @MODE_HANG: takes requests and stays silent
+ * @MODE_ERROR: status 500
+ * @MODE_STALE: goes on answering what it knew when the mode was set
+ */
+enum config_mode { MODE_UP, MODE_REFUSE, MODE_HANG, MODE_ERROR, MODE_STALE };
+
+static const char *const mode_names[] = { "up", "refuse", "hang", "error",
+					  "stale" };
+
+/**
+ * struct document - one published document
+ * @version: its version
+ * @text: its body
+ */
+struct document {
+	uint64_t version;
+	char *text;
+};
+
+/**
+ * struct view - all that is published
+ * @documents: key to struct document
+ * @index_version: rises with each change of a document
+ * @instances: JSON array text
+ * @instances_version: rises with each change of the list
+ */
+struct view {
+	GHashTable *documents;
+	uint64_t index_version;
+	char *instances;
+	uint64_t instances_version;
+};
+
+/**
+ * struct config - the service; @lock guards all
+ * @changed: signalled on every change
+ * @mode: how it behaves
+ * @reads: calls taken, a watch counts as one
+ * @live: what is published
+ * @stale: copy of it, only in MODE_STALE
+ */
+struct config {
+	GMutex lock;
+	GCond changed;
+	enum config_mode mode;
+	uint64_t reads;
+	struct view *live;
+	struct view *stale;
+};
+
+struct config_args {
+	char *listen;
+};
+
+static int handle(struct mg_connection *conn, void *data);
+static int handle_order(struct config *config, struct mg_connection *conn,
+			const char *path);
+static int put_document(struct config *config, struct mg_connection *conn,
+			const char *key);
+static int put_instances(struct config *config, struct mg_connection *conn);
+static int put_mode(struct config *config, struct mg_connection *conn);
+static int answer_index(struct config *config, struct mg_connection *conn);
+static int answer_instances(struct config *config, struct mg_connection *conn);
+static int answer_document(struct config *config, struct mg_connection *conn,
+			   const char *key);
+static bool behave(struct config *config, struct mg_connection *conn);
+static bool wait_for_change(struct config *config, struct mg_connection *conn,
+			    bool index);
+static const struct view *served(const struct config *config);
+static uint64_t served_version(const struct config *config, bool index);
+static bool answers(enum config_mode mode);
+static struct view *view_new(void);
+static struct view *view_copy(const struct view *from);
+static void view_free(struct view *view);
+static void document_free(gpointer data);
+static error_t parse(int key, char *text, struct argp_state *state);
+
+static const struct argp_option options[] = {
+	{ "listen", 'l', "IP:PORT", 0, "Answer here", 0 },
+	{ 0 },
+};
+
+static const struct argp parser = {
+	.options = options,
+	.parser = parse,
+	.doc = "Configuration service and instance list.",
+};
+
+int config_main(int argc, char **argv)
+{
+	struct config_args args = { .listen = "127.0.0.1:7000" };
+	struct config config = { .mode = MODE_UP };
+	struct mg_context *server;
+
+	if (argp_parse(&parser, argc, argv, 0, NULL, &args) != 0)
+		return EXIT_FAILURE;
+	g_mutex_init(&config.lock);
+	g_cond_init(&config.changed);
+	config.live = view_new();
+	server = http_start(args.listen, WORKERS, handle, &config);
+	if (server == NULL) {
+		fprintf(stderr, "standin: cannot listen on %s\n", args.listen);
+		return EXIT_FAILURE;
+	}
+	wait_for_end();
+	/* Watches may wait for long; the process ends with them. */
+	_exit(EXIT_SUCCESS);
+}
+
+static int handle(struct mg_connection *conn, void *data)
+{
+	struct config *config = data;
+	const char *path = mg_get_request_info(conn)->local_uri;
+
+	if (g_str_has_prefix(path, "/standin/"))
+		return handle_order(config, conn, path + strlen("/standin/"));
+	if (!behave(config, conn))
+		return 200;
+	if (strcmp(path, "/config/index") == 0)
+		return answer_index(config, conn);
+	if (strcmp(path, "/instances") == 0)
+		return answer_instances(config, conn);
+	if (g_str_has_prefix(path, "/config/"))
+		return answer_document(config, conn, path + strlen("/config/"));
+	return http_answer(conn, 404, "", "");
+}
+
+static int handle_order(struct config *config, struct mg_connection *conn,
+			const char *path)
+{
+	json_object *reads;
+
+	if (g_str_has_prefix(path, "config/"))
+		return put_document(config, conn, path + strlen("config/"));
+	if (strcmp(path, "instances") == 0)
+		return put_instances(config, conn);
+	if (strcmp(path, "mode") == 0)
+		return put_mode(config, conn);
+	if (strcmp(path, "reads") == 0) {
+		reads = json_object_new_object();
+		g_mutex_lock(&config->lock);
+		json_object_object_add(reads, "reads",
+				       json_object_new_uint64(config->reads));
+		g_mutex_unlock(&config->lock);
+		return http_answer_json(conn, reads);
+	}
+	return http_answer(conn, 404, "", "");
+}
+
+/* The version may be any, so that tests can go back or keep one. */
+static int put_document(struct config *config, struct mg_connection *conn,
+			const char *key)
+{
+	char *text = http_body(conn);
+	struct document *old;
+	struct document *document;
+
+	if (text == NULL)
+		return http_answer(conn, 400, "", "");
+	document = g_new0(struct document, 1);
+	document->text = text;
+	g_mutex_lock(&config->lock);
+	old = g_hash_table_lookup(config->live->documents, key);
+	document->version = http_query_uint(conn, "version",
+					    old == NULL ? 1 : old->version + 1);
+	config->live->index_version = http_query_uint(
+		conn, "index_version", config->live->index_version + 1);
+	g_hash_table_replace(config->live->documents, g_strdup(key), document);
+	g_cond_broadcast(&config->changed);
+	g_mutex_unlock(&config->lock);
+	return http_answer(conn, 200, "", "");
+}
+
+static int put_instances(struct config *config, struct mg_connection *conn)
+{
+	char *text = http_body(conn);
+
+	if (text == NULL)
+		return http_answer(conn, 400, "", "");
+	g_mutex_lock(&config->lock);
+	g_free(config->live->instances);
+	config->live->instances = text;
+	config->live->instances_version = http_query_uint(
+		conn, "version", config->live->instances_version + 1);
+	g_cond_broadcast(&config->changed);
+	g_mutex_unlock(&config->lock);
+	return http_answer(conn, 200, "", "");
+}
+
+static int put_mode(struct config *config, struct mg_connection *conn)
+{
+	char *text = http_body(conn);
+	int found = -1;
+
+	for (int i = 0; text != NULL && i < (int)G_N_ELEMENTS(mode_names);
+	     i++) {
+		if (strcmp(mode_names[i], text) == 0)
+			found = i;
+	}
+	g_free(text);
+	if (found < 0)
+		return http_answer(conn, 400, "", "");
+	g_mutex_lock(&config->lock);
+	view_free(config->stale);
+	config->stale = found == MODE_STALE ? view_copy(config->live) : NULL;
+	config->mode = (enum config_mode)found;
+	g_cond_broadcast(&config->changed);
+	g_mutex_unlock(&config->lock);
+	return http_answer(conn, 200, "", "");
+}
+
+static int answer_index(struct config *config, struct mg_connection *conn)
+{
+	json_object *answer;
+	json_object *list;
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	if (!wait_for_change(config, conn, true))
+		return 200;
+	answer = json_object_new_object();
+	list = json_object_new_array();
+	g_mutex_lock(&config->lock);
+	g_hash_table_iter_init(&iter, served(config)->documents);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		json_object *item = json_object_new_object();
+		const struct document *document = value;
+
+		json_object_object_add(item, "key",
+				       json_object_new_string(key));
+		json_object_object_add(
+			item, "version",
+			json_object_new_uint64(document->version));
+		json_object_array_add(list, item);
+	}
+	json_object_object_add(
+		answer, "version",
+		json_object_new_uint64(served(config)->index_version));
+	json_object_object_add(answer, "documents", list);
+	g_mutex_unlock(&config->lock);
+	return http_answer_json(conn, answer);
+}
+
+static int answer_instances(struct config *config, struct mg_connection *conn)
+{
+	char *text;
+	int status;
+
+	if (!wait_for_change(config, conn, false))
+		return 200;
+	g_mutex_lock(&config->lock);
+	text = g_strdup_printf("{\"version\":%" G_GUINT64_FORMAT
+			       ",\"instances\":%s}",
+			       served(config)->instances_version,
+			       served(config)->instances);
+	g_mutex_unlock(&config->lock);
+	status = http_answer(conn, 200, "Content-Type: application/json\r\n",
+			     text);
+	g_free(text);
+	return status;
+}
+
+static int answer_document(struct config *config, struct mg_connection *conn,
+			   const char *key)
+{
+	const struct document *document;
+	char *text = NULL;
+	char header[64] = "";
+	int status;
+
+	g_mutex_lock(&config->lock);
+	document = g_hash_table_lookup(served(config)->documents, key);
+	if (document != NULL) {
+		text = g_strdup(document->text);
+		g_snprintf(header, sizeof(header),
+			   "Config-Version: %" G_GUINT64_FORMAT "\r\n",
+			   document->version);
+	}
+	g_mutex_unlock(&config->lock);
+	if (text == NULL)
+		return http_answer(conn, 404, "", "");
+	status = http_answer(conn, 200, header, text);
+	g_free(text);
+	return status;
+}
+
+/* Returns whether the request is to be answered. */
+static bool behave(struct config *config, struct mg_connection *conn)
+{
+	enum config_mode mode;
+
+	g_mutex_lock(&config->lock);
+	config->reads++;
+	mode = config->mode;
+	g_mutex_unlock(&config->lock);
+	switch (mode) {
+	case MODE_UP:
+	case MODE_STALE:
+		return true;
+	case MODE_REFUSE:
+		http_cut(conn);
+		return false;
+	case MODE_HANG:
+		http_wait(conn, clock_now_us() + HANG_MAX_US);
+		http_cut(conn);
+		return false;
+	case MODE_ERROR:
+		http_answer(conn, 500, "", "");
+		return false;
+	}
+	return false;
+}
+
+/* Returns whether the request is to be answered still. */
+static bool wait_for_change(struct config *config, struct mg_connection *conn,
+			    bool index)
+{
+	uint64_t after = http_query_uint(conn, "after", UINT64_MAX);
+	uint64_t wait_ms = http_query_uint(conn, "wait_ms", 0);
+	int64_t deadline_us = g_get_monotonic_time() +
+			      (int64_t)(MIN(wait_ms, WAIT_MAX_MS) * US_PER_MS);
+	uint64_t version;
+	bool answer;
+
+	g_mutex_lock(&config->lock);
+	version = served_version(config, index);
+	while (version <= after && version == served_version(config, index) &&
+	       answers(config->mode)) {
+		if (!g_cond_wait_until(&config->changed, &config->lock,
+				       deadline_us))
+			break;
+	}
+	answer = answers(config->mode);
+	g_mutex_unlock(&config->lock);
+	if (!answer)
+		http_cut(conn);
+	return answer;
+}
+
+static bool answers(enum config_mode mode)
+{
+	return mode == MODE_UP || mode == MODE_STALE;
+}
+
+static const struct view *served(const struct config *config)
+{
+	return config->stale != NULL ? config->stale : config->live;
+}
+
+static uint64_t served_version(const struct config *config, bool index)
+{
+	return index ? served(config)->index_version :
+		       served(config)->instances_version;
+}
+
+static struct view *view_new(void)
+{
+	struct view *view = g_new0(struct view, 1);
+
+	view->documents = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						document_free);
+	view->instances = g_strdup("[]");
+	return view;
+}
+
+static struct view *view_copy(const struct view *from)
+{
+	struct view *view = view_new();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, from->documents);
+	while (g_hash_table_iter_next(&iter, &key, &value)) {
+		const struct document *old = value;
+		struct document *document = g_new0(struct document, 1);
+
+		document->version = old->version;
+		document->text = g_strdup(old->text);
+		g_hash_table_insert(view->documents, g_strdup(key), document);
+	}
+	g_free(view->instances);
+	view->instances = g_strdup(from->instances);
+	view->index_version = from->index_version;
+	view->instances_version = from->instances_version;
+	return view;
+}
+
+static void view_free(struct view *view)
+{
+	if (view == NULL)
+		return;
+	g_hash_table_destroy(view->documents);
+	g_free(view->instances);
+	g_free(view);
+}
+
+static void document_free(gpointer data)
+{
+	struct document *document = data;
+
+	g_free(document->text);
+	g_free(document);
+}
+
+static error_t parse(int key, char *text, struct argp_state *state)
+{
+	struct config_args *args = state->input;
+
+	switch (key) {
+	case 'l':
+		args->listen = text;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
--- /dev/null
+++ b/test/standin/fault_udp.h
@@ -0,0 +1,32 @@
+#ifndef STANDIN_FAULT_UDP_H
+#define STANDIN_FAULT_UDP_H
+
+/**
+ * DOC: datagrams through the fault proxy
+ */
+
+#include "fault_rule.h"
+
+/**
+ * udp_receive() - take the datagrams that wait at a rule
+ * @rule: the rule
+ * @now_us: boot-time now
+ */
+void udp_receive(struct rule *rule, uint64_t now_us);
+
+/**
+ * udp_poll() - add all sessions to the poll set
+ * @polls: array of struct pollfd
+ *
+ * Return: boot-time deadline of the next delayed datagram.
+ */
+uint64_t udp_poll(GArray *polls);
+
+/**
+ * udp_move() - pass answers back and send delayed datagrams that are due
+ * @polls: the poll set after poll()
+ * @now_us: boot-time now
+ */
+void udp_move(const GArray *polls, uint64_t now_us);
+
+#endif
--- /dev/null
+++ b/test/standin/main.c
@@ -0,0 +1,81 @@
+/* Stand-ins for what surrounds an instance. */
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+/**
+ * struct mode - one stand-in
+ * @name: first argument
+ * @run: takes the rest
+ */
+struct mode {
+	const char *name;
+	int (*run)(int argc, char **argv);
+};
+
+static const struct mode modes[] = {
+	{ "config", config_main },
+	{ "backend", backend_main },
+	{ "fault", fault_main },
+};
+
+static sigset_t ends;
+
+static error_t parse(int key, char *text, struct argp_state *state);
+
+static const struct argp parser = {
+	.parser = parse,
+	.args_doc = "MODE [OPTION...]",
+	.doc = "Takes the place of an outside system in tests.\v"
+	       "MODE is config, backend or fault; MODE --help tells more.",
+};
+
+int main(int argc, char **argv)
+{
+	const struct mode *mode = NULL;
+
+	if (sigemptyset(&ends) != 0 || sigaddset(&ends, SIGTERM) != 0 ||
+	    sigaddset(&ends, SIGINT) != 0 ||
+	    pthread_sigmask(SIG_BLOCK, &ends, NULL) != 0 ||
+	    signal(SIGPIPE, SIG_IGN) == SIG_ERR)
+		return EXIT_FAILURE;
+	if (argp_parse(&parser, argc, argv, ARGP_IN_ORDER, NULL, &mode) != 0 ||
+	    mode == NULL)
+		return EXIT_FAILURE;
+	return mode->run(argc - 1, argv + 1);
+}
+
+void wait_for_end(void)
+{
+	int number;
+
+	if (sigwait(&ends, &number) != 0)
+		fputs("standin: cannot wait for signals\n", stderr);
+}
+
+static error_t parse(int key, char *text, struct argp_state *state)
+{
+	const struct mode **mode = state->input;
+
+	switch (key) {
+	case ARGP_KEY_ARG:
+		for (size_t i = 0; i < sizeof(modes) / sizeof(modes[0]); i++) {
+			if (strcmp(modes[i].name, text) == 0)
+				*mode = &modes[i];
+		}
+		if (*mode == NULL)
+			argp_error(state, "no mode %s", text);
+		/* The rest belongs to the mode. */
+		state->next = state->argc;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
--- /dev/null
+++ b/test/standin/runlog.h
@@ -0,0 +1,70 @@
+#ifndef STANDIN_RUNLOG_H
+#define STANDIN_RUNLOG_H
+
+/**
+ * DOC: run log: every piece of work that a backend server began
+ */
+
+#include <glib.h>
+#include <json.h>
+
+#include "core/ids.h"
+
+#define RUNLOG_MAX 200000
+
+/**
+ * enum run_end - how a piece of work ended
+ */
+enum run_end { RUN_RUNNING, RUN_WHOLE, RUN_BROKEN, RUN_CANCELLED };
+
+/**
+ * struct run - one piece of work
+ * @id: request id, empty when none came
+ * @port: which backend server
+ * @method: request method
+ * @begin_unix_us: when it began
+ * @end_unix_us: when it ended, 0 while it runs
+ * @end: how it ended
+ */
+struct run {
+	struct name id;
+	uint16_t port;
+	char method[8];
+	uint64_t begin_unix_us;
+	uint64_t end_unix_us;
+	enum run_end end;
+};
+
+/**
+ * runlog_begin() - note that work begins now
+ * @id: request id, or NULL
+ * @port: which backend server
+ * @method: request method
+ *
+ * Return: its place, for runlog_end(); RUNLOG_MAX when the log is full.
+ */
+uint32_t runlog_begin(const char *id, uint16_t port, const char *method);
+
+/**
+ * runlog_end() - note that work ends now
+ * @index: its place
+ * @end: how
+ */
+void runlog_end(uint32_t index, enum run_end end);
+
+/**
+ * runlog_text() - write the log
+ * @since: skip so many
+ *
+ * Return: owned text, one JSON object a line.
+ */
+char *runlog_text(uint64_t since);
+
+/**
+ * runlog_counts() - count the work by request id
+ *
+ * Return: a JSON object of id to count, owned.
+ */
+json_object *runlog_counts(void);
+
+#endif
