Read settings, service documents and the platform's lists strictly

Cause: json-c alone takes duplicate keys, NaN, clamped integers, trailing text and comments only together with all of these. Change: comments are blanked out in place, a strict scan refuses what json-c lets pass and knows the path, json-c then reads the tree in strict mode, and tables of fields check kinds, bounds, names and references. Errors are of SETTINGS_ERROR and read "LABEL: PATH: reason; remedy". Conclusion: a text is accepted whole or refused with a typed error.

--- /dev/null
+++ b/src/codec/document_json.c
@@ -0,0 +1,443 @@
+/* Service documents. */
+#include "codec/document_json.h"
+
+#include <string.h>
+
+#include "codec/json_error.h"
+#include "codec/json_fields.h"
+#include "codec/json_text.h"
+
+#define QUEUE_MAX_REQUESTS 4096
+#define PRIORITY_LAST 100
+#define BUDGET_MAX_MS 600000
+#define CONNECTIONS_MAX 100000
+#define FLOOR_MAX_SLOTS ((uint64_t)DOC_BACKENDS_MAX * DOC_SLOTS_MAX)
+#define SAFE_METHODS \
+	(1U << METHOD_GET | 1U << METHOD_HEAD | 1U << METHOD_OPTIONS)
+
+#define AT_DOC(member) .offset_bytes = offsetof(struct service_doc, member)
+#define AT_BACKEND(member) .offset_bytes = offsetof(struct backend_doc, member)
+#define AT_CLASS(member) .offset_bytes = offsetof(struct class_doc, member)
+#define AT_ROUTE(member) .offset_bytes = offsetof(struct route_parts, member)
+#define AT_FLOOR(member) .offset_bytes = offsetof(struct floor_parts, member)
+#define TABLE(list)                      \
+	{                                \
+		list, G_N_ELEMENTS(list) \
+	}
+
+/**
+ * struct route_parts - a route as read, before its class is known
+ * @route: what goes into the document
+ * @class_name: name of its class
+ */
+struct route_parts {
+	struct route_doc route;
+	struct name class_name;
+};
+
+/**
+ * struct floor_parts - both ways to state a floor
+ * @slots: the one
+ * @percent: the other
+ */
+struct floor_parts {
+	uint32_t slots;
+	uint32_t percent;
+};
+
+static const struct json_field shed_fields[] = {
+	{ "header", FIELD_TOKEN, true, AT_DOC(shed.header) },
+	{ "value", FIELD_TOKEN, true, AT_DOC(shed.value) },
+};
+
+static const struct json_field drain_fields[] = {
+	{ "header", FIELD_TOKEN, true, AT_DOC(drain.header) },
+	{ "value", FIELD_TOKEN, true, AT_DOC(drain.value) },
+};
+
+static const struct json_field doc_fields[] = {
+	{ "service", FIELD_NAME, true, AT_DOC(service) },
+	{ .key = "hosts", .kind = FIELD_CUSTOM },
+	{ "path_prefix", FIELD_PATH, false, AT_DOC(path_prefix) },
+	{ .key = "backends", .kind = FIELD_CUSTOM },
+	{ .key = "classes", .kind = FIELD_CUSTOM },
+	{ .key = "routes", .kind = FIELD_CUSTOM },
+	{ .key = "healthy_floor", .kind = FIELD_CUSTOM, .required = true },
+	{ "shed_marker", FIELD_OBJECT, false, .table = TABLE(shed_fields) },
+	{ "drain_marker", FIELD_OBJECT, false, .table = TABLE(drain_fields) },
+	{ "probe_path", FIELD_PATH, false, AT_DOC(probe_path) },
+	{ "load_path", FIELD_PATH, false, AT_DOC(load_path) },
+	{ "default_budget_ms", FIELD_U32, true, AT_DOC(default_budget_ms),
+	  .range = { 1, BUDGET_MAX_MS, 0 } },
+};
+
+static const struct json_field backend_fields[] = {
+	{ "ip", FIELD_IP, true, AT_BACKEND(addr.ip) },
+	{ "port", FIELD_PORT, true, AT_BACKEND(addr.port) },
+	{ "failure_domain", FIELD_NAME, true, AT_BACKEND(domain) },
+	{ "slots", FIELD_U32, true, AT_BACKEND(capacity_slots),
+	  .range = { 1, DOC_SLOTS_MAX, 0 } },
+	{ "connections", FIELD_U32, true, AT_BACKEND(connections_max),
+	  .range = { 1, CONNECTIONS_MAX, 0 } },
+	{ "draining", FIELD_BOOL, false, AT_BACKEND(draining) },
+};
+
+static const struct json_field class_fields[] = {
+	{ "name", FIELD_NAME, true, AT_CLASS(name) },
+	{ "priority", FIELD_U32, true, AT_CLASS(priority),
+	  .range = { 0, PRIORITY_LAST, 0 } },
+	{ "queue", FIELD_U32, true, AT_CLASS(queue_max_requests),
+	  .range = { 1, QUEUE_MAX_REQUESTS, 0 } },
+};
+
+/* An absent budget reads as 0 and becomes the document's default. */
+static const struct json_field route_fields[] = {
+	{ .key = "methods", .kind = FIELD_CUSTOM },
+	{ "path_prefix", FIELD_PATH, true, AT_ROUTE(route.path_prefix) },
+	{ "class", FIELD_NAME, true, AT_ROUTE(class_name) },
+	{ "idempotent", FIELD_BOOL, false, AT_ROUTE(route.idempotent) },
+	{ "long", FIELD_BOOL, false, AT_ROUTE(route.long_work) },
+	{ "budget_ms", FIELD_U32, false, AT_ROUTE(route.budget_ms),
+	  .range = { 1, BUDGET_MAX_MS, 0 } },
+};
+
+static const struct json_field floor_fields[] = {
+	{ "percent", FIELD_U32, false, AT_FLOOR(percent),
+	  .range = { 0, 100, 0 } },
+	{ "slots", FIELD_U32, false, AT_FLOOR(slots),
+	  .range = { 0, FLOOR_MAX_SLOTS, 0 } },
+};
+
+static const char *const method_words[METHOD_COUNT] = {
+	[METHOD_GET] = "GET",	      [METHOD_HEAD] = "HEAD",
+	[METHOD_OPTIONS] = "OPTIONS", [METHOD_POST] = "POST",
+	[METHOD_PUT] = "PUT",	      [METHOD_PATCH] = "PATCH",
+	[METHOD_DELETE] = "DELETE",
+};
+
+static bool read_doc(const struct json_place *place, struct service_doc *doc,
+		     GError **error);
+static bool read_lists(const struct json_place *place, struct service_doc *doc,
+		       GError **error);
+static bool read_host(const struct json_place *place, uint32_t index,
+		      void *data, GError **error);
+static bool read_class(const struct json_place *place, uint32_t index,
+		       void *data, GError **error);
+static bool read_backend(const struct json_place *place, uint32_t index,
+			 void *data, GError **error);
+static bool read_route(const struct json_place *place, uint32_t index,
+		       void *data, GError **error);
+static bool read_method(const struct json_place *place, uint32_t index,
+			void *data, GError **error);
+static bool finish_route(const struct json_place *place,
+			 const struct service_doc *doc, uint32_t index,
+			 struct route_parts *parts, GError **error);
+static bool find_class(const struct json_place *place,
+		       const struct service_doc *doc, struct route_parts *parts,
+		       GError **error);
+static bool decide_idempotent(const struct json_place *place,
+			      struct route_doc *route, GError **error);
+static bool check_route_new(const struct json_place *place,
+			    const struct service_doc *doc, uint32_t index,
+			    const struct route_doc *route, GError **error);
+static bool read_floor(const struct json_place *place, struct service_doc *doc,
+		       GError **error);
+
+struct service_doc *service_doc_parse(const char *label, const char *text,
+				      size_t text_bytes, uint64_t version,
+				      GError **error)
+{
+	struct json_place place = { .label = label };
+	struct service_doc *doc;
+	bool ok;
+
+	place.value =
+		json_text_parse(label, text, text_bytes, DOC_BYTES_MAX, error);
+	if (!place.value)
+		return NULL;
+	doc = g_new0(struct service_doc, 1);
+	doc->refs = 1;
+	doc->version = version;
+	doc->text = g_strndup(text, text_bytes);
+	doc->text_bytes = (uint32_t)text_bytes;
+	doc->hash = hash_bytes(text, text_bytes, 0);
+	place.path = g_string_new(NULL);
+	ok = read_doc(&place, doc, error);
+	g_string_free(place.path, TRUE);
+	json_object_put(place.value);
+	if (ok)
+		return doc;
+	service_doc_unref(doc);
+	return NULL;
+}
+
+static bool read_doc(const struct json_place *place, struct service_doc *doc,
+		     GError **error)
+{
+	const struct field_table table = TABLE(doc_fields);
+
+	if (!json_read_fields(place, table, doc, error))
+		return false;
+	if (!json_has(place, "hosts") && !json_has(place, "path_prefix"))
+		return json_fail(place, "path_prefix", SETTINGS_ERROR_MISSING,
+				 error,
+				 "nothing selects the service; add "
+				 "path_prefix or hosts");
+	return read_lists(place, doc, error) && read_floor(place, doc, error);
+}
+
+static bool read_lists(const struct json_place *place, struct service_doc *doc,
+		       GError **error)
+{
+	const struct json_list hosts = {
+		.key = "hosts",
+		.min_items = 1,
+		.max_items = DOC_HOSTS_MAX,
+		.read = read_host,
+	};
+	const struct json_list classes = {
+		.key = "classes",
+		.required = true,
+		.min_items = 1,
+		.max_items = DOC_CLASSES_MAX,
+		.read = read_class,
+	};
+	const struct json_list backends = {
+		.key = "backends",
+		.required = true,
+		.min_items = 1,
+		.max_items = DOC_BACKENDS_MAX,
+		.read = read_backend,
+	};
+	const struct json_list routes = {
+		.key = "routes",
+		.required = true,
+		.max_items = DOC_ROUTES_MAX,
+		.read = read_route,
+	};
+
+	doc->backends = g_new0(struct backend_doc,
+			       json_list_count(place, backends.key));
+	doc->routes =
+		g_new0(struct route_doc, json_list_count(place, routes.key));
+	return json_read_list(place, &hosts, doc, error) &&
+	       json_read_list(place, &classes, doc, error) &&
+	       json_read_list(place, &backends, doc, error) &&
+	       json_read_list(place, &routes, doc, error);
+}
+
+static bool read_host(const struct json_place *place, uint32_t index,
+		      void *data, GError **error)
+{
+	struct service_doc *doc = data;
+	struct name *host = &doc->hosts[index];
+	uint32_t i;
+
+	if (!json_read_name(place, host, error))
+		return false;
+	/* Host names compare without case, requests carry them lowered. */
+	for (i = 0; host->text[i]; i++)
+		host->text[i] = g_ascii_tolower(host->text[i]);
+	for (i = 0; i < index; i++) {
+		if (name_equal(&doc->hosts[i], host))
+			return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE,
+					 error, "host stands twice; keep one");
+	}
+	doc->host_count = index + 1;
+	return true;
+}
+
+static bool read_class(const struct json_place *place, uint32_t index,
+		       void *data, GError **error)
+{
+	const struct field_table table = TABLE(class_fields);
+	struct service_doc *doc = data;
+	struct class_doc *class_doc = &doc->classes[index];
+	uint32_t i;
+
+	if (!json_read_fields(place, table, class_doc, error))
+		return false;
+	for (i = 0; i < index; i++) {
+		if (name_equal(&doc->classes[i].name, &class_doc->name))
+			return json_fail(place, "name",
+					 SETTINGS_ERROR_DUPLICATE, error,
+					 "class stands twice; rename one");
+	}
+	doc->class_count = index + 1;
+	return true;
+}
+
+static bool read_backend(const struct json_place *place, uint32_t index,
+			 void *data, GError **error)
+{
+	const struct field_table table = TABLE(backend_fields);
+	struct service_doc *doc = data;
+	struct backend_doc *backend = &doc->backends[index];
+	uint32_t i;
+
+	if (!json_read_fields(place, table, backend, error))
+		return false;
+	if (backend->connections_max < backend->capacity_slots)
+		return json_fail(place, "connections", SETTINGS_ERROR_RANGE,
+				 error,
+				 "%u is below slots, %u; each slot needs a "
+				 "connection",
+				 backend->connections_max,
+				 backend->capacity_slots);
+	for (i = 0; i < index; i++) {
+		if (addr_equal(doc->backends[i].addr, backend->addr))
+			return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE,
+					 error,
+					 "same ip and port as backends[%u]; "
+					 "keep one",
+					 i);
+	}
+	doc->backend_count = index + 1;
+	return true;
+}
+
+static bool read_route(const struct json_place *place, uint32_t index,
+		       void *data, GError **error)
+{
+	const struct field_table table = TABLE(route_fields);
+	const struct json_list methods = {
+		.key = "methods",
+		.required = true,
+		.min_items = 1,
+		.max_items = METHOD_COUNT,
+		.read = read_method,
+	};
+	struct service_doc *doc = data;
+	struct route_parts parts = { 0 };
+
+	if (!json_read_fields(place, table, &parts, error) ||
+	    !json_read_list(place, &methods, &parts.route, error) ||
+	    !finish_route(place, doc, index, &parts, error))
+		return false;
+	doc->routes[index] = parts.route;
+	doc->route_count = index + 1;
+	return true;
+}
+
+static bool read_method(const struct json_place *place, uint32_t index,
+			void *data, GError **error)
+{
+	struct route_doc *route = data;
+	const char *text = NULL;
+	uint32_t i;
+
+	(void)index;
+	if (json_object_is_type(place->value, json_type_string))
+		text = json_object_get_string(place->value);
+	for (i = 0; text && i < METHOD_COUNT; i++) {
+		if (strcmp(text, method_words[i]) == 0)
+			break;
+	}
+	if (!text || i == METHOD_COUNT)
+		return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
+				 "no method; write GET, HEAD, OPTIONS, POST, "
+				 "PUT, PATCH or DELETE");
+	if (route->method_mask & 1U << i)
+		return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE, error,
+				 "method stands twice; keep one");
+	route->method_mask |= 1U << i;
+	return true;
+}
+
+static bool finish_route(const struct json_place *place,
+			 const struct service_doc *doc, uint32_t index,
+			 struct route_parts *parts, GError **error)
+{
+	struct route_doc *route = &parts->route;
+
+	if (route->budget_ms == 0)
+		route->budget_ms = doc->default_budget_ms;
+	return find_class(place, doc, parts, error) &&
+	       decide_idempotent(place, route, error) &&
+	       check_route_new(place, doc, index, route, error);
+}
+
+static bool find_class(const struct json_place *place,
+		       const struct service_doc *doc, struct route_parts *parts,
+		       GError **error)
+{
+	uint32_t i;
+
+	for (i = 0; i < doc->class_count; i++) {
+		if (!name_equal(&doc->classes[i].name, &parts->class_name))
+			continue;
+		parts->route.class_index = i;
+		return true;
+	}
+	return json_fail(place, "class", SETTINGS_ERROR_REFERENCE, error,
+			 "no class %s; add it to classes or name another",
+			 parts->class_name.text);
+}
+
+static bool decide_idempotent(const struct json_place *place,
+			      struct route_doc *route, GError **error)
+{
+	bool safe = (route->method_mask & SAFE_METHODS) != 0;
+	bool unsafe = (route->method_mask & ~SAFE_METHODS) != 0;
+
+	if (json_has(place, "idempotent"))
+		return true;
+	if (safe && unsafe)
+		return json_fail(place, "idempotent", SETTINGS_ERROR_MISSING,
+				 error,
+				 "reading and writing methods in one route; "
+				 "say true or false, or split the route");
+	route->idempotent = safe;
+	return true;
+}
+
+static bool check_route_new(const struct json_place *place,
+			    const struct service_doc *doc, uint32_t index,
+			    const struct route_doc *route, GError **error)
+{
+	const struct route_doc *other;
+	uint32_t i;
+
+	for (i = 0; i < index; i++) {
+		other = &doc->routes[i];
+		if (strcmp(other->path_prefix, route->path_prefix) != 0 ||
+		    !(other->method_mask & route->method_mask))
+			continue;
+		return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE, error,
+				 "same method and path_prefix as routes[%u]; "
+				 "keep one",
+				 i);
+	}
+	return true;
+}
+
+static bool read_floor(const struct json_place *place, struct service_doc *doc,
+		       GError **error)
+{
+	const struct field_table table = TABLE(floor_fields);
+	struct floor_parts parts = { 0 };
+	struct json_place floor = *place;
+	uint32_t total_slots = service_doc_slots(doc);
+
+	if (!json_read_member(place, "healthy_floor", table, &parts, error))
+		return false;
+	json_object_object_get_ex(place->value, "healthy_floor", &floor.value);
+	if (json_has(&floor, "percent") == json_has(&floor, "slots"))
+		return json_fail(place, "healthy_floor", SETTINGS_ERROR_MISSING,
+				 error,
+				 "no floor or two of them; write either "
+				 "percent or slots");
+	if (json_has(&floor, "percent")) {
+		doc->floor.kind = FLOOR_PERCENT;
+		doc->floor.percent = parts.percent;
+		return true;
+	}
+	doc->floor.kind = FLOOR_SLOTS;
+	doc->floor.slots = parts.slots;
+	if (parts.slots <= total_slots)
+		return true;
+	return json_fail(place, "healthy_floor", SETTINGS_ERROR_RANGE, error,
+			 "%u slots are above all slots of the document, %u; "
+			 "write fewer",
+			 parts.slots, total_slots);
+}
--- /dev/null
+++ b/src/codec/settings_json.c
@@ -0,0 +1,129 @@
+/* Settings of one instance. */
+#include "codec/document_json.h"
+
+#include "codec/json_error.h"
+#include "codec/json_fields.h"
+#include "codec/json_text.h"
+
+#define SETTINGS_BYTES_MAX UINT32_C(65536)
+#define LOG_MASK_ERROR (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL)
+#define LOG_MASK_WARNING (LOG_MASK_ERROR | G_LOG_LEVEL_WARNING)
+#define LOG_MASK_MESSAGE (LOG_MASK_WARNING | G_LOG_LEVEL_MESSAGE)
+#define LOG_MASK_INFO (LOG_MASK_MESSAGE | G_LOG_LEVEL_INFO)
+#define LOG_MASK_DEBUG (LOG_MASK_INFO | G_LOG_LEVEL_DEBUG)
+
+#define AT(member) .offset_bytes = offsetof(struct settings, member)
+
+static const struct field_choice log_formats[] = {
+	{ "text", LOG_TEXT },
+	{ "json", LOG_JSON },
+};
+
+static const struct field_choice log_levels[] = {
+	{ "error", LOG_MASK_ERROR },	 { "warning", LOG_MASK_WARNING },
+	{ "message", LOG_MASK_MESSAGE }, { "info", LOG_MASK_INFO },
+	{ "debug", LOG_MASK_DEBUG },
+};
+
+static const struct json_field log_fields[] = {
+	{ "format", FIELD_CHOICE, false, AT(log_format),
+	  .choices = { log_formats, G_N_ELEMENTS(log_formats), LOG_TEXT } },
+	{ "level", FIELD_CHOICE, false, AT(log_level),
+	  .choices = { log_levels, G_N_ELEMENTS(log_levels), LOG_MASK_INFO } },
+};
+
+static const struct json_field settings_fields[] = {
+	{ "callers", FIELD_ADDR, true, AT(caller_listen) },
+	{ "peers", FIELD_ADDR, true, AT(peer_listen) },
+	{ "operators", FIELD_ADDR, true, AT(operator_listen) },
+	{ "failure_domain", FIELD_NAME, true, AT(domain) },
+	{ "platform", FIELD_ADDR, true, AT(platform) },
+	{ "worker_threads", FIELD_U32, false, AT(worker_threads),
+	  .range = { 4, 4096, 64 } },
+	{ "body_max_bytes", FIELD_U32, false, AT(body_max_bytes),
+	  .range = { 1024, 67108864, 1048576 } },
+	{ "head_max_bytes", FIELD_U32, false, AT(head_max_bytes),
+	  .range = { 1024, 65536, 16384 } },
+	{ "hold_max_bytes", FIELD_U32, false, AT(hold_max_bytes),
+	  .range = { 0, 4194304, 65536 } },
+	{ "entries_ttl_ms", FIELD_U32, false, AT(entries_ttl_ms),
+	  .range = { 500, 60000, 5000 } },
+	{ "drain_max_ms", FIELD_U32, false, AT(drain_max_ms),
+	  .range = { 1000, 600000, 30000 } },
+	{ "log", FIELD_OBJECT, false,
+	  .table = { log_fields, G_N_ELEMENTS(log_fields) } },
+	{ "random_seed", FIELD_U32, false, AT(random_seed),
+	  .range = { 0, UINT32_MAX, 0 } },
+};
+
+static const struct field_table settings_table = {
+	settings_fields,
+	G_N_ELEMENTS(settings_fields),
+};
+
+static bool check_settings(const struct json_place *place,
+			   const struct settings *settings, GError **error);
+
+bool settings_parse(const char *label, const char *text, size_t text_bytes,
+		    struct settings *out, GError **error)
+{
+	struct json_place place = { .label = label };
+	struct settings settings = { 0 };
+	bool ok;
+
+	place.value = json_text_parse(label, text, text_bytes,
+				      SETTINGS_BYTES_MAX, error);
+	if (!place.value)
+		return false;
+	place.path = g_string_new(NULL);
+	ok = json_read_fields(&place, settings_table, &settings, error) &&
+	     check_settings(&place, &settings, error);
+	g_string_free(place.path, TRUE);
+	json_object_put(place.value);
+	if (ok)
+		*out = settings;
+	return ok;
+}
+
+bool settings_load(const char *path, struct settings *out, GError **error)
+{
+	GError *cause = NULL;
+	gsize text_bytes;
+	char *text;
+	bool ok;
+
+	if (!g_file_get_contents(path, &text, &text_bytes, &cause)) {
+		json_error_set(error, SETTINGS_ERROR_IO, path, "",
+			       "%s; name a readable file", cause->message);
+		g_error_free(cause);
+		return false;
+	}
+	ok = settings_parse(path, text, text_bytes, out, error);
+	g_free(text);
+	return ok;
+}
+
+static bool check_settings(const struct json_place *place,
+			   const struct settings *settings, GError **error)
+{
+	if (addr_equal(settings->peer_listen, settings->caller_listen))
+		return json_fail(place, "peers", SETTINGS_ERROR_DUPLICATE,
+				 error,
+				 "same address as callers; choose another "
+				 "port");
+	if (addr_equal(settings->operator_listen, settings->caller_listen) ||
+	    addr_equal(settings->operator_listen, settings->peer_listen))
+		return json_fail(place, "operators", SETTINGS_ERROR_DUPLICATE,
+				 error,
+				 "same address as callers or peers; choose "
+				 "another port");
+	if (settings->drain_max_ms <= settings->entries_ttl_ms)
+		return json_fail(place, "drain_max_ms", SETTINGS_ERROR_RANGE,
+				 error,
+				 "%u is not above entries_ttl_ms, %u; a "
+				 "planned stop waits for the answers it gave, "
+				 "so write more",
+				 settings->drain_max_ms,
+				 settings->entries_ttl_ms);
+	return true;
+}
--- /dev/null
+++ b/test/unit/document_json_test.cc
@@ -0,0 +1,553 @@
+/* Settings, service documents and the platform's lists: one sample of each,
+ * then tables of texts put into the sample in place of a part of it.
+ */
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "codec/document_json.h"
+}
+
+namespace
+{
+
+enum text_kind { SETTINGS, DOCUMENT, INSTANCES, INDEX };
+
+const char settings_sample[] = R"({
+	// where callers connect
+	"callers": "127.0.0.1:8080",
+	"peers": "127.0.0.1:8081", /* UDP and TCP */
+	"operators": "127.0.0.1:8082",
+	"failure_domain": "a",
+	"platform": "127.0.0.1:7000",
+	"drain_max_ms": 20000,
+	"log": {"format": "json", "level": "warning"},
+	"random_seed": 7
+})";
+
+const char document_sample[] = R"({
+	"service": "gallery", // not a "key": 1
+	"hosts": ["Gallery.example"],
+	"path_prefix": "/gallery",
+	"backends": [
+		{"ip": "127.0.0.1", "port": 9001, "failure_domain": "a",
+		 "slots": 6, "connections": 350},
+		{"ip": "127.0.0.1", "port": 9002, "failure_domain": "b",
+		 "slots": 6, "connections": 350, "draining": true}
+	],
+	"classes": [
+		{"name": "judge", "priority": 0, "queue": 64},
+		{"name": "visitor", "priority": 1, "queue": 32}
+	],
+	"routes": [
+		{"methods": ["GET", "HEAD"], "path_prefix": "/gallery/works",
+		 "class": "judge", "budget_ms": 1500},
+		{"methods": ["POST"], "path_prefix": "/gallery/notes",
+		 "class": "visitor", "long": true}
+	],
+	"healthy_floor": {"percent": 60},
+	"shed_marker": {"header": "X-Shed", "value": "1"},
+	"drain_marker": {"header": "X-Draining", "value": "1"},
+	"probe_path": "/health",
+	"load_path": "/load",
+	"default_budget_ms": 2000
+})";
+
+const char instances_sample[] = R"({"version": 3, "instances": [
+	{"caller": "127.0.0.1:8080", "peer": "127.0.0.1:8081",
+	 "failure_domain": "a", "status": "live"},
+	{"caller": "127.0.0.2:8080", "peer": "127.0.0.2:8081",
+	 "failure_domain": "b", "status": "leaving"}
+]})";
+
+const char index_sample[] = R"({"version": 3, "documents": [
+	{"key": "gallery", "version": 3}, {"key": "entry", "version": 1}
+]})";
+
+std::string sample(enum text_kind kind)
+{
+	switch (kind) {
+	case SETTINGS:
+		return settings_sample;
+	case DOCUMENT:
+		return document_sample;
+	case INSTANCES:
+		return instances_sample;
+	case INDEX:
+		return index_sample;
+	}
+	return "";
+}
+
+/* Whether a text is accepted; an unaccepted one has a typed error. */
+bool accepted(enum text_kind kind, const std::string &text, GError **error)
+{
+	struct service_doc *doc;
+	struct settings settings;
+	GArray *list = NULL;
+	bool ok = false;
+
+	switch (kind) {
+	case SETTINGS:
+		return settings_parse("file", text.data(), text.size(),
+				      &settings, error);
+	case DOCUMENT:
+		doc = service_doc_parse("file", text.data(), text.size(), 3,
+					error);
+		ok = doc != NULL;
+		service_doc_unref(doc);
+		return ok;
+	case INSTANCES:
+		ok = instances_parse(text.data(), text.size(), &list, error);
+		break;
+	case INDEX:
+		ok = index_parse(text.data(), text.size(), &list, error);
+		break;
+	}
+	if (ok)
+		g_array_unref(list);
+	return ok;
+}
+
+struct refusal_case {
+	const char *name;
+	enum text_kind kind;
+	const char *part;
+	std::string instead;
+	enum settings_error code;
+	const char *place;
+};
+
+const struct refusal_case refusal_cases[] = {
+	/* Texts that are no strict JSON. */
+	{ "trailing comma", SETTINGS, "\"random_seed\": 7",
+	  "\"random_seed\": 7,", SETTINGS_ERROR_SYNTAX, "line 11, column 1" },
+	{ "trailing text", SETTINGS, "7\n}", "7\n} x", SETTINGS_ERROR_SYNTAX,
+	  "line 11, column 3" },
+	{ "second document", SETTINGS, "7\n}", "7\n}{}", SETTINGS_ERROR_SYNTAX,
+	  "line 11, column 2" },
+	{ "duplicate key", SETTINGS, "\"random_seed\": 7",
+	  "\"random_seed\": 7, \"random_seed\": 8", SETTINGS_ERROR_DUPLICATE,
+	  "random_seed" },
+	{ "duplicate key, escaped", SETTINGS, "\"random_seed\": 7",
+	  "\"random_seed\": 7, \"random_see\\u0064\": 8",
+	  SETTINGS_ERROR_DUPLICATE, "random_seed" },
+	{ "duplicate key, nested", DOCUMENT, "\"port\": 9002",
+	  "\"port\": 9002, \"port\": 9003", SETTINGS_ERROR_DUPLICATE,
+	  "backends[1].port" },
+	{ "NaN", SETTINGS, "7", "NaN", SETTINGS_ERROR_SYNTAX, "line 10" },
+	{ "Infinity", SETTINGS, "7", "Infinity", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "minus infinity", SETTINGS, "7", "-Infinity", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "leading zero", SETTINGS, "7", "07", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "hexadecimal", SETTINGS, "7", "0x7", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "single quotes", SETTINGS, "\"a\"", "'a'", SETTINGS_ERROR_SYNTAX,
+	  "line 6" },
+	{ "word in capitals", SETTINGS, "7", "True", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "open comment", SETTINGS, "/* UDP and TCP */", "/* UDP",
+	  SETTINGS_ERROR_SYNTAX, "line 4" },
+	{ "lone slash", SETTINGS, "/* UDP and TCP */", "/",
+	  SETTINGS_ERROR_SYNTAX, "line 4" },
+	{ "open string", SETTINGS, "\"a\",", "\"a,", SETTINGS_ERROR_SYNTAX,
+	  "line 6" },
+	{ "NUL byte", SETTINGS, "\"a\"", std::string("\"a\0\"", 4),
+	  SETTINGS_ERROR_SYNTAX, "document" },
+	{ "NUL escaped", SETTINGS, "\"a\"", "\"a\\u0000\"",
+	  SETTINGS_ERROR_SYNTAX, "line 6" },
+	{ "no UTF-8", SETTINGS, "\"a\"", "\"\xff\"", SETTINGS_ERROR_SYNTAX,
+	  "document" },
+	{ "no UTF-8 in a comment", SETTINGS, "where", "\xc3\x28",
+	  SETTINGS_ERROR_SYNTAX, "document" },
+	{ "list", SETTINGS, settings_sample, "[]", SETTINGS_ERROR_SYNTAX,
+	  "line 1, column 1" },
+	{ "empty", SETTINGS, settings_sample, "", SETTINGS_ERROR_SYNTAX,
+	  "document" },
+	{ "deep", SETTINGS, "7", "[[[[[[[[[[1]]]]]]]]]]", SETTINGS_ERROR_SYNTAX,
+	  "line 10" },
+	{ "too long", SETTINGS, "where", std::string(65536, 'x'),
+	  SETTINGS_ERROR_RANGE, "document" },
+	/* Settings. */
+	{ "unknown field", SETTINGS, "random_seed", "random_sed",
+	  SETTINGS_ERROR_UNKNOWN, "random_sed" },
+	{ "unknown field, nested", SETTINGS, "\"level\"", "\"levl\"",
+	  SETTINGS_ERROR_UNKNOWN, "log.levl" },
+	{ "missing field", SETTINGS, "\"failure_domain\": \"a\",", "",
+	  SETTINGS_ERROR_MISSING, "failure_domain" },
+	{ "large integer", SETTINGS, "7", "99999999999999999999",
+	  SETTINGS_ERROR_RANGE, "random_seed" },
+	{ "integer above 32 bits", SETTINGS, "7", "4294967296",
+	  SETTINGS_ERROR_RANGE, "random_seed" },
+	{ "negative", SETTINGS, "7", "-1", SETTINGS_ERROR_RANGE,
+	  "random_seed" },
+	{ "fraction", SETTINGS, "7", "7.0", SETTINGS_ERROR_TYPE,
+	  "random_seed" },
+	{ "exponent", SETTINGS, "7", "7e0", SETTINGS_ERROR_TYPE,
+	  "random_seed" },
+	{ "number in quotes", SETTINGS, "7", "\"7\"", SETTINGS_ERROR_TYPE,
+	  "random_seed" },
+	{ "null", SETTINGS, "7", "null", SETTINGS_ERROR_TYPE, "random_seed" },
+	{ "address without port", SETTINGS, "127.0.0.1:8080", "127.0.0.1",
+	  SETTINGS_ERROR_RANGE, "callers" },
+	{ "address by host name", SETTINGS, "127.0.0.1:8080", "localhost:8080",
+	  SETTINGS_ERROR_RANGE, "callers" },
+	{ "address of any interface", SETTINGS, "127.0.0.1:8080",
+	  "0.0.0.0:8080", SETTINGS_ERROR_RANGE, "callers" },
+	{ "multicast address", SETTINGS, "127.0.0.1:7000", "224.0.0.1:7000",
+	  SETTINGS_ERROR_RANGE, "platform" },
+	{ "port 0", SETTINGS, "127.0.0.1:8080", "127.0.0.1:0",
+	  SETTINGS_ERROR_RANGE, "callers" },
+	{ "peers as callers", SETTINGS, "127.0.0.1:8081", "127.0.0.1:8080",
+	  SETTINGS_ERROR_DUPLICATE, "peers" },
+	{ "operators as peers", SETTINGS, "127.0.0.1:8082", "127.0.0.1:8081",
+	  SETTINGS_ERROR_DUPLICATE, "operators" },
+	{ "unknown word", SETTINGS, "\"warning\"", "\"loud\"",
+	  SETTINGS_ERROR_RANGE, "log.level" },
+	{ "planned stop below the answers' time", SETTINGS, "20000", "5000",
+	  SETTINGS_ERROR_RANGE, "drain_max_ms" },
+	{ "failure domain with a space", SETTINGS, "\"a\"", "\"a b\"",
+	  SETTINGS_ERROR_RANGE, "failure_domain" },
+	{ "object for a word", SETTINGS, "\"json\"", "{}", SETTINGS_ERROR_TYPE,
+	  "log.format" },
+	/* Service documents. */
+	{ "nothing selects the service", DOCUMENT,
+	  "\"hosts\": [\"Gallery.example\"],\n\t\"path_prefix\": "
+	  "\"/gallery\",",
+	  "", SETTINGS_ERROR_MISSING, "path_prefix" },
+	{ "host twice", DOCUMENT, "\"Gallery.example\"",
+	  "\"a.example\", \"A.example\"", SETTINGS_ERROR_DUPLICATE,
+	  "hosts[1]" },
+	{ "no hosts in the list", DOCUMENT, "\"Gallery.example\"", "",
+	  SETTINGS_ERROR_RANGE, "hosts" },
+	{ "hosts null", DOCUMENT, "[\"Gallery.example\"]", "null",
+	  SETTINGS_ERROR_TYPE, "hosts" },
+	{ "host no string", DOCUMENT, "\"Gallery.example\"", "1",
+	  SETTINGS_ERROR_TYPE, "hosts[0]" },
+	{ "relative path", DOCUMENT, "\"/health\"", "\"health\"",
+	  SETTINGS_ERROR_RANGE, "probe_path" },
+	{ "path with a query", DOCUMENT, "\"/load\"", "\"/load?x=1\"",
+	  SETTINGS_ERROR_RANGE, "load_path" },
+	{ "path with a line end", DOCUMENT, "\"/load\"", "\"/load\\r\\nX: y\"",
+	  SETTINGS_ERROR_RANGE, "load_path" },
+	{ "path too long", DOCUMENT, "\"/load\"",
+	  "\"/" + std::string(255, 'x') + "\"", SETTINGS_ERROR_RANGE,
+	  "load_path" },
+	{ "backend server twice", DOCUMENT, "9002", "9001",
+	  SETTINGS_ERROR_DUPLICATE, "backends[1]" },
+	{ "port above range", DOCUMENT, "9002", "65536", SETTINGS_ERROR_RANGE,
+	  "backends[1].port" },
+	{ "port missing", DOCUMENT, "\"port\": 9002,", "",
+	  SETTINGS_ERROR_MISSING, "backends[1].port" },
+	{ "ip in octal", DOCUMENT, "\"127.0.0.1\", \"port\": 9002",
+	  "\"127.0.0.01\", \"port\": 9002", SETTINGS_ERROR_RANGE,
+	  "backends[1].ip" },
+	{ "no slots", DOCUMENT, "\"slots\": 6, \"connections\": 350,",
+	  "\"slots\": 0, \"connections\": 350,", SETTINGS_ERROR_RANGE,
+	  "backends[1].slots" },
+	{ "fewer connections than slots", DOCUMENT, "\"connections\": 350,",
+	  "\"connections\": 5,", SETTINGS_ERROR_RANGE,
+	  "backends[1].connections" },
+	{ "draining as a word", DOCUMENT, "\"draining\": true",
+	  "\"draining\": \"yes\"", SETTINGS_ERROR_TYPE,
+	  "backends[1].draining" },
+	{ "misspelt in a backend server", DOCUMENT, "\"draining\"",
+	  "\"drainin\"", SETTINGS_ERROR_UNKNOWN, "backends[1].drainin" },
+	{ "a key no path can show", DOCUMENT, "\"draining\"", "\"a.b\\n\\\"\"",
+	  SETTINGS_ERROR_UNKNOWN, "backends[1].a?b??" },
+	{ "entry of a list no object", DOCUMENT, "\"classes\": [",
+	  "\"classes\": [7, ", SETTINGS_ERROR_TYPE, "classes[0]" },
+	{ "class twice", DOCUMENT, "\"visitor\", \"priority\"",
+	  "\"judge\", \"priority\"", SETTINGS_ERROR_DUPLICATE,
+	  "classes[1].name" },
+	{ "no queue", DOCUMENT, "\"queue\": 32", "\"queue\": 0",
+	  SETTINGS_ERROR_RANGE, "classes[1].queue" },
+	{ "class unknown", DOCUMENT, "\"class\": \"visitor\"",
+	  "\"class\": \"committee\"", SETTINGS_ERROR_REFERENCE,
+	  "routes[1].class" },
+	{ "method unknown", DOCUMENT, "\"HEAD\"", "\"TRACE\"",
+	  SETTINGS_ERROR_RANGE, "routes[0].methods[1]" },
+	{ "method twice", DOCUMENT, "\"HEAD\"", "\"GET\"",
+	  SETTINGS_ERROR_DUPLICATE, "routes[0].methods[1]" },
+	{ "no methods", DOCUMENT, "[\"POST\"]", "[]", SETTINGS_ERROR_RANGE,
+	  "routes[1].methods" },
+	{ "mixed methods that do not say idempotent", DOCUMENT, "[\"POST\"]",
+	  "[\"POST\", \"GET\"]", SETTINGS_ERROR_MISSING,
+	  "routes[1].idempotent" },
+	{ "route twice", DOCUMENT,
+	  "[\"POST\"], \"path_prefix\": \"/gallery/notes\"",
+	  "[\"GET\"], \"path_prefix\": \"/gallery/works\"",
+	  SETTINGS_ERROR_DUPLICATE, "routes[1]" },
+	{ "budget 0", DOCUMENT, "1500", "0", SETTINGS_ERROR_RANGE,
+	  "routes[0].budget_ms" },
+	{ "floor above 100 per cent", DOCUMENT, "60", "101",
+	  SETTINGS_ERROR_RANGE, "healthy_floor.percent" },
+	{ "floor above all slots", DOCUMENT, "\"percent\": 60", "\"slots\": 13",
+	  SETTINGS_ERROR_RANGE, "healthy_floor" },
+	{ "floor stated twice", DOCUMENT, "\"percent\": 60",
+	  "\"percent\": 60, \"slots\": 4", SETTINGS_ERROR_MISSING,
+	  "healthy_floor" },
+	{ "floor empty", DOCUMENT, "\"percent\": 60", "",
+	  SETTINGS_ERROR_MISSING, "healthy_floor" },
+	{ "floor null", DOCUMENT, "{\"percent\": 60}", "null",
+	  SETTINGS_ERROR_TYPE, "healthy_floor" },
+	{ "floor missing", DOCUMENT, "\"healthy_floor\": {\"percent\": 60},",
+	  "", SETTINGS_ERROR_MISSING, "healthy_floor" },
+	{ "marker without value", DOCUMENT,
+	  "\"header\": \"X-Shed\", \"value\": \"1\"", "\"header\": \"X-Shed\"",
+	  SETTINGS_ERROR_MISSING, "shed_marker.value" },
+	{ "marker with a colon", DOCUMENT, "X-Shed",
+	  "X-Shed:", SETTINGS_ERROR_RANGE, "shed_marker.header" },
+	{ "routes missing", DOCUMENT, "\"routes\"", "\"route\"",
+	  SETTINGS_ERROR_UNKNOWN, "route" },
+	/* The platform's lists. */
+	{ "instance twice", INSTANCES, "127.0.0.2:8081", "127.0.0.1:8081",
+	  SETTINGS_ERROR_DUPLICATE, "instances[1].peer" },
+	{ "status unknown", INSTANCES, "\"leaving\"", "\"gone\"",
+	  SETTINGS_ERROR_RANGE, "instances[1].status" },
+	{ "list missing", INSTANCES, "instances", "list",
+	  SETTINGS_ERROR_UNKNOWN, "list" },
+	{ "version missing", INSTANCES, "\"version\": 3, ", "",
+	  SETTINGS_ERROR_MISSING, "version" },
+	{ "document twice", INDEX, "\"entry\"", "\"gallery\"",
+	  SETTINGS_ERROR_DUPLICATE, "documents[1].key" },
+	{ "version 0", INDEX, "\"version\": 1", "\"version\": 0",
+	  SETTINGS_ERROR_RANGE, "documents[1].version" },
+};
+
+std::string altered(const struct refusal_case &c)
+{
+	std::string text = sample(c.kind);
+	size_t at = text.rfind(c.part);
+
+	EXPECT_NE(at, std::string::npos);
+	return text.replace(at, strlen(c.part), c.instead);
+}
+
+TEST(DocumentJsonTest, RefusesWithTypedErrorAndPath)
+{
+	for (const auto &c : refusal_cases) {
+		SCOPED_TRACE(c.name);
+		GError *error = NULL;
+
+		ASSERT_FALSE(accepted(c.kind, altered(c), &error));
+		ASSERT_NE(error, nullptr);
+		SCOPED_TRACE(error->message);
+		EXPECT_EQ(error->domain, SETTINGS_ERROR);
+		EXPECT_EQ(error->code, c.code);
+		std::string message = error->message;
+		std::string label = c.kind == INSTANCES ? "instances" :
+				    c.kind == INDEX	? "index" :
+							  "file";
+		std::string place = label + ": " + c.place;
+		EXPECT_EQ(message.substr(0, place.size()), place);
+		EXPECT_TRUE(message[place.size()] == ':' ||
+			    message[place.size()] == ',');
+		EXPECT_NE(message.find("; "), std::string::npos);
+		g_error_free(error);
+	}
+}
+
+struct acceptance_case {
+	const char *name;
+	enum text_kind kind;
+	const char *part;
+	const char *instead;
+};
+
+const struct acceptance_case acceptance_cases[] = {
+	{ "settings", SETTINGS, "7", "7" },
+	{ "comment signs in a string", DOCUMENT, "\"/health\"", "\"/a//b\"" },
+	{ "comment at the end", SETTINGS, "7\n}", "7\n} // end" },
+	{ "least settings", SETTINGS,
+	  "\"drain_max_ms\": 20000,\n\t\"log\": {\"format\": \"json\", "
+	  "\"level\": \"warning\"},\n\t\"random_seed\": 7",
+	  "\"log\": {}" },
+	{ "document", DOCUMENT, "60", "60" },
+	{ "floor of all slots", DOCUMENT, "\"percent\": 60", "\"slots\": 12" },
+	{ "no floor", DOCUMENT, "60", "0" },
+	{ "no routes", DOCUMENT, "\"routes\": [", "\"routes\": [] /*" },
+	{ "mixed methods that say idempotent", DOCUMENT, "[\"POST\"]",
+	  "[\"POST\", \"GET\"], \"idempotent\": false" },
+	{ "escaped solidus", DOCUMENT, "\"/load\"", "\"\\/load\"" },
+	{ "instances", INSTANCES, "3", "3" },
+	{ "index", INDEX, "3", "3" },
+};
+
+TEST(DocumentJsonTest, Accepts)
+{
+	for (const auto &c : acceptance_cases) {
+		SCOPED_TRACE(c.name);
+		std::string text = sample(c.kind);
+		GError *error = NULL;
+
+		text.replace(text.rfind(c.part), strlen(c.part), c.instead);
+		if (strstr(c.instead, "/*"))
+			text.replace(text.find("\t],\n\t\"healthy"), 3, "*/,");
+		EXPECT_TRUE(accepted(c.kind, text, &error));
+		EXPECT_EQ(error, nullptr) << error->message;
+		g_clear_error(&error);
+	}
+}
+
+TEST(DocumentJsonTest, SettingsHaveTheirValues)
+{
+	struct settings s = {};
+	char text[ADDR_TEXT_BYTES];
+
+	ASSERT_TRUE(settings_parse("file", settings_sample,
+				   strlen(settings_sample), &s, NULL));
+	EXPECT_STREQ(addr_format(s.caller_listen, text), "127.0.0.1:8080");
+	EXPECT_STREQ(addr_format(s.peer_listen, text), "127.0.0.1:8081");
+	EXPECT_STREQ(addr_format(s.operator_listen, text), "127.0.0.1:8082");
+	EXPECT_STREQ(addr_format(s.platform, text), "127.0.0.1:7000");
+	EXPECT_STREQ(s.domain.text, "a");
+	EXPECT_EQ(s.worker_threads, 64U);
+	EXPECT_EQ(s.body_max_bytes, 1048576U);
+	EXPECT_EQ(s.head_max_bytes, 16384U);
+	EXPECT_EQ(s.hold_max_bytes, 65536U);
+	EXPECT_EQ(s.entries_ttl_ms, 5000U);
+	EXPECT_EQ(s.drain_max_ms, 20000U);
+	EXPECT_EQ(s.log_format, LOG_JSON);
+	EXPECT_TRUE(s.log_level & G_LOG_LEVEL_WARNING);
+	EXPECT_FALSE(s.log_level & G_LOG_LEVEL_INFO);
+	EXPECT_EQ(s.random_seed, 7U);
+}
+
+TEST(DocumentJsonTest, DocumentHasItsValues)
+{
+	struct service_doc *doc = service_doc_parse(
+		"file", document_sample, strlen(document_sample), 3, NULL);
+	char text[ADDR_TEXT_BYTES];
+
+	ASSERT_NE(doc, nullptr);
+	EXPECT_STREQ(doc->service.text, "gallery");
+	EXPECT_EQ(doc->version, 3U);
+	EXPECT_EQ(doc->hash,
+		  hash_bytes(document_sample, strlen(document_sample), 0));
+	EXPECT_EQ(doc->text_bytes, strlen(document_sample));
+	EXPECT_STREQ(doc->text, document_sample);
+	ASSERT_EQ(doc->host_count, 1U);
+	EXPECT_STREQ(doc->hosts[0].text, "gallery.example");
+	EXPECT_STREQ(doc->path_prefix, "/gallery");
+	ASSERT_EQ(doc->backend_count, 2U);
+	EXPECT_STREQ(addr_format(doc->backends[1].addr, text),
+		     "127.0.0.1:9002");
+	EXPECT_STREQ(doc->backends[1].domain.text, "b");
+	EXPECT_EQ(doc->backends[1].capacity_slots, 6U);
+	EXPECT_EQ(doc->backends[1].connections_max, 350U);
+	EXPECT_FALSE(doc->backends[0].draining);
+	EXPECT_TRUE(doc->backends[1].draining);
+	ASSERT_EQ(doc->class_count, 2U);
+	EXPECT_EQ(doc->classes[1].queue_max_requests, 32U);
+	EXPECT_EQ(doc->classes[1].priority, 1U);
+	ASSERT_EQ(doc->route_count, 2U);
+	EXPECT_EQ(doc->routes[0].method_mask,
+		  1U << METHOD_GET | 1U << METHOD_HEAD);
+	EXPECT_TRUE(doc->routes[0].idempotent);
+	EXPECT_FALSE(doc->routes[0].long_work);
+	EXPECT_EQ(doc->routes[0].budget_ms, 1500U);
+	EXPECT_EQ(doc->routes[0].class_index, 0U);
+	EXPECT_FALSE(doc->routes[1].idempotent);
+	EXPECT_TRUE(doc->routes[1].long_work);
+	EXPECT_EQ(doc->routes[1].budget_ms, 2000U);
+	EXPECT_EQ(doc->routes[1].class_index, 1U);
+	EXPECT_EQ(doc->floor.kind, FLOOR_PERCENT);
+	EXPECT_EQ(service_doc_floor_slots(doc), 8U);
+	EXPECT_STREQ(doc->shed.header, "X-Shed");
+	EXPECT_STREQ(doc->drain.value, "1");
+	EXPECT_STREQ(doc->probe_path, "/health");
+	EXPECT_STREQ(doc->load_path, "/load");
+	service_doc_unref(doc);
+}
+
+TEST(DocumentJsonTest, ListsHaveTheirValues)
+{
+	GArray *list = NULL;
+
+	ASSERT_TRUE(instances_parse(instances_sample, strlen(instances_sample),
+				    &list, NULL));
+	ASSERT_EQ(list->len, 2U);
+	EXPECT_EQ(g_array_index(list, struct instance_doc, 1).status,
+		  INSTANCE_LEAVING);
+	g_array_unref(list);
+	ASSERT_TRUE(
+		index_parse(index_sample, strlen(index_sample), &list, NULL));
+	ASSERT_EQ(list->len, 2U);
+	EXPECT_EQ(g_array_index(list, struct index_entry, 0).version, 3U);
+	g_array_unref(list);
+}
+
+/* A cut or corrupted text is accepted or refused with a typed error. */
+void expect_typed(enum text_kind kind, const std::string &text)
+{
+	GError *error = NULL;
+
+	if (accepted(kind, text, &error)) {
+		EXPECT_EQ(error, nullptr);
+		return;
+	}
+	ASSERT_NE(error, nullptr) << text;
+	EXPECT_EQ(error->domain, SETTINGS_ERROR);
+	EXPECT_NE(strstr(error->message, "; "), nullptr);
+	g_error_free(error);
+}
+
+const enum text_kind all_kinds[] = { SETTINGS, DOCUMENT, INSTANCES, INDEX };
+
+TEST(DocumentJsonTest, EveryPrefixIsRefusedWithATypedError)
+{
+	for (enum text_kind kind : all_kinds) {
+		std::string text = sample(kind);
+
+		for (size_t i = 0; i < text.size(); i++) {
+			GError *error = NULL;
+
+			ASSERT_FALSE(accepted(kind, text.substr(0, i), &error));
+			ASSERT_NE(error, nullptr);
+			EXPECT_EQ(error->domain, SETTINGS_ERROR);
+			g_error_free(error);
+		}
+	}
+}
+
+void corrupt(enum text_kind kind, std::string text, const std::string &bytes)
+{
+	for (size_t i = 0; i < text.size(); i++) {
+		char kept = text[i];
+
+		for (char byte : bytes) {
+			text[i] = byte;
+			expect_typed(kind, text);
+		}
+		text[i] = kept;
+	}
+}
+
+TEST(DocumentJsonTest, EverySingleByteCorruptionOfAShortDocumentEndsTyped)
+{
+	const char text[] =
+		R"({"service":"s","path_prefix":"/","backends":[{"ip":"1.2.3.4",)"
+		R"("port":1,"failure_domain":"a","slots":1,"connections":1}],)"
+		R"("classes":[{"name":"c","priority":0,"queue":1}],"routes":[],)"
+		R"("healthy_floor":{"slots":1},"default_budget_ms":1}//)";
+	std::string bytes;
+
+	for (int i = 0; i < 256; i++)
+		bytes += (char)i;
+	EXPECT_TRUE(accepted(DOCUMENT, text, NULL));
+	corrupt(DOCUMENT, text, bytes);
+}
+
+TEST(DocumentJsonTest, CorruptionsOfTheSamplesEndTyped)
+{
+	const std::string bytes("\0\"\\{}[],:/*09-.enau\n\x7f\xff", 21);
+
+	for (enum text_kind kind : all_kinds)
+		corrupt(kind, sample(kind), bytes);
+}
+
+} // namespace
