--- /dev/null
+++ b/src/cli/run.c
@@ -0,0 +1,173 @@
+#include "cli/run.h"
+
+#include "core/clock.h"
+#include "duty/dispatch.h"
+#include "duty/front.h"
+#include "duty/operator.h"
+#include "duty/peer_serve.h"
+#include "duty/signal.h"
+
+#include <signal.h>
+#include <stdlib.h>
+
+/* All duties of one instance, in the order in which they start. */
+struct instance {
+	struct ring *dispatch_ring;
+	struct ring *left_ring;
+	struct signal_duty *signal;
+	struct audit_duty *audit;
+	struct exchange_duty *exchange;
+	struct probe_duty *probe;
+	struct peer_send_duty *peer_send;
+	struct peer_pull_duty *peer_pull;
+	struct config_duty *config;
+	struct dispatch_duty *dispatch;
+	struct peer_serve_duty *peer_serve;
+	struct operator_duty *operator;
+	struct front_duty *front;
+};
+
+static bool start(struct instance *instance, const struct settings *settings,
+		  GError **error);
+static bool start_senders(struct instance *instance,
+			  const struct settings *settings, GError **error);
+static bool start_dispatch(struct instance *instance,
+			   const struct settings *settings, GError **error);
+static bool start_servers(struct instance *instance,
+			  const struct settings *settings, GError **error);
+static void stop(struct instance *instance);
+static void drain_ring(struct ring *ring);
+
+int run_main(const struct settings *settings)
+{
+	struct instance instance = { 0 };
+	GError *error = NULL;
+	struct instant left;
+	int status = EXIT_SUCCESS;
+
+	/* A peer that closes early must not end the process. */
+	if (signal(SIGPIPE, SIG_IGN) == SIG_ERR)
+		return EXIT_FAILURE;
+	if (start(&instance, settings, &error)) {
+		g_message("instance started");
+		ring_pop(instance.left_ring, &left, DEADLINE_NONE_US);
+		g_message("planned stop done");
+	} else {
+		g_critical("%s", error->message);
+		g_clear_error(&error);
+		status = EXIT_FAILURE;
+	}
+	stop(&instance);
+	return status;
+}
+
+static bool start(struct instance *instance, const struct settings *settings,
+		  GError **error)
+{
+	instance->dispatch_ring = ring_new(sizeof(struct message),
+					   DISPATCH_RING_MESSAGES,
+					   DISPATCH_RING_RESERVE);
+	instance->left_ring = ring_new(sizeof(struct instant), 1, 0);
+	return start_senders(instance, settings, error) &&
+	       start_dispatch(instance, settings, error) &&
+	       start_servers(instance, settings, error);
+}
+
+static bool start_senders(struct instance *instance,
+			  const struct settings *settings, GError **error)
+{
+	struct ring *ring = instance->dispatch_ring;
+
+	/* First, so that all other threads inherit its signal mask. */
+	instance->signal = signal_start(ring, error);
+	if (!instance->signal)
+		return false;
+	instance->audit = audit_start(settings, ring, error);
+	if (!instance->audit)
+		return false;
+	instance->exchange = exchange_start(settings, ring, error);
+	if (!instance->exchange)
+		return false;
+	instance->probe = probe_start(settings, ring, error);
+	if (!instance->probe)
+		return false;
+	instance->peer_send = peer_send_start(settings, ring, error);
+	if (!instance->peer_send)
+		return false;
+	instance->peer_pull = peer_pull_start(settings, ring, error);
+	if (!instance->peer_pull)
+		return false;
+	instance->config = config_start(settings, ring, error);
+	return instance->config != NULL;
+}
+
+static bool start_dispatch(struct instance *instance,
+			   const struct settings *settings, GError **error)
+{
+	struct dispatch_links links = {
+		.exchange = instance->exchange,
+		.audit = instance->audit,
+		.config = instance->config,
+		.probe = instance->probe,
+		.peer_send = instance->peer_send,
+		.peer_pull = instance->peer_pull,
+		.left = instance->left_ring,
+	};
+
+	instance->dispatch = dispatch_start(settings, instance->dispatch_ring,
+					    &links, error);
+	return instance->dispatch != NULL;
+}
+
+static bool start_servers(struct instance *instance,
+			  const struct settings *settings, GError **error)
+{
+	struct ring *ring = instance->dispatch_ring;
+
+	instance->peer_serve = peer_serve_start(settings, ring, error);
+	if (!instance->peer_serve)
+		return false;
+	instance->operator= operator_start(settings, ring, error);
+	if (!instance->operator)
+		return false;
+	instance->front =
+		front_start(settings, ring, instance->exchange, error);
+	return instance->front != NULL;
+}
+
+/* Those that ask go first, then the one that answers, its helpers last. */
+static void stop(struct instance *instance)
+{
+	front_stop(instance->front);
+	operator_stop(instance->operator);
+	peer_serve_stop(instance->peer_serve);
+	signal_stop(instance->signal);
+	dispatch_stop(instance->dispatch);
+	ring_close(instance->dispatch_ring);
+	config_stop(instance->config);
+	peer_pull_stop(instance->peer_pull);
+	peer_send_stop(instance->peer_send);
+	probe_stop(instance->probe);
+	exchange_stop(instance->exchange);
+	audit_stop(instance->audit);
+	drain_ring(instance->dispatch_ring);
+	ring_free(instance->dispatch_ring);
+	ring_free(instance->left_ring);
+}
+
+/* Frees what nobody took any more. */
+static void drain_ring(struct ring *ring)
+{
+	struct message message;
+
+	while (ring_pop(ring, &message, 0) == RING_OK) {
+		switch (message.kind) {
+		case MESSAGE_COMMAND:
+			command_clear(&message.command);
+			break;
+		case MESSAGE_QUERY:
+			query_port_unref(message.query.reply);
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/src/command/admit.c
@@ -0,0 +1,333 @@
+#include "command/admit.h"
+
+#include "command/schedule.h"
+#include "command/ticket.h"
+#include "query/pick.h"
+#include "query/route.h"
+
+/* An overload ends when nothing was refused for this long. */
+#define OVERLOAD_CALM_US US_PER_S
+/* Callers that are refused for load come back in this span, at random. */
+#define RETRY_AFTER_MIN_MS 1000
+#define RETRY_AFTER_MAX_MS 3000
+/* No request may ask for more time than this. */
+#define BUDGET_MAX_US (600 * US_PER_S)
+/* A caller is held to its share once its class is this full. */
+#define FAIR_FROM_PERMILLE 500
+/* Each request pays a tenth of a retry, up to this many. */
+#define RETRY_BUDGET_EARNED_PERMILLE 100
+#define RETRY_BUDGET_MAX_PERMILLE 20000
+
+static void refuse_early(struct state *state, struct request *request,
+			 enum refusal_cause cause, struct instant now,
+			 struct event_list *out);
+static void ticket_fill(struct ticket *ticket, const struct route_match *match,
+			const struct admit_command *command,
+			struct instant now);
+static bool check(struct state *state, const struct ticket *ticket,
+		  struct instant now, struct event_list *out,
+		  enum refusal_cause *cause);
+static bool queue_is_full(struct state *state, const struct ticket *ticket);
+static bool over_workers(const struct state *state,
+			 const struct ticket *ticket);
+static bool over_caller_share(const struct state *state,
+			      const struct ticket *ticket);
+static bool comes_too_late(const struct state *state,
+			   const struct ticket *ticket, struct instant now);
+static uint32_t count_ahead(const struct state *state,
+			    const struct ticket *ticket);
+static bool make_room(struct state *state, const struct ticket *ticket,
+		      struct instant now, struct event_list *out);
+static struct refusal
+load_refusal(struct state *state, enum refusal_cause cause, struct instant now);
+static void refuse_new(struct state *state, uint32_t index,
+		       enum refusal_cause cause, struct instant now,
+		       struct event_list *out);
+
+void admit(struct state *state, const struct admit_command *command,
+	   struct instant now, struct event_list *out)
+{
+	struct route_match match;
+	struct ticket *ticket;
+	struct service *service;
+	enum refusal_cause cause;
+	uint32_t index;
+
+	if (state->left) {
+		refuse_early(state, command->request, REFUSAL_LEAVING, now,
+			     out);
+		return;
+	}
+	if (!route_find(state, &command->facts, &match)) {
+		cause = g_hash_table_size(state->services) == 0 ?
+				REFUSAL_NOT_READY :
+				REFUSAL_NO_SERVICE;
+		refuse_early(state, command->request, cause, now, out);
+		return;
+	}
+	index = ticket_new(state);
+	if (index == TICKET_NONE) {
+		refuse_early(state, command->request, REFUSAL_QUEUE_FULL, now,
+			     out);
+		return;
+	}
+	ticket = &state->tickets[index];
+	ticket_fill(ticket, &match, command, now);
+	ticket_open(state, index);
+	service = match.service;
+	if (!check(state, ticket, now, out, &cause)) {
+		refuse_new(state, index, cause, now, out);
+		return;
+	}
+	service->counters.classes[ticket->class_index].admitted_requests++;
+	service->retry_budget_permille = MIN(
+		service->retry_budget_permille + RETRY_BUDGET_EARNED_PERMILLE,
+		RETRY_BUDGET_MAX_PERMILLE);
+	ticket_enqueue(state, index, now);
+	schedule_run(state, service, now, out);
+}
+
+void overload_note(struct state *state, struct service *service,
+		   struct instant now, struct event_list *out)
+{
+	struct audit_record record = {
+		.kind = AUDIT_OVERLOAD_BEGUN,
+		.cause = CAUSE_QUEUE,
+		.figures_kind = FIGURES_QUEUE,
+	};
+
+	service->overload_ends_us = now.mono_us + OVERLOAD_CALM_US;
+	service->overload_refused++;
+	if (service->overload)
+		return;
+	service->overload = true;
+	service->overload_refused = 1;
+	record.service = service->doc->service;
+	record.queue.queue_requests = service->waiting_requests;
+	record.queue.slots_in_use = service->running_requests;
+	record.queue.refused_requests = 1;
+	state_audit(state, &record, now, out);
+}
+
+void overload_tick(struct state *state, struct service *service,
+		   struct instant now, struct event_list *out)
+{
+	struct audit_record record = {
+		.kind = AUDIT_OVERLOAD_ENDED,
+		.cause = CAUSE_QUEUE,
+		.figures_kind = FIGURES_QUEUE,
+	};
+
+	if (!service->overload || now.mono_us < service->overload_ends_us)
+		return;
+	service->overload = false;
+	record.service = service->doc->service;
+	record.queue.queue_requests = service->waiting_requests;
+	record.queue.slots_in_use = service->running_requests;
+	record.queue.refused_requests = service->overload_refused;
+	state_audit(state, &record, now, out);
+}
+
+static void refuse_early(struct state *state, struct request *request,
+			 enum refusal_cause cause, struct instant now,
+			 struct event_list *out)
+{
+	struct event event = {
+		.kind = EVENT_REFUSE,
+		.refuse = { .request = request_ref(request),
+			    .refusal = load_refusal(state, cause, now) },
+	};
+
+	if (cause == REFUSAL_NO_SERVICE)
+		event.refuse.refusal.retry_at_unix_ms = 0;
+	state->refused_early[cause]++;
+	event_list_add(out, &event);
+}
+
+static void ticket_fill(struct ticket *ticket, const struct route_match *match,
+			const struct admit_command *command, struct instant now)
+{
+	uint64_t deadline_us = now.mono_us + match->budget_ms * US_PER_MS;
+
+	if (command->facts.deadline_us != DEADLINE_NONE_US)
+		deadline_us = MIN(command->facts.deadline_us,
+				  now.mono_us + BUDGET_MAX_US);
+	ticket->service = match->service;
+	ticket->class_index = match->class_index;
+	ticket->route_index = match->route_index;
+	ticket->idempotent = match->idempotent;
+	ticket->long_work = match->long_work;
+	ticket->caller_hash = command->facts.caller_hash;
+	ticket->deadline_us = deadline_us;
+	ticket->outcome = OUTCOME_NOT_RUN;
+	ticket->request = request_ref(command->request);
+}
+
+static bool check(struct state *state, const struct ticket *ticket,
+		  struct instant now, struct event_list *out,
+		  enum refusal_cause *cause)
+{
+	*cause = REFUSAL_DEADLINE;
+	if (ticket->deadline_us <= now.mono_us)
+		return false;
+	*cause = REFUSAL_NO_BACKEND;
+	if (ticket->service->backend_count == 0)
+		return false;
+	/* The baseline has one queue without limits but the front's own. */
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return true;
+	*cause = REFUSAL_LONG_SHARE;
+	if (ticket->long_work && state->long_requests > state->long_workers_max)
+		return false;
+	*cause = REFUSAL_CALLER_SHARE;
+	if (over_caller_share(state, ticket))
+		return false;
+	*cause = REFUSAL_QUEUE_FULL;
+	if (queue_is_full(state, ticket))
+		return false;
+	if (over_workers(state, ticket) && !make_room(state, ticket, now, out))
+		return false;
+	*cause = REFUSAL_OVERLOAD;
+	return !comes_too_late(state, ticket, now);
+}
+
+static bool queue_is_full(struct state *state, const struct ticket *ticket)
+{
+	const struct class_doc *class =
+		&ticket->service->doc->classes[ticket->class_index];
+
+	return queue_of(state, ticket)->len >= class->queue_max_requests;
+}
+
+/* The lower a class, the fewer of the front's workers it may fill. */
+static bool over_workers(const struct state *state, const struct ticket *ticket)
+{
+	const struct service_doc *doc = ticket->service->doc;
+	uint32_t workers = state->settings->worker_threads;
+	uint32_t own = doc->classes[ticket->class_index].priority;
+	uint32_t higher = 0;
+	uint32_t i;
+
+	for (i = 0; i < doc->class_count; i++)
+		higher += doc->classes[i].priority < own;
+	return state->admitted_requests >
+	       workers - workers * higher / (2 * doc->class_count);
+}
+
+static bool over_caller_share(const struct state *state,
+			      const struct ticket *ticket)
+{
+	const struct service *service = ticket->service;
+	uint32_t room =
+		service->doc->classes[ticket->class_index].queue_max_requests;
+	uint32_t waiting = queue_of(state, ticket)->len;
+	uint32_t callers = g_hash_table_size(service->callers);
+	uint32_t own = GPOINTER_TO_UINT(
+		g_hash_table_lookup(service->callers, &ticket->caller_hash));
+
+	if (waiting * PERMILLE_ONE < room * FAIR_FROM_PERMILLE || callers < 2)
+		return false;
+	return own * callers >
+	       2 * (service->waiting_requests + service->running_requests);
+}
+
+/* Whether the queue ahead leaves no time for the work itself. */
+static bool comes_too_late(const struct state *state,
+			   const struct ticket *ticket, struct instant now)
+{
+	const struct service *service = ticket->service;
+	uint32_t slots = service_usable_slots(service, now);
+	uint32_t ahead = count_ahead(state, ticket);
+	uint64_t wait_us;
+
+	/* Nothing is known where all slots are borrowed ones. */
+	if (ahead == 0 || slots == 0)
+		return false;
+	wait_us = ahead * service->mean_service_us / slots;
+	return now.mono_us + wait_us + ticket_typical_us(ticket) >
+	       ticket->deadline_us;
+}
+
+/* Waiting requests that go before it. */
+static uint32_t count_ahead(const struct state *state,
+			    const struct ticket *ticket)
+{
+	const struct service *service = ticket->service;
+	const struct service_doc *doc = service->doc;
+	uint32_t own = doc->classes[ticket->class_index].priority;
+	const GArray *queue;
+	uint32_t ahead = 0;
+	uint32_t i;
+	guint j;
+
+	for (i = 0; i < doc->class_count; i++) {
+		if (doc->classes[i].priority < own)
+			ahead += service->queues[i].short_tickets->len;
+	}
+	queue = queue_of(state, ticket);
+	for (j = 0; j < queue->len; j++) {
+		if (state->tickets[g_array_index(queue, uint32_t, j)]
+			    .deadline_us > ticket->deadline_us)
+			break;
+		ahead++;
+	}
+	return ahead;
+}
+
+/* Puts out the last waiting request of the lowest class below its own. */
+static bool make_room(struct state *state, const struct ticket *ticket,
+		      struct instant now, struct event_list *out)
+{
+	struct service *service = ticket->service;
+	const struct service_doc *doc = service->doc;
+	uint32_t own = doc->classes[ticket->class_index].priority;
+	GArray *victims = NULL;
+	uint32_t lowest = own;
+	GArray *queue;
+	uint32_t index;
+	uint32_t i;
+
+	for (i = 0; i < doc->class_count; i++) {
+		queue = service->queues[i].long_tickets->len > 0 ?
+				service->queues[i].long_tickets :
+				service->queues[i].short_tickets;
+		if (doc->classes[i].priority <= lowest || queue->len == 0)
+			continue;
+		lowest = doc->classes[i].priority;
+		victims = queue;
+	}
+	if (!victims)
+		return false;
+	index = g_array_index(victims, uint32_t, victims->len - 1);
+	ticket_dequeue(state, index);
+	overload_note(state, service, now, out);
+	ticket_refuse(state, index, load_refusal(state, REFUSAL_OVERLOAD, now),
+		      out);
+	return true;
+}
+
+static struct refusal load_refusal(struct state *state,
+				   enum refusal_cause cause, struct instant now)
+{
+	struct refusal refusal = {
+		.cause = cause,
+		.outcome = OUTCOME_NOT_RUN,
+		.retry_at_unix_ms = now.unix_ms,
+	};
+
+	refusal.retry_at_unix_ms += (uint64_t)g_rand_int_range(
+		state->rand, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+	return refusal;
+}
+
+static void refuse_new(struct state *state, uint32_t index,
+		       enum refusal_cause cause, struct instant now,
+		       struct event_list *out)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct refusal refusal = load_refusal(state, cause, now);
+
+	if (cause != REFUSAL_DEADLINE && cause != REFUSAL_NO_BACKEND)
+		overload_note(state, ticket->service, now, out);
+	ticket_refuse(state, index, refusal, out);
+}
--- /dev/null
+++ b/src/command/admit.h
@@ -0,0 +1,40 @@
+#ifndef COMMAND_ADMIT_H
+#define COMMAND_ADMIT_H
+
+/**
+ * DOC: admission: refusal before work
+ */
+
+#include "core/state.h"
+
+/**
+ * admit() - take a request in or refuse it at once
+ * @state: the state
+ * @command: the request; the caller keeps its reference
+ * @now: the time
+ * @out: gets EVENT_GRANT or EVENT_REFUSE, or nothing while it waits
+ */
+void admit(struct state *state, const struct admit_command *command,
+	   struct instant now, struct event_list *out);
+
+/**
+ * overload_note() - a request was refused for want of slots
+ * @state: the state
+ * @service: its service
+ * @now: the time
+ * @out: gets an audit record when the overload begins
+ */
+void overload_note(struct state *state, struct service *service,
+		   struct instant now, struct event_list *out);
+
+/**
+ * overload_tick() - end the overload of a service when it is over
+ * @state: the state
+ * @service: the service
+ * @now: the time
+ * @out: gets an audit record
+ */
+void overload_tick(struct state *state, struct service *service,
+		   struct instant now, struct event_list *out);
+
+#endif
--- /dev/null
+++ b/src/command/apply.c
@@ -0,0 +1,116 @@
+#include "command/apply.h"
+
+#include "command/admit.h"
+#include "command/configure.h"
+#include "command/finish.h"
+#include "command/health.h"
+#include "command/home.h"
+#include "command/leave.h"
+#include "command/lease.h"
+#include "command/member.h"
+#include "command/schedule.h"
+#include "command/tick.h"
+
+static void apply_peer_message(struct state *state,
+			       const struct peer_message *message,
+			       struct instant now, struct event_list *out);
+static void apply_digest(struct state *state,
+			 const struct peer_message *message, struct instant now,
+			 struct event_list *out);
+static void apply_probe(struct state *state, const struct probe_result *result,
+			struct instant now, struct event_list *out);
+
+void command_apply(struct state *state, struct command *command,
+		   struct instant now, struct event_list *out)
+{
+	switch (command->kind) {
+	case COMMAND_ADMIT:
+		admit(state, &command->admit, now, out);
+		break;
+	case COMMAND_FINISH:
+		finish(state, &command->finish, now, out);
+		break;
+	case COMMAND_CANCEL:
+		cancel(state, &command->cancel, now, out);
+		break;
+	case COMMAND_TICK:
+		tick(state, now, out);
+		break;
+	case COMMAND_ACCEPT_CONFIG:
+		configure_accept(state, &command->accept_config, now, out);
+		break;
+	case COMMAND_REFUSE_CONFIG:
+		configure_refuse(state, &command->refuse_config, now, out);
+		break;
+	case COMMAND_ACCEPT_INSTANCES:
+		member_accept_list(state, command->accept_instances.list,
+				   command->accept_instances.count, now, out);
+		break;
+	case COMMAND_PEER_MESSAGE:
+		apply_peer_message(state, command->peer_message, now, out);
+		break;
+	case COMMAND_PROBE_RESULT:
+		apply_probe(state, &command->probe_result, now, out);
+		break;
+	case COMMAND_PLATFORM_STATE:
+		state->platform_reachable = command->platform_state.reachable;
+		if (state->platform_reachable)
+			state->heard_us = now.mono_us;
+		break;
+	case COMMAND_LEAVE:
+		leave(state, &command->leave, now, out);
+		break;
+	}
+	if (state->homes_dirty)
+		home_refresh(state, now, out);
+	command_clear(command);
+}
+
+static void apply_peer_message(struct state *state,
+			       const struct peer_message *message,
+			       struct instant now, struct event_list *out)
+{
+	member_message(state, message, now, out);
+	switch (message->kind) {
+	case PEER_DIGEST:
+		apply_digest(state, message, now, out);
+		break;
+	case PEER_LEASE_ASK:
+	case PEER_LEASE_GIVE:
+	case PEER_LEASE_RETURN:
+		lease_message(state, message, now, out);
+		break;
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PING_REQUEST:
+		break;
+	}
+}
+
+static void apply_digest(struct state *state,
+			 const struct peer_message *message, struct instant now,
+			 struct event_list *out)
+{
+	struct service *service =
+		service_lookup(state, &message->digest.service);
+
+	if (!service)
+		return;
+	home_digest(service, message->sender, &message->digest, now);
+	health_observe_digest(state, service, message->sender, &message->digest,
+			      now, out);
+}
+
+static void apply_probe(struct state *state, const struct probe_result *result,
+			struct instant now, struct event_list *out)
+{
+	struct service *service = service_lookup(state, &result->service);
+	struct backend *backend;
+
+	if (!service)
+		return;
+	backend = service_backend(service, result->backend);
+	if (!backend)
+		return;
+	health_observe_probe(state, service, backend, result, now, out);
+}
--- /dev/null
+++ b/src/command/finish.c
@@ -0,0 +1,217 @@
+#include "command/finish.h"
+
+#include "command/health.h"
+#include "command/schedule.h"
+#include "command/ticket.h"
+
+/* What one retry takes from the service's budget. */
+#define RETRY_COST_PERMILLE 1000
+/* A mean moves by this part of the distance to a new value. */
+#define MEAN_SHARE 8
+
+static void learn(struct service *service, const struct ticket *ticket,
+		  const struct evidence *evidence, struct instant now);
+static void conclude(struct state *state, uint32_t index,
+		     struct finish_command *command, struct instant now,
+		     struct event_list *out);
+static void complete(struct state *state, uint32_t index,
+		     struct finish_command *command, struct event_list *out);
+static bool may_retry(const struct ticket *ticket,
+		      const struct evidence *evidence, struct instant now);
+static bool take_budget(struct service *service);
+static void retry(struct state *state, uint32_t index, struct net_addr backend,
+		  const struct evidence *evidence, struct instant now);
+static enum outcome outcome_of(const struct ticket *ticket,
+			       const struct evidence *evidence);
+static enum refusal_cause cause_of(enum evidence_kind kind);
+static void count_outcome(struct ticket *ticket, enum outcome outcome);
+
+void finish(struct state *state, struct finish_command *command,
+	    struct instant now, struct event_list *out)
+{
+	uint32_t index = ticket_find(state, command->exchange);
+	struct service *service;
+	struct backend *backend;
+	struct ticket *ticket;
+
+	if (index == TICKET_NONE ||
+	    state->tickets[index].state != TICKET_RUNNING)
+		return;
+	ticket = &state->tickets[index];
+	service = ticket->service;
+	backend = &service->backends[ticket->backend_index];
+	learn(service, ticket, &command->evidence, now);
+	health_observe(state, service, backend, ticket, &command->evidence, now,
+		       out);
+	schedule_release(state, index);
+	conclude(state, index, command, now, out);
+	schedule_run(state, service, now, out);
+}
+
+void cancel(struct state *state, const struct cancel_command *command,
+	    struct instant now, struct event_list *out)
+{
+	struct event event = { .kind = EVENT_CANCEL };
+	struct ticket *ticket;
+	gpointer value;
+	uint32_t index;
+
+	(void)now;
+	if (!g_hash_table_lookup_extended(state->ticket_by_request,
+					  command->request, NULL, &value))
+		return;
+	index = GPOINTER_TO_UINT(value);
+	ticket = &state->tickets[index];
+	ticket->cancelled = true;
+	if (ticket->state == TICKET_QUEUED) {
+		ticket_dequeue(state, index);
+		count_outcome(ticket, ticket->outcome);
+		ticket_free(state, index);
+		return;
+	}
+	event.cancel.exchange.index = index;
+	event.cancel.exchange.generation = ticket->generation;
+	event_list_add(out, &event);
+}
+
+static void learn(struct service *service, const struct ticket *ticket,
+		  const struct evidence *evidence, struct instant now)
+{
+	uint64_t slot_us = now.mono_us - ticket->granted_us;
+	int64_t distance_us;
+
+	histogram_add(&service->counters.classes[ticket->class_index].slot_us,
+		      slot_us);
+	if (evidence->kind != EVIDENCE_OK)
+		return;
+	if (service->mean_service_us == 0) {
+		service->mean_service_us = slot_us;
+		return;
+	}
+	distance_us = (int64_t)slot_us - (int64_t)service->mean_service_us;
+	service->mean_service_us =
+		(uint64_t)((int64_t)service->mean_service_us +
+			   distance_us / MEAN_SHARE);
+}
+
+static void conclude(struct state *state, uint32_t index,
+		     struct finish_command *command, struct instant now,
+		     struct event_list *out)
+{
+	const struct evidence *evidence = &command->evidence;
+	struct ticket *ticket = &state->tickets[index];
+	struct refusal refusal = { 0 };
+
+	if (evidence->kind == EVIDENCE_OK || evidence->head_given) {
+		count_outcome(ticket,
+			      evidence->kind == EVIDENCE_OK ||
+					      evidence->kind ==
+						      EVIDENCE_SERVER_ERROR ?
+				      OUTCOME_COMPLETE :
+				      OUTCOME_UNKNOWN);
+		ticket_free(state, index);
+		return;
+	}
+	if (may_retry(ticket, evidence, now)) {
+		if (take_budget(ticket->service)) {
+			retry(state, index, command->backend, evidence, now);
+			return;
+		}
+		ticket->service->counters.retries_denied++;
+	}
+	if (command->held) {
+		complete(state, index, command, out);
+		return;
+	}
+	refusal.cause = cause_of(evidence->kind);
+	refusal.outcome = outcome_of(ticket, evidence);
+	ticket_refuse(state, index, refusal, out);
+}
+
+/* The backend server's own error goes to the caller as it came. */
+static void complete(struct state *state, uint32_t index,
+		     struct finish_command *command, struct event_list *out)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct event event = {
+		.kind = EVENT_DELIVER,
+		.deliver = { .request = request_ref(ticket->request),
+			     .held = command->held },
+	};
+
+	command->held = NULL;
+	event_list_add(out, &event);
+	count_outcome(ticket, OUTCOME_COMPLETE);
+	ticket_free(state, index);
+}
+
+static bool may_retry(const struct ticket *ticket,
+		      const struct evidence *evidence, struct instant now)
+{
+	if (ticket->cancelled || evidence->kind == EVIDENCE_CANCELLED)
+		return false;
+	if (!ticket->idempotent && !evidence_not_run(evidence))
+		return false;
+	if (ticket->tried_count + 1 >= TICKET_TRIES_MAX)
+		return false;
+	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
+}
+
+static bool take_budget(struct service *service)
+{
+	if (service->overload ||
+	    service->retry_budget_permille < RETRY_COST_PERMILLE)
+		return false;
+	service->retry_budget_permille -= RETRY_COST_PERMILLE;
+	service->counters.retries++;
+	return true;
+}
+
+static void retry(struct state *state, uint32_t index, struct net_addr backend,
+		  const struct evidence *evidence, struct instant now)
+{
+	struct ticket *ticket = &state->tickets[index];
+
+	ticket->outcome = outcome_of(ticket, evidence);
+	ticket->tried[ticket->tried_count++] = backend;
+	ticket_enqueue(state, index, now);
+}
+
+/* Not run only when that holds for every try. */
+static enum outcome outcome_of(const struct ticket *ticket,
+			       const struct evidence *evidence)
+{
+	if (evidence_not_run(evidence))
+		return ticket->outcome;
+	return OUTCOME_UNKNOWN;
+}
+
+static enum refusal_cause cause_of(enum evidence_kind kind)
+{
+	switch (kind) {
+	case EVIDENCE_SHED:
+		return REFUSAL_SHED;
+	case EVIDENCE_CONNECT:
+		return REFUSAL_CONNECT;
+	case EVIDENCE_TIMEOUT:
+		return REFUSAL_BACKEND_TIMEOUT;
+	case EVIDENCE_BAD_ANSWER:
+		return REFUSAL_BAD_ANSWER;
+	case EVIDENCE_CANCELLED:
+		return REFUSAL_CALLER_GONE;
+	case EVIDENCE_OK:
+	case EVIDENCE_SERVER_ERROR:
+	case EVIDENCE_RESET:
+	case EVIDENCE_TRUNCATED:
+		return REFUSAL_BACKEND_BROKEN;
+	}
+	return REFUSAL_BACKEND_BROKEN;
+}
+
+static void count_outcome(struct ticket *ticket, enum outcome outcome)
+{
+	struct class_counters *counters =
+		&ticket->service->counters.classes[ticket->class_index];
+
+	counters->outcome_requests[outcome]++;
+}
--- /dev/null
+++ b/src/command/home.c
@@ -0,0 +1,264 @@
+#include "command/home.h"
+
+#include "command/member.h"
+#include "query/health.h"
+#include "query/homes.h"
+#include "query/pick.h"
+
+#include <string.h>
+
+#define GROW_AFTER_US (2 * US_PER_S)
+#define DIGEST_EVERY_US (500 * US_PER_MS)
+#define DIGEST_FRESH_US (2 * US_PER_S)
+
+static void refresh_service(struct state *state, struct service *service,
+			    struct instant now, struct event_list *out);
+static bool replace_homes(struct state *state, struct service *service);
+static void refresh_shares(struct state *state, struct service *service,
+			   bool first, struct instant now);
+static void full_share(const struct state *state, struct backend *backend,
+		       const struct service *service);
+static void send_digests(struct state *state, struct service *service,
+			 struct instant now, struct event_list *out);
+static uint32_t load_permille(const struct service *service,
+			      struct instant now);
+static void add_targets(const struct state *state,
+			const struct service *service, GArray *targets);
+static bool probes(const struct state *state, const struct service *service,
+		   const struct backend *backend);
+
+void home_refresh(struct state *state, struct instant now,
+		  struct event_list *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	state->homes_dirty = false;
+	state->probes_dirty = true;
+	g_hash_table_iter_init(&iter, state->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		refresh_service(state, value, now, out);
+}
+
+void home_tick(struct state *state, struct service *service, struct instant now,
+	       struct event_list *out)
+{
+	uint32_t i;
+
+	if (now.mono_us >= service->grow_at_us) {
+		service->grow_at_us = DEADLINE_NONE_US;
+		for (i = 0; i < service->backend_count; i++) {
+			service->backends[i].own_slots =
+				service->backends[i].grown_slots;
+			service->backends[i].own_long_slots =
+				service->backends[i].grown_long_slots;
+		}
+	}
+	if (service->self_home < service->home_count &&
+	    now.mono_us >= service->digest_due_us)
+		send_digests(state, service, now, out);
+}
+
+void home_digest(struct service *service, struct net_addr sender,
+		 const struct peer_digest *digest, struct instant now)
+{
+	uint32_t i;
+
+	for (i = 0; i < service->home_count; i++) {
+		if (!addr_equal(service->homes[i].peer, sender))
+			continue;
+		service->homes[i].load_permille = digest->load_permille;
+		service->homes[i].queue_requests = digest->queue_requests;
+		service->homes[i].fresh_until_us =
+			now.mono_us + DIGEST_FRESH_US;
+	}
+}
+
+void home_probe_plan(struct state *state, struct event_list *out)
+{
+	GArray *targets =
+		g_array_new(FALSE, FALSE, sizeof(struct probe_target));
+	struct event event = { .kind = EVENT_PROBE_PLAN };
+	GHashTableIter iter;
+	gpointer value;
+
+	state->probes_dirty = false;
+	g_hash_table_iter_init(&iter, state->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		add_targets(state, value, targets);
+	event.probe_plan.targets = targets;
+	event_list_add(out, &event);
+}
+
+static void refresh_service(struct state *state, struct service *service,
+			    struct instant now, struct event_list *out)
+{
+	struct audit_record record = {
+		.kind = AUDIT_HOME_SET,
+		.cause = CAUSE_LIST,
+		.figures_kind = FIGURES_MEMBER,
+	};
+	bool first = service->home_count == 0;
+
+	if (replace_homes(state, service)) {
+		record.service = service->doc->service;
+		record.subject = state->membership.self.peer;
+		record.member.status = service->self_home < service->home_count;
+		record.member.home_count = service->home_count;
+		state_audit(state, &record, now, out);
+	}
+	refresh_shares(state, service, first, now);
+}
+
+static bool replace_homes(struct state *state, struct service *service)
+{
+	struct net_addr chosen[HOMES_MAX];
+	struct home homes[HOMES_MAX];
+	uint32_t count = homes_choose(state, service, chosen);
+	bool changed = count != service->home_count;
+	uint32_t i;
+	uint32_t j;
+
+	memset(homes, 0, sizeof(homes));
+	for (i = 0; i < count; i++) {
+		homes[i].peer = chosen[i];
+		changed = changed ||
+			  !addr_equal(chosen[i], service->homes[i].peer);
+		for (j = 0; j < service->home_count; j++) {
+			if (addr_equal(service->homes[j].peer, chosen[i]))
+				homes[i] = service->homes[j];
+		}
+	}
+	memcpy(service->homes, homes, sizeof(homes));
+	service->home_count = count;
+	service->self_home = HOMES_MAX;
+	for (i = 0; i < count; i++) {
+		if (addr_equal(chosen[i], state->membership.self.peer))
+			service->self_home = i;
+	}
+	return changed;
+}
+
+static void refresh_shares(struct state *state, struct service *service,
+			   bool first, struct instant now)
+{
+	struct backend *backend;
+	bool grows = false;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		backend->grown_slots = homes_share(service, backend,
+						   service->self_home,
+						   &backend->grown_long_slots);
+		if (state->policy.sharing == SHARING_NONE)
+			full_share(state, backend, service);
+		if (state->policy.queueing == QUEUEING_FIFO)
+			backend->grown_long_slots = backend->grown_slots;
+		if (first) {
+			backend->own_slots = backend->grown_slots;
+			backend->own_long_slots = backend->grown_long_slots;
+			continue;
+		}
+		grows = grows || backend->grown_slots > backend->own_slots ||
+			backend->grown_long_slots > backend->own_long_slots;
+		backend->own_slots =
+			MIN(backend->own_slots, backend->grown_slots);
+		backend->own_long_slots =
+			MIN(backend->own_long_slots, backend->grown_long_slots);
+	}
+	service->grow_at_us = grows ? now.mono_us + GROW_AFTER_US :
+				      DEADLINE_NONE_US;
+}
+
+/* Without shares every home sees all slots. */
+static void full_share(const struct state *state, struct backend *backend,
+		       const struct service *service)
+{
+	(void)state;
+	if (service->self_home >= service->home_count)
+		return;
+	backend->grown_slots = backend->capacity_slots;
+	backend->grown_long_slots =
+		backend->capacity_slots - (backend->capacity_slots + 2) / 3;
+}
+
+static void send_digests(struct state *state, struct service *service,
+			 struct instant now, struct event_list *out)
+{
+	struct peer_message *message;
+	struct peer_digest digest;
+	uint32_t i;
+
+	service->digest_due_us = now.mono_us + DIGEST_EVERY_US;
+	memset(&digest, 0, sizeof(digest));
+	digest.service = service->doc->service;
+	digest.version = service->doc->version;
+	digest.load_permille = load_permille(service, now);
+	digest.queue_requests = service->waiting_requests;
+	health_digest(service, now, &digest);
+	service->homes[service->self_home].load_permille = digest.load_permille;
+	service->homes[service->self_home].fresh_until_us =
+		now.mono_us + DIGEST_FRESH_US;
+	for (i = 0; i < service->home_count; i++) {
+		if (i == service->self_home)
+			continue;
+		message = g_new0(struct peer_message, 1);
+		message->kind = PEER_DIGEST;
+		message->digest = digest;
+		member_send(state, service->homes[i].peer, message, out);
+	}
+}
+
+static uint32_t load_permille(const struct service *service, struct instant now)
+{
+	uint32_t usable = service_usable_slots(service, now);
+
+	if (usable == 0)
+		return PERMILLE_ONE;
+	return (uint32_t)MIN((uint64_t)service->running_requests *
+				     PERMILLE_ONE / usable,
+			     PERMILLE_ONE);
+}
+
+static void add_targets(const struct state *state,
+			const struct service *service, GArray *targets)
+{
+	const struct service_doc *doc = service->doc;
+	struct probe_target target;
+	uint32_t i;
+
+	if (service->self_home >= service->home_count ||
+	    (doc->probe_path[0] == '\0' && doc->load_path[0] == '\0'))
+		return;
+	for (i = 0; i < service->backend_count; i++) {
+		if (!probes(state, service, &service->backends[i]))
+			continue;
+		memset(&target, 0, sizeof(target));
+		target.service = doc->service;
+		target.backend = service->backends[i].addr;
+		memcpy(target.probe_path, doc->probe_path, PATH_BYTES_MAX);
+		memcpy(target.load_path, doc->load_path, PATH_BYTES_MAX);
+		g_array_append_val(targets, target);
+	}
+}
+
+/* The first home that is not known to be gone probes a backend server. */
+static bool probes(const struct state *state, const struct service *service,
+		   const struct backend *backend)
+{
+	uint32_t own = homes_rank_for_backend(service, backend->addr,
+					      service->self_home);
+	const struct member *member;
+	uint32_t i;
+
+	for (i = 0; i < service->home_count; i++) {
+		if (homes_rank_for_backend(service, backend->addr, i) >= own)
+			continue;
+		member = membership_find(&state->membership,
+					 service->homes[i].peer);
+		if (member && member->status == MEMBER_ALIVE)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/src/command/lease.c
@@ -0,0 +1,300 @@
+#include "command/lease.h"
+
+#include "command/member.h"
+#include "command/schedule.h"
+#include "query/pick.h"
+
+#define LEASE_TTL_MS 1000
+/* The lender waits this much longer than the borrower may start work. */
+#define LEASE_MARGIN_US (100 * US_PER_MS)
+/* Wishes are at least this far apart. */
+#define ASK_EVERY_US (20 * US_PER_MS)
+#define WANTED_SLOTS_MAX 8
+
+static bool next_lender(const struct state *state, struct service *service,
+			struct instant now, struct net_addr *out);
+static void lend(struct state *state, struct service *service,
+		 const struct peer_message *ask, struct instant now,
+		 struct event_list *out);
+static bool lend_one(struct service *service, struct backend *backend,
+		     struct net_addr borrower, struct instant now);
+static void note_lent(struct peer_lease *give, struct net_addr backend);
+static uint32_t lending_limit(const struct state *state,
+			      const struct service *service,
+			      struct net_addr borrower, uint32_t wanted_slots,
+			      struct instant now);
+static void borrow(struct state *state, struct service *service,
+		   const struct peer_message *give, struct instant now,
+		   struct event_list *out);
+static struct borrowed *unused_borrowed(struct service *service);
+static void take_back(struct service *service,
+		      const struct peer_message *message);
+static void end_lent(struct service *service, struct lent *lent,
+		     uint32_t slots);
+static void return_unused(struct state *state, struct service *service,
+			  struct borrowed *borrowed, struct event_list *out);
+
+void lease_ask(struct state *state, struct service *service, struct instant now,
+	       struct event_list *out)
+{
+	struct peer_message *message;
+	struct net_addr lender;
+
+	if (state->policy.sharing != SHARING_LEASED ||
+	    now.mono_us < service->lease_ask_after_us)
+		return;
+	if (!next_lender(state, service, now, &lender))
+		return;
+	service->lease_ask_after_us = now.mono_us + ASK_EVERY_US;
+	service->lease_asked_us = now.mono_us;
+	service->lease_sequence++;
+	service->counters.leases_asked++;
+	message = g_new0(struct peer_message, 1);
+	message->kind = PEER_LEASE_ASK;
+	message->lease.service = service->doc->service;
+	message->lease.sequence = service->lease_sequence;
+	message->lease.wanted_slots =
+		MIN(service->waiting_requests, WANTED_SLOTS_MAX);
+	member_send(state, lender, message, out);
+}
+
+void lease_message(struct state *state, const struct peer_message *message,
+		   struct instant now, struct event_list *out)
+{
+	struct service *service =
+		service_lookup(state, &message->lease.service);
+
+	if (!service)
+		return;
+	switch (message->kind) {
+	case PEER_LEASE_ASK:
+		lend(state, service, message, now, out);
+		break;
+	case PEER_LEASE_GIVE:
+		borrow(state, service, message, now, out);
+		break;
+	case PEER_LEASE_RETURN:
+		take_back(service, message);
+		schedule_run(state, service, now, out);
+		break;
+	case PEER_PING:
+	case PEER_ACK:
+	case PEER_PING_REQUEST:
+	case PEER_DIGEST:
+		break;
+	}
+}
+
+void lease_tick(struct state *state, struct service *service,
+		struct instant now, struct event_list *out)
+{
+	struct borrowed *borrowed;
+	struct lent *lent;
+	uint32_t i;
+
+	for (i = 0; i < BORROWED_MAX; i++) {
+		borrowed = &service->borrowed[i];
+		if (borrowed->lender.port == 0 || borrowed->in_use_slots > 0)
+			continue;
+		if (borrowed->expires_us > now.mono_us &&
+		    service->waiting_requests == 0)
+			return_unused(state, service, borrowed, out);
+		else if (borrowed->expires_us <= now.mono_us)
+			borrowed->lender.port = 0;
+	}
+	for (i = 0; i < LENT_MAX; i++) {
+		lent = &service->lent[i];
+		if (lent->borrower.port != 0 && lent->expires_us <= now.mono_us)
+			end_lent(service, lent, lent->slots);
+	}
+}
+
+/* The homes in turn, those that say they are full only when all do. */
+static bool next_lender(const struct state *state, struct service *service,
+			struct instant now, struct net_addr *out)
+{
+	const struct home *home;
+	bool full;
+	uint32_t i;
+
+	for (i = 0; i < 2 * service->home_count; i++) {
+		service->lease_next_home =
+			(service->lease_next_home + 1) % service->home_count;
+		home = &service->homes[service->lease_next_home];
+		full = home->fresh_until_us > now.mono_us &&
+		       home->load_permille >= PERMILLE_ONE;
+		if (addr_equal(home->peer, state->membership.self.peer) ||
+		    (full && i < service->home_count))
+			continue;
+		*out = home->peer;
+		return !full;
+	}
+	return false;
+}
+
+static void lend(struct state *state, struct service *service,
+		 const struct peer_message *ask, struct instant now,
+		 struct event_list *out)
+{
+	struct peer_message *message = g_new0(struct peer_message, 1);
+	struct peer_lease *give = &message->lease;
+	struct backend *backend;
+	uint32_t limit = lending_limit(state, service, ask->sender,
+				       ask->lease.wanted_slots, now);
+	uint32_t index;
+	uint32_t i;
+
+	message->kind = PEER_LEASE_GIVE;
+	give->service = service->doc->service;
+	give->sequence = ask->lease.sequence;
+	give->ttl_ms = LEASE_TTL_MS;
+	/* Another beginning each time, so that no backend server runs dry. */
+	for (i = 0; i < service->backend_count && limit > 0; i++) {
+		index = (i + (uint32_t)ask->lease.sequence) %
+			service->backend_count;
+		backend = &service->backends[index];
+		if (backend_lendable_slots(backend, now) == 0 ||
+		    !lend_one(service, backend, ask->sender, now))
+			continue;
+		note_lent(give, backend->addr);
+		limit--;
+	}
+	member_send(state, ask->sender, message, out);
+}
+
+static bool lend_one(struct service *service, struct backend *backend,
+		     struct net_addr borrower, struct instant now)
+{
+	uint32_t backend_index = (uint32_t)(backend - service->backends);
+	struct lent *lent;
+	uint32_t i;
+
+	for (i = 0; i < LENT_MAX; i++) {
+		lent = &service->lent[i];
+		if (lent->borrower.port != 0)
+			continue;
+		lent->borrower = borrower;
+		lent->backend_index = backend_index;
+		lent->slots = 1;
+		lent->expires_us = now.mono_us + LEASE_TTL_MS * US_PER_MS +
+				   LEASE_MARGIN_US;
+		backend->lent_slots++;
+		return true;
+	}
+	return false;
+}
+
+static void note_lent(struct peer_lease *give, struct net_addr backend)
+{
+	give->leases[give->lease_count].backend = backend;
+	give->leases[give->lease_count].slots = 1;
+	give->lease_count++;
+}
+
+/* A home keeps a quarter of its slots free for its own next requests. */
+static uint32_t lending_limit(const struct state *state,
+			      const struct service *service,
+			      struct net_addr borrower, uint32_t wanted_slots,
+			      struct instant now)
+{
+	uint32_t usable = service_usable_slots(service, now);
+	uint32_t busy = service->running_requests + service->waiting_requests;
+	uint32_t kept = busy + usable / 4;
+
+	if (state->policy.sharing != SHARING_LEASED || state->leaving ||
+	    !membership_find(&state->membership, borrower) || kept >= usable)
+		return 0;
+	return MIN(MIN(wanted_slots, usable - kept), PEER_LEASES_MAX);
+}
+
+static void borrow(struct state *state, struct service *service,
+		   const struct peer_message *give, struct instant now,
+		   struct event_list *out)
+{
+	uint64_t expires_us =
+		service->lease_asked_us + give->lease.ttl_ms * US_PER_MS;
+	const struct lease *lease;
+	struct borrowed *borrowed;
+	struct backend *backend;
+	uint32_t i;
+
+	if (give->lease.sequence != service->lease_sequence ||
+	    expires_us <= now.mono_us)
+		return;
+	/* One grant for a wish; a repeated datagram adds nothing. */
+	service->lease_sequence++;
+	for (i = 0; i < give->lease.lease_count; i++) {
+		lease = &give->lease.leases[i];
+		backend = service_backend(service, lease->backend);
+		borrowed = unused_borrowed(service);
+		if (!backend || !borrowed)
+			continue;
+		borrowed->lender = give->sender;
+		borrowed->backend_index =
+			(uint32_t)(backend - service->backends);
+		borrowed->slots = lease->slots;
+		borrowed->in_use_slots = 0;
+		borrowed->expires_us = expires_us;
+		service->counters.leased_slots += lease->slots;
+	}
+	schedule_run(state, service, now, out);
+}
+
+static struct borrowed *unused_borrowed(struct service *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < BORROWED_MAX; i++) {
+		if (service->borrowed[i].lender.port == 0)
+			return &service->borrowed[i];
+	}
+	return NULL;
+}
+
+static void take_back(struct service *service,
+		      const struct peer_message *message)
+{
+	const struct lease *lease;
+	struct lent *lent;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < message->lease.lease_count; i++) {
+		lease = &message->lease.leases[i];
+		for (j = 0; j < LENT_MAX; j++) {
+			lent = &service->lent[j];
+			if (lent->borrower.port == 0 ||
+			    !addr_equal(lent->borrower, message->sender) ||
+			    !addr_equal(
+				    service->backends[lent->backend_index].addr,
+				    lease->backend))
+				continue;
+			end_lent(service, lent, MIN(lease->slots, lent->slots));
+			break;
+		}
+	}
+}
+
+static void end_lent(struct service *service, struct lent *lent, uint32_t slots)
+{
+	service->backends[lent->backend_index].lent_slots -= slots;
+	lent->slots -= slots;
+	if (lent->slots == 0)
+		lent->borrower.port = 0;
+}
+
+static void return_unused(struct state *state, struct service *service,
+			  struct borrowed *borrowed, struct event_list *out)
+{
+	struct peer_message *message = g_new0(struct peer_message, 1);
+
+	message->kind = PEER_LEASE_RETURN;
+	message->lease.service = service->doc->service;
+	message->lease.lease_count = 1;
+	message->lease.leases[0].backend =
+		service->backends[borrowed->backend_index].addr;
+	message->lease.leases[0].slots = borrowed->slots;
+	member_send(state, borrowed->lender, message, out);
+	borrowed->lender.port = 0;
+	borrowed->expires_us = 0;
+}
--- /dev/null
+++ b/src/command/schedule.c
@@ -0,0 +1,240 @@
+#include "command/schedule.h"
+
+#include "command/lease.h"
+#include "command/ticket.h"
+#include "query/pick.h"
+
+/* One grant in so many begins with the lowest class, so that it never stops. */
+#define LOWEST_CLASS_TURN 16
+
+static bool grant_next(struct state *state, struct service *service,
+		       struct instant now, struct event_list *out);
+static bool grant_class(struct state *state, struct service *service,
+			uint32_t class_index, struct instant now,
+			struct event_list *out);
+static bool grant_head(struct state *state, struct service *service,
+		       GArray *queue, struct instant now,
+		       struct event_list *out);
+static uint32_t class_in_order(const struct service_doc *doc, uint32_t place);
+static void grant(struct state *state, uint32_t index, const struct pick *pick,
+		  struct instant now, struct event_list *out);
+static void occupy(struct service *service, struct ticket *ticket);
+static uint32_t connections_share(const struct service *service,
+				  const struct backend *backend);
+static void expire_queue(struct state *state, GArray *queue, struct instant now,
+			 struct event_list *out);
+
+void schedule_run(struct state *state, struct service *service,
+		  struct instant now, struct event_list *out)
+{
+	while (service->waiting_requests > 0 &&
+	       grant_next(state, service, now, out))
+		;
+	if (service->waiting_requests > 0)
+		lease_ask(state, service, now, out);
+}
+
+void schedule_expire(struct state *state, struct service *service,
+		     struct instant now, struct event_list *out)
+{
+	uint32_t i;
+
+	if (service->waiting_requests == 0)
+		return;
+	for (i = 0; i < DOC_CLASSES_MAX; i++) {
+		expire_queue(state, service->queues[i].short_tickets, now, out);
+		expire_queue(state, service->queues[i].long_tickets, now, out);
+	}
+}
+
+void schedule_release(struct state *state, uint32_t index)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct service *service = ticket->service;
+	struct backend *backend = &service->backends[ticket->backend_index];
+
+	service->running_requests--;
+	if (ticket->long_work)
+		service->running_long_requests--;
+	if (ticket->borrowed_index != TICKET_NONE) {
+		service->borrowed[ticket->borrowed_index].in_use_slots--;
+		ticket->borrowed_index = TICKET_NONE;
+		return;
+	}
+	backend->in_use_slots--;
+	if (ticket->on_long_slot)
+		backend->in_use_long_slots--;
+	ticket->on_long_slot = false;
+}
+
+uint64_t ticket_typical_us(const struct ticket *ticket)
+{
+	return ticket->service->route_typical_us[ticket->route_index];
+}
+
+static bool grant_next(struct state *state, struct service *service,
+		       struct instant now, struct event_list *out)
+{
+	const struct service_doc *doc = service->doc;
+	uint32_t class_index;
+	uint32_t place;
+
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return grant_class(state, service, 0, now, out);
+	if (service->grants % LOWEST_CLASS_TURN == LOWEST_CLASS_TURN - 1) {
+		class_index = class_in_order(doc, doc->class_count - 1);
+		if (grant_class(state, service, class_index, now, out))
+			return true;
+	}
+	for (place = 0; place < doc->class_count; place++) {
+		class_index = class_in_order(doc, place);
+		if (grant_class(state, service, class_index, now, out))
+			return true;
+	}
+	return false;
+}
+
+/* Short work never waits for long work of its class to find a slot. */
+static bool grant_class(struct state *state, struct service *service,
+			uint32_t class_index, struct instant now,
+			struct event_list *out)
+{
+	struct class_queue *queue = &service->queues[class_index];
+
+	if (grant_head(state, service, queue->short_tickets, now, out))
+		return true;
+	return grant_head(state, service, queue->long_tickets, now, out);
+}
+
+static bool grant_head(struct state *state, struct service *service,
+		       GArray *queue, struct instant now,
+		       struct event_list *out)
+{
+	struct pick pick;
+	uint32_t index;
+
+	expire_queue(state, queue, now, out);
+	if (queue->len == 0)
+		return false;
+	index = g_array_index(queue, uint32_t, 0);
+	if (!pick_slot(state, service, &state->tickets[index], now, &pick))
+		return false;
+	ticket_dequeue(state, index);
+	grant(state, index, &pick, now, out);
+	return true;
+}
+
+/* The class at a place when all are ordered by priority. */
+static uint32_t class_in_order(const struct service_doc *doc, uint32_t place)
+{
+	uint32_t before;
+	uint32_t i;
+	uint32_t j;
+
+	for (i = 0; i < doc->class_count; i++) {
+		before = 0;
+		for (j = 0; j < doc->class_count; j++) {
+			if (doc->classes[j].priority <
+				    doc->classes[i].priority ||
+			    (doc->classes[j].priority ==
+				     doc->classes[i].priority &&
+			     j < i))
+				before++;
+		}
+		if (before == place)
+			return i;
+	}
+	return 0;
+}
+
+static void grant(struct state *state, uint32_t index, const struct pick *pick,
+		  struct instant now, struct event_list *out)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct service *service = ticket->service;
+	struct backend *backend = &service->backends[pick->backend_index];
+	struct event event = { .kind = EVENT_GRANT };
+	struct grant_event *order = &event.grant;
+
+	ticket->state = TICKET_RUNNING;
+	ticket->granted_us = now.mono_us;
+	ticket->backend_index = pick->backend_index;
+	ticket->borrowed_index = pick->borrowed_index;
+	ticket->counted_overdue = false;
+	occupy(service, ticket);
+	histogram_add(&service->counters.classes[ticket->class_index].queue_us,
+		      now.mono_us - ticket->queued_us);
+	order->exchange.index = index;
+	order->exchange.generation = ticket->generation;
+	order->request = request_ref(ticket->request);
+	order->backend = backend->addr;
+	order->deadline_us = ticket->deadline_us;
+	order->send_before_us = ticket->deadline_us;
+	if (pick->borrowed_index != TICKET_NONE)
+		order->send_before_us =
+			MIN(ticket->deadline_us,
+			    service->borrowed[pick->borrowed_index].expires_us);
+	order->idempotent = ticket->idempotent;
+	order->hold_server_error = ticket->idempotent;
+	order->connections_max = connections_share(service, backend);
+	order->shed = service->doc->shed;
+	order->drain = service->doc->drain;
+	event_list_add(out, &event);
+}
+
+static void occupy(struct service *service, struct ticket *ticket)
+{
+	struct backend *backend = &service->backends[ticket->backend_index];
+
+	service->grants++;
+	service->running_requests++;
+	service->round_robin_next =
+		(ticket->backend_index + 1) % service->backend_count;
+	if (ticket->long_work)
+		service->running_long_requests++;
+	if (ticket->borrowed_index != TICKET_NONE) {
+		service->borrowed[ticket->borrowed_index].in_use_slots++;
+		return;
+	}
+	backend->in_use_slots++;
+	ticket->on_long_slot = ticket->long_work;
+	if (ticket->on_long_slot)
+		backend->in_use_long_slots++;
+}
+
+/* The homes split a backend server's connections; others get one in reserve. */
+static uint32_t connections_share(const struct service *service,
+				  const struct backend *backend)
+{
+	uint32_t share = backend->connections_max /
+			 MAX(service->home_count + 1, UINT32_C(1));
+
+	return MAX(share, UINT32_C(1));
+}
+
+/* Refuses from the head; a queue by deadline has the late ones there. */
+static void expire_queue(struct state *state, GArray *queue, struct instant now,
+			 struct event_list *out)
+{
+	const struct ticket *ticket;
+	struct refusal refusal = {
+		.cause = REFUSAL_DEADLINE,
+		.outcome = OUTCOME_NOT_RUN,
+	};
+	uint32_t index;
+
+	while (queue->len > 0) {
+		index = g_array_index(queue, uint32_t, 0);
+		ticket = &state->tickets[index];
+		if (ticket->deadline_us >
+		    now.mono_us + ticket_typical_us(ticket))
+			return;
+		refusal.retry_at_unix_ms = 0;
+		if (ticket->tried_count > 0)
+			refusal.outcome = ticket->outcome;
+		else
+			refusal.outcome = OUTCOME_NOT_RUN;
+		ticket_dequeue(state, index);
+		ticket_refuse(state, index, refusal, out);
+	}
+}
--- /dev/null
+++ b/src/command/schedule.h
@@ -0,0 +1,45 @@
+#ifndef COMMAND_SCHEDULE_H
+#define COMMAND_SCHEDULE_H
+
+/**
+ * DOC: slots to waiting requests
+ */
+
+#include "core/state.h"
+
+/**
+ * schedule_run() - grant slots until none is free or nothing waits
+ * @state: the state
+ * @service: the service
+ * @now: the time
+ * @out: gets EVENT_GRANT, EVENT_REFUSE and a wish for slots
+ */
+void schedule_run(struct state *state, struct service *service,
+		  struct instant now, struct event_list *out);
+
+/**
+ * schedule_expire() - refuse waiting requests that cannot end in time
+ * @state: the state
+ * @service: the service
+ * @now: the time
+ * @out: gets EVENT_REFUSE
+ */
+void schedule_expire(struct state *state, struct service *service,
+		     struct instant now, struct event_list *out);
+
+/**
+ * schedule_release() - take a running request's slot back
+ * @state: the state
+ * @index: its ticket
+ */
+void schedule_release(struct state *state, uint32_t index);
+
+/**
+ * ticket_typical_us() - time its work usually takes on a slot
+ * @ticket: the ticket
+ *
+ * Return: microseconds; 0 when nothing is known yet.
+ */
+uint64_t ticket_typical_us(const struct ticket *ticket);
+
+#endif
--- /dev/null
+++ b/src/command/tick.c
@@ -0,0 +1,46 @@
+#include "command/tick.h"
+
+#include "command/admit.h"
+#include "command/health.h"
+#include "command/home.h"
+#include "command/leave.h"
+#include "command/lease.h"
+#include "command/member.h"
+#include "command/schedule.h"
+
+static void tick_service(struct state *state, struct service *service,
+			 struct instant now, struct event_list *out);
+
+void tick(struct state *state, struct instant now, struct event_list *out)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	member_tick(state, now, out);
+	if (state->homes_dirty)
+		home_refresh(state, now, out);
+	if (state->probes_dirty)
+		home_probe_plan(state, out);
+	g_hash_table_iter_init(&iter, state->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		tick_service(state, value, now, out);
+	leave_tick(state, now, out);
+	state->tick_us = now.mono_us;
+}
+
+static void tick_service(struct state *state, struct service *service,
+			 struct instant now, struct event_list *out)
+{
+	bool home = service->self_home < service->home_count;
+
+	/* Most services have their homes elsewhere and nothing going on here. */
+	if (!home && service->waiting_requests == 0 &&
+	    service->running_requests == 0 && !service->overload)
+		return;
+	home_tick(state, service, now, out);
+	lease_tick(state, service, now, out);
+	health_tick(state, service, now, out);
+	schedule_expire(state, service, now, out);
+	overload_tick(state, service, now, out);
+	schedule_run(state, service, now, out);
+}
--- /dev/null
+++ b/src/command/ticket.c
@@ -0,0 +1,158 @@
+#include "command/ticket.h"
+
+#include <string.h>
+
+static uint64_t order_of(const struct state *state,
+			 const struct ticket *ticket);
+static void count_caller(struct service *service, uint64_t caller_hash,
+			 int32_t change);
+
+uint32_t ticket_new(struct state *state)
+{
+	struct ticket *ticket;
+	uint32_t generation;
+	uint32_t index;
+
+	if (state->free_tickets->len == 0)
+		return TICKET_NONE;
+	index = g_array_index(state->free_tickets, uint32_t,
+			      state->free_tickets->len - 1);
+	g_array_set_size(state->free_tickets, state->free_tickets->len - 1);
+	ticket = &state->tickets[index];
+	generation = ticket->generation + 1;
+	memset(ticket, 0, sizeof(*ticket));
+	ticket->generation = generation;
+	ticket->borrowed_index = TICKET_NONE;
+	return index;
+}
+
+void ticket_open(struct state *state, uint32_t index)
+{
+	struct ticket *ticket = &state->tickets[index];
+
+	state->admitted_requests++;
+	if (ticket->long_work)
+		state->long_requests++;
+	count_caller(ticket->service, ticket->caller_hash, 1);
+	g_hash_table_insert(state->ticket_by_request, ticket->request,
+			    GUINT_TO_POINTER(index));
+}
+
+void ticket_free(struct state *state, uint32_t index)
+{
+	struct ticket *ticket = &state->tickets[index];
+
+	state->admitted_requests--;
+	if (ticket->long_work)
+		state->long_requests--;
+	count_caller(ticket->service, ticket->caller_hash, -1);
+	g_hash_table_remove(state->ticket_by_request, ticket->request);
+	request_unref(ticket->request);
+	ticket->request = NULL;
+	ticket->state = TICKET_FREE;
+	g_array_append_val(state->free_tickets, index);
+}
+
+uint32_t ticket_find(const struct state *state, struct exchange_id exchange)
+{
+	const struct ticket *ticket;
+
+	if (exchange.index >= TICKETS_MAX)
+		return TICKET_NONE;
+	ticket = &state->tickets[exchange.index];
+	if (ticket->state == TICKET_FREE ||
+	    ticket->generation != exchange.generation)
+		return TICKET_NONE;
+	return exchange.index;
+}
+
+void ticket_enqueue(struct state *state, uint32_t index, struct instant now)
+{
+	struct ticket *ticket = &state->tickets[index];
+	GArray *queue = queue_of(state, ticket);
+	uint64_t order;
+	guint low = 0;
+	guint high = queue->len;
+	guint middle;
+	uint32_t other;
+
+	ticket->state = TICKET_QUEUED;
+	ticket->queued_us = now.mono_us;
+	order = order_of(state, ticket);
+	while (low < high) {
+		middle = (low + high) / 2;
+		other = g_array_index(queue, uint32_t, middle);
+		if (order_of(state, &state->tickets[other]) <= order)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	g_array_insert_val(queue, low, index);
+	ticket->service->waiting_requests++;
+}
+
+void ticket_dequeue(struct state *state, uint32_t index)
+{
+	GArray *queue = queue_of(state, &state->tickets[index]);
+	guint i;
+
+	for (i = 0; i < queue->len; i++) {
+		if (g_array_index(queue, uint32_t, i) != index)
+			continue;
+		g_array_remove_index(queue, i);
+		state->tickets[index].service->waiting_requests--;
+		return;
+	}
+}
+
+void ticket_refuse(struct state *state, uint32_t index, struct refusal refusal,
+		   struct event_list *out)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct class_counters *counters =
+		&ticket->service->counters.classes[ticket->class_index];
+	struct event event = {
+		.kind = EVENT_REFUSE,
+		.refuse = { .request = request_ref(ticket->request),
+			    .refusal = refusal },
+	};
+
+	counters->refused_requests[refusal.cause]++;
+	counters->outcome_requests[refusal.outcome]++;
+	event_list_add(out, &event);
+	ticket_free(state, index);
+}
+
+GArray *queue_of(const struct state *state, const struct ticket *ticket)
+{
+	struct class_queue *queue;
+
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return ticket->service->queues[0].short_tickets;
+	queue = &ticket->service->queues[ticket->class_index];
+	return ticket->long_work ? queue->long_tickets : queue->short_tickets;
+}
+
+/* Earliest deadline first within a class; else as they came. */
+static uint64_t order_of(const struct state *state, const struct ticket *ticket)
+{
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return ticket->queued_us;
+	return ticket->deadline_us;
+}
+
+static void count_caller(struct service *service, uint64_t caller_hash,
+			 int32_t change)
+{
+	gpointer value = g_hash_table_lookup(service->callers, &caller_hash);
+	int32_t count = GPOINTER_TO_INT(value) + change;
+	uint64_t *key;
+
+	if (count <= 0) {
+		g_hash_table_remove(service->callers, &caller_hash);
+		return;
+	}
+	key = g_new(uint64_t, 1);
+	*key = caller_hash;
+	g_hash_table_replace(service->callers, key, GINT_TO_POINTER(count));
+}
--- /dev/null
+++ b/src/command/ticket.h
@@ -0,0 +1,75 @@
+#ifndef COMMAND_TICKET_H
+#define COMMAND_TICKET_H
+
+/**
+ * DOC: the ticket table and the queues over it
+ */
+
+#include "core/state.h"
+
+/**
+ * ticket_new() - take a free ticket
+ * @state: the state
+ *
+ * Return: its index, TICKET_NONE when all are in use.
+ */
+uint32_t ticket_new(struct state *state);
+
+/**
+ * ticket_open() - count a filled ticket in
+ * @state: the state
+ * @index: its index
+ */
+void ticket_open(struct state *state, uint32_t index);
+
+/**
+ * ticket_free() - count a ticket out and give it back, one that neither waits nor runs
+ * @state: the state
+ * @index: its index
+ */
+void ticket_free(struct state *state, uint32_t index);
+
+/**
+ * ticket_find() - find the ticket of an exchange
+ * @state: the state
+ * @exchange: the exchange
+ *
+ * Return: its index, TICKET_NONE when it is over.
+ */
+uint32_t ticket_find(const struct state *state, struct exchange_id exchange);
+
+/**
+ * ticket_enqueue() - let a ticket wait in its class
+ * @state: the state
+ * @index: its index
+ * @now: the time
+ */
+void ticket_enqueue(struct state *state, uint32_t index, struct instant now);
+
+/**
+ * ticket_dequeue() - take a waiting ticket out of its queue
+ * @state: the state
+ * @index: its index
+ */
+void ticket_dequeue(struct state *state, uint32_t index);
+
+/**
+ * ticket_refuse() - refuse a ticket that does not wait any more, and free it
+ * @state: the state
+ * @index: its index
+ * @refusal: what to tell the caller
+ * @out: gets EVENT_REFUSE
+ */
+void ticket_refuse(struct state *state, uint32_t index, struct refusal refusal,
+		   struct event_list *out);
+
+/**
+ * queue_of() - the queue a ticket belongs to
+ * @state: the state
+ * @ticket: the ticket
+ *
+ * Return: array of ticket indices, first to go first.
+ */
+GArray *queue_of(const struct state *state, const struct ticket *ticket);
+
+#endif
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -75,6 +75,7 @@
  * @borrowed_index: entry of the service's borrowed slots, TICKET_NONE for own
  * @tried: backend servers tried before
  * @tried_count: used entries of @tried
+ * @outcome: what is known of its earlier tries
  * @cancelled: its caller is gone
  * @counted_overdue: its lateness has been held against its backend server
  */
@@ -96,6 +97,7 @@
 	uint32_t borrowed_index;
 	struct net_addr tried[TICKET_TRIES_MAX];
 	uint32_t tried_count;
+	enum outcome outcome;
 	bool cancelled;
 	bool counted_overdue;
 };
@@ -108,6 +110,8 @@
  * @connections_max: connections this instance may hold
  * @own_slots: this home's share
  * @own_long_slots: part of @own_slots that long work may use
+ * @grown_slots: share it will have from the service's grow_at_us on
+ * @grown_long_slots: part of @grown_slots that long work may use
  * @lent_slots: part of @own_slots lent now
  * @in_use_slots: own slots in use
  * @in_use_long_slots: own slots in use by long work
@@ -123,6 +127,8 @@
 	uint32_t connections_max;
 	uint32_t own_slots;
 	uint32_t own_long_slots;
+	uint32_t grown_slots;
+	uint32_t grown_long_slots;
 	uint32_t lent_slots;
 	uint32_t in_use_slots;
 	uint32_t in_use_long_slots;
@@ -199,6 +205,7 @@
  * @homes: home set, same order on every instance
  * @home_count: used entries of @homes
  * @self_home: own place in @homes, HOMES_MAX when this is no home
+ * @grow_at_us: when shares that grow take force, DEADLINE_NONE_US for never
  * @borrowed: slots of other homes
  * @lent: slots given to others
  * @lease_ask_after_us: no wish for slots before this
@@ -228,6 +235,7 @@
 	struct home homes[HOMES_MAX];
 	uint32_t home_count;
 	uint32_t self_home;
+	uint64_t grow_at_us;
 	struct borrowed borrowed[BORROWED_MAX];
 	struct lent lent[LENT_MAX];
 	uint64_t lease_ask_after_us;
@@ -266,6 +274,7 @@
  * @platform_reachable: last call to the platform went well
  * @heard_us: when platform or a peer was last heard
  * @stepped_back: does not name itself in entries
+ * @tick_us: when the last tick was
  * @leaving: in a planned stop
  * @leave_accept_until_us: answers to entries that named this instance are over
  * @leave_deadline_us: end of the planned stop
@@ -293,6 +302,7 @@
 	bool platform_reachable;
 	uint64_t heard_us;
 	bool stepped_back;
+	uint64_t tick_us;
 	bool leaving;
 	uint64_t leave_accept_until_us;
 	uint64_t leave_deadline_us;
--- /dev/null
+++ b/src/query/homes.c
@@ -0,0 +1,169 @@
+#include "query/homes.h"
+
+#include <stdlib.h>
+
+/* A home set grows by one for this many slots of its service. */
+#define SLOTS_PER_HOME 64
+/* Below this share a home has too little to choose from. */
+#define HOME_SLOTS_MIN 4
+#define HOMES_MIN 2
+
+struct candidate {
+	struct net_addr peer;
+	struct name domain;
+	uint64_t score;
+	uint32_t place_in_domain;
+};
+
+static GArray *collect(const struct state *state, uint64_t seed);
+static void add_candidate(GArray *list, const struct instance_doc *instance,
+			  uint64_t seed);
+static int by_score(const void *a, const void *b);
+static int by_place(const void *a, const void *b);
+static uint32_t number_within_domains(GArray *list);
+static uint32_t home_set_size(const struct service_doc *doc, uint32_t domains,
+			      uint32_t candidates);
+
+uint32_t homes_choose(const struct state *state, const struct service *service,
+		      struct net_addr out[HOMES_MAX])
+{
+	const struct service_doc *doc = service->doc;
+	uint64_t seed = hash_bytes(doc->service.text, NAME_BYTES_MAX, 0);
+	GArray *list = collect(state, seed);
+	uint32_t domains;
+	uint32_t count;
+	uint32_t i;
+
+	g_array_sort(list, by_score);
+	domains = number_within_domains(list);
+	g_array_sort(list, by_place);
+	count = home_set_size(doc, domains, list->len);
+	for (i = 0; i < count; i++)
+		out[i] = g_array_index(list, struct candidate, i).peer;
+	g_array_unref(list);
+	return count;
+}
+
+uint32_t homes_rank_for_backend(const struct service *service,
+				struct net_addr backend, uint32_t home)
+{
+	uint64_t own = hash_pair(service->homes[home].peer, backend, 0);
+	uint32_t rank = 0;
+	uint64_t other;
+	uint32_t i;
+
+	for (i = 0; i < service->home_count; i++) {
+		other = hash_pair(service->homes[i].peer, backend, 0);
+		if (other > own || (other == own && i < home))
+			rank++;
+	}
+	return rank;
+}
+
+uint32_t homes_share(const struct service *service,
+		     const struct backend *backend, uint32_t home,
+		     uint32_t *long_slots)
+{
+	uint32_t short_only = (backend->capacity_slots + 2) / 3;
+	uint32_t rank;
+	uint32_t slots = 0;
+	uint32_t slot;
+
+	*long_slots = 0;
+	if (home >= service->home_count)
+		return 0;
+	rank = homes_rank_for_backend(service, backend->addr, home);
+	for (slot = rank; slot < backend->capacity_slots;
+	     slot += service->home_count) {
+		slots++;
+		if (slot >= short_only)
+			(*long_slots)++;
+	}
+	return slots;
+}
+
+/* The published list decides, not who answers: a partition moves no share. */
+static GArray *collect(const struct state *state, uint64_t seed)
+{
+	const struct membership *membership = &state->membership;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	const struct member *member;
+	guint i;
+
+	if (!state->leaving &&
+	    (membership->self_listed || !membership->list_known))
+		add_candidate(list, &membership->self, seed);
+	for (i = 0; i < membership->members->len; i++) {
+		member = &g_array_index(membership->members, struct member, i);
+		if (member->in_list && member->listed.status == INSTANCE_LIVE &&
+		    member->status != MEMBER_LEAVING)
+			add_candidate(list, &member->listed, seed);
+	}
+	return list;
+}
+
+static void add_candidate(GArray *list, const struct instance_doc *instance,
+			  uint64_t seed)
+{
+	struct candidate candidate = {
+		.peer = instance->peer,
+		.domain = instance->domain,
+		.score = hash_pair(instance->peer, instance->peer, seed),
+	};
+
+	g_array_append_val(list, candidate);
+}
+
+static int by_score(const void *a, const void *b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->score != y->score)
+		return x->score > y->score ? -1 : 1;
+	return addr_compare(x->peer, y->peer);
+}
+
+/* The best of each domain go first, then the second best, and so on. */
+static int by_place(const void *a, const void *b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->place_in_domain != y->place_in_domain)
+		return x->place_in_domain < y->place_in_domain ? -1 : 1;
+	return by_score(a, b);
+}
+
+/* Numbers the sorted candidates within their domains; returns the domains. */
+static uint32_t number_within_domains(GArray *list)
+{
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	struct candidate *candidate;
+	uint32_t domains;
+	uint32_t place;
+	guint i;
+
+	for (i = 0; i < list->len; i++) {
+		candidate = &g_array_index(list, struct candidate, i);
+		place = GPOINTER_TO_UINT(
+			g_hash_table_lookup(seen, candidate->domain.text));
+		candidate->place_in_domain = place;
+		g_hash_table_insert(seen, candidate->domain.text,
+				    GUINT_TO_POINTER(place + 1));
+	}
+	domains = g_hash_table_size(seen);
+	g_hash_table_unref(seen);
+	return domains;
+}
+
+static uint32_t home_set_size(const struct service_doc *doc, uint32_t domains,
+			      uint32_t candidates)
+{
+	uint32_t slots = service_doc_slots(doc);
+	uint32_t size =
+		MAX(domains, (slots + SLOTS_PER_HOME - 1) / SLOTS_PER_HOME);
+
+	size = MIN(size, MAX(HOMES_MIN, slots / HOME_SLOTS_MIN));
+	return MIN(MIN(size, candidates), HOMES_MAX);
+}
--- /dev/null
+++ b/src/query/pick.c
@@ -0,0 +1,143 @@
+#include "query/pick.h"
+
+#include "query/health.h"
+
+static bool pick_own(const struct state *state, const struct service *service,
+		     const struct ticket *ticket, struct instant now,
+		     struct pick *out);
+static bool pick_borrowed(const struct service *service,
+			  const struct ticket *ticket, struct instant now,
+			  struct pick *out);
+static bool allowed(const struct backend *backend, const struct ticket *ticket);
+static uint32_t open_slots(const struct backend *backend, struct instant now);
+static bool has_room(const struct backend *backend, bool long_work,
+		     struct instant now);
+
+bool pick_slot(const struct state *state, const struct service *service,
+	       const struct ticket *ticket, struct instant now,
+	       struct pick *out)
+{
+	out->borrowed_index = TICKET_NONE;
+	if (pick_own(state, service, ticket, now, out))
+		return true;
+	return pick_borrowed(service, ticket, now, out);
+}
+
+uint32_t backend_lendable_slots(const struct backend *backend,
+				struct instant now)
+{
+	uint32_t open = open_slots(backend, now);
+	uint32_t busy = backend->in_use_slots;
+	uint32_t busy_long = backend->in_use_long_slots + backend->lent_slots;
+
+	if (backend_idempotent_only(backend) || busy >= open ||
+	    busy_long >= backend->own_long_slots)
+		return 0;
+	return MIN(open - busy, backend->own_long_slots - busy_long);
+}
+
+uint32_t service_usable_slots(const struct service *service, struct instant now)
+{
+	uint32_t slots = 0;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++)
+		slots += open_slots(&service->backends[i], now);
+	for (i = 0; i < BORROWED_MAX; i++) {
+		if (service->borrowed[i].expires_us > now.mono_us)
+			slots += service->borrowed[i].slots;
+	}
+	return slots;
+}
+
+static bool pick_own(const struct state *state, const struct service *service,
+		     const struct ticket *ticket, struct instant now,
+		     struct pick *out)
+{
+	bool round_robin = state->policy.picking == PICKING_ROUND_ROBIN;
+	const struct backend *best = NULL;
+	const struct backend *backend;
+	uint64_t best_load = 0;
+	uint64_t load;
+	uint32_t ties = 0;
+	uint32_t index;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		index = (i + service->round_robin_next) %
+			service->backend_count;
+		backend = &service->backends[index];
+		if (!has_room(backend, ticket->long_work, now) ||
+		    !allowed(backend, ticket))
+			continue;
+		load = (uint64_t)backend->in_use_slots * PERMILLE_ONE /
+		       open_slots(backend, now);
+		if (best && load > best_load)
+			continue;
+		/* Of equally loaded ones each is as likely as another. */
+		ties = !best || load < best_load ? 1 : ties + 1;
+		if (ties > 1 &&
+		    g_rand_int_range(state->rand, 0, (gint32)ties) != 0)
+			continue;
+		best = backend;
+		best_load = load;
+		out->backend_index = index;
+		if (round_robin)
+			break;
+	}
+	return best != NULL;
+}
+
+static bool pick_borrowed(const struct service *service,
+			  const struct ticket *ticket, struct instant now,
+			  struct pick *out)
+{
+	const struct borrowed *borrowed;
+	const struct backend *backend;
+	uint32_t i;
+
+	for (i = 0; i < BORROWED_MAX; i++) {
+		borrowed = &service->borrowed[i];
+		if (borrowed->expires_us <= now.mono_us ||
+		    borrowed->in_use_slots >= borrowed->slots)
+			continue;
+		backend = &service->backends[borrowed->backend_index];
+		if (backend->health.state != HEALTH_IN_SERVICE ||
+		    backend_draining(backend, now) || !allowed(backend, ticket))
+			continue;
+		out->backend_index = borrowed->backend_index;
+		out->borrowed_index = i;
+		return true;
+	}
+	return false;
+}
+
+/* Not twice to the same one, and while one is tried only what may repeat. */
+static bool allowed(const struct backend *backend, const struct ticket *ticket)
+{
+	uint32_t i;
+
+	if (!ticket->idempotent && backend_idempotent_only(backend))
+		return false;
+	for (i = 0; i < ticket->tried_count; i++) {
+		if (addr_equal(ticket->tried[i], backend->addr))
+			return false;
+	}
+	return true;
+}
+
+static uint32_t open_slots(const struct backend *backend, struct instant now)
+{
+	uint32_t open = backend_open_slots(backend, now);
+
+	return open > backend->lent_slots ? open - backend->lent_slots : 0;
+}
+
+static bool has_room(const struct backend *backend, bool long_work,
+		     struct instant now)
+{
+	if (backend->in_use_slots >= open_slots(backend, now))
+		return false;
+	return !long_work || backend->in_use_long_slots + backend->lent_slots <
+				     backend->own_long_slots;
+}
