--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -211,7 +211,7 @@
 	for (i = 0; i < doc->class_count; i++)
 		higher += doc->classes[i].priority < own;
 	return state->admitted_requests >
-	       workers - workers * higher / (2 * doc->class_count);
+	       workers - workers * higher / (2 * (higher + 1));
 }
 
 static bool over_caller_share(const struct state *state,
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -10,8 +10,8 @@
 			  struct pick *out);
 static bool allowed(const struct backend *backend, const struct ticket *ticket);
 static uint32_t open_slots(const struct backend *backend, struct instant now);
-static bool has_room(const struct backend *backend, bool long_work,
-		     struct instant now);
+static bool has_room(const struct backend *backend, uint32_t open,
+		     bool long_work);
 
 bool pick_slot(const struct state *state, const struct service *service,
 	       const struct ticket *ticket, struct instant now,
@@ -60,6 +60,7 @@
 	uint64_t best_load = 0;
 	uint64_t load;
 	uint32_t ties = 0;
+	uint32_t open;
 	uint32_t index;
 	uint32_t i;
 
@@ -67,11 +68,11 @@
 		index = (i + service->round_robin_next) %
 			service->backend_count;
 		backend = &service->backends[index];
-		if (!has_room(backend, ticket->long_work, now) ||
+		open = open_slots(backend, now);
+		if (!has_room(backend, open, ticket->long_work) ||
 		    !allowed(backend, ticket))
 			continue;
-		load = (uint64_t)backend->in_use_slots * PERMILLE_ONE /
-		       open_slots(backend, now);
+		load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
 		if (best && load > best_load)
 			continue;
 		/* Of equally loaded ones each is as likely as another. */
@@ -133,10 +134,10 @@
 	return open > backend->lent_slots ? open - backend->lent_slots : 0;
 }
 
-static bool has_room(const struct backend *backend, bool long_work,
-		     struct instant now)
+static bool has_room(const struct backend *backend, uint32_t open,
+		     bool long_work)
 {
-	if (backend->in_use_slots >= open_slots(backend, now))
+	if (backend->in_use_slots >= open)
 		return false;
 	return !long_work || backend->in_use_long_slots + backend->lent_slots <
 				     backend->own_long_slots;
