--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -128,17 +128,16 @@
 static uint32_t class_in_order(const struct service_doc *doc, uint32_t place)
 {
 	uint32_t before;
+	uint32_t own;
 	uint32_t i;
 	uint32_t j;
 
 	for (i = 0; i < doc->class_count; i++) {
+		own = doc->classes[i].priority;
 		before = 0;
 		for (j = 0; j < doc->class_count; j++) {
-			if (doc->classes[j].priority <
-				    doc->classes[i].priority ||
-			    (doc->classes[j].priority ==
-				     doc->classes[i].priority &&
-			     j < i))
+			if (doc->classes[j].priority < own ||
+			    (j < i && doc->classes[j].priority == own))
 				before++;
 		}
 		if (before == place)
