--- /dev/null
+++ b/src/codec/metrics_text.c
@@ -0,0 +1,319 @@
+/* Counters and histograms in text exposition format. */
+#include "codec/report_text.h"
+
+/**
+ * enum metric_kind - tag of struct metric
+ * @METRIC_CLASS_COUNTER: a uint64_t of struct class_counters
+ * @METRIC_CLASS_CAUSES: refusals by cause of struct class_counters
+ * @METRIC_CLASS_OUTCOMES: outcomes of struct class_counters
+ * @METRIC_CLASS_HISTOGRAM: a struct histogram of struct class_counters
+ * @METRIC_SERVICE_COUNTER: a uint64_t of struct service_metrics
+ * @METRIC_SERVICE_VERSION: a uint64_t of struct service_metrics, a gauge
+ * @METRIC_SERVICE_GAUGE: a uint32_t of struct service_metrics
+ * @METRIC_CAUSES: early refusals of struct metrics_report
+ * @METRIC_COUNTER: a uint64_t of struct metrics_report
+ * @METRIC_GAUGE: a uint32_t of struct metrics_report
+ */
+enum metric_kind {
+	METRIC_CLASS_COUNTER,
+	METRIC_CLASS_CAUSES,
+	METRIC_CLASS_OUTCOMES,
+	METRIC_CLASS_HISTOGRAM,
+	METRIC_SERVICE_COUNTER,
+	METRIC_SERVICE_VERSION,
+	METRIC_SERVICE_GAUGE,
+	METRIC_CAUSES,
+	METRIC_COUNTER,
+	METRIC_GAUGE,
+};
+
+/**
+ * struct metric - one family of lines
+ * @name: without the common prefix
+ * @help: what it counts
+ * @kind: where it is read and how it is written
+ * @offset_bytes: place in the struct of its kind
+ */
+struct metric {
+	const char *name;
+	const char *help;
+	enum metric_kind kind;
+	uint32_t offset_bytes;
+};
+
+#define IN_CLASS(member) offsetof(struct class_counters, member)
+#define IN_SERVICE(member) offsetof(struct service_metrics, member)
+#define IN_REPORT(member) offsetof(struct metrics_report, member)
+
+static const struct metric metrics[] = {
+	{ "admitted_requests_total", "Requests taken in.", METRIC_CLASS_COUNTER,
+	  IN_CLASS(admitted_requests) },
+	{ "refused_requests_total", "Requests refused, by cause.",
+	  METRIC_CLASS_CAUSES, IN_CLASS(refused_requests) },
+	{ "outcome_requests_total", "Requests ended, by what is known of them.",
+	  METRIC_CLASS_OUTCOMES, IN_CLASS(outcome_requests) },
+	{ "queue_seconds", "Time in the queue.", METRIC_CLASS_HISTOGRAM,
+	  IN_CLASS(queue_us) },
+	{ "slot_seconds", "Time on a slot of a backend server.",
+	  METRIC_CLASS_HISTOGRAM, IN_CLASS(slot_us) },
+	{ "retries_total", "Exchanges repeated on another backend server.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.retries) },
+	{ "retries_denied_total",
+	  "Exchanges not repeated for want of budget or time.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.retries_denied) },
+	{ "ejections_total", "Backend servers taken out of service.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.ejections) },
+	{ "ejections_withheld_total",
+	  "Ejections not done because of the healthy floor.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.ejections_withheld) },
+	{ "leases_asked_total", "Wishes for slots sent to other instances.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.leases_asked) },
+	{ "leased_slots_total", "Slots borrowed of other instances.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.leased_slots) },
+	{ "config_version", "Version of the service's document in force.",
+	  METRIC_SERVICE_VERSION, IN_SERVICE(version) },
+	{ "waiting_requests", "Requests in the queues now.",
+	  METRIC_SERVICE_GAUGE, IN_SERVICE(waiting_requests) },
+	{ "running_requests", "Requests on slots now.", METRIC_SERVICE_GAUGE,
+	  IN_SERVICE(running_requests) },
+	{ "refused_early_requests_total",
+	  "Requests refused before their class was known, by cause.",
+	  METRIC_CAUSES, IN_REPORT(refused_early) },
+	{ "dispatch_ring_refused_total",
+	  "Messages refused because the dispatch ring was full.",
+	  METRIC_COUNTER, IN_REPORT(dispatch_ring_refused) },
+	{ "audit_records_total", "Changes of state recorded.", METRIC_COUNTER,
+	  IN_REPORT(audit_records) },
+	{ "instances_alive", "Other instances believed alive.", METRIC_GAUGE,
+	  IN_REPORT(members_alive) },
+	{ "instances_suspect", "Other instances that left probes unanswered.",
+	  METRIC_GAUGE, IN_REPORT(members_suspect) },
+	{ "instances_dead", "Other instances believed dead.", METRIC_GAUGE,
+	  IN_REPORT(members_dead) },
+};
+
+static void write_family(GString *out, const struct metric *metric,
+			 const struct metrics_report *report);
+static void write_service(GString *out, const struct metric *metric,
+			  const struct service_metrics *service);
+static void write_class(GString *out, const struct metric *metric,
+			const char *labels,
+			const struct class_counters *counters);
+static void write_causes(GString *out, const struct metric *metric,
+			 const char *labels, const uint64_t *counts);
+static void write_outcomes(GString *out, const struct metric *metric,
+			   const char *labels, const uint64_t *counts);
+static void write_histogram(GString *out, const struct metric *metric,
+			    const char *labels,
+			    const struct histogram *histogram);
+static void write_line(GString *out, const struct metric *metric,
+		       const char *suffix, const char *labels, uint64_t value);
+static const char *type_text(enum metric_kind kind);
+static void append_seconds(GString *out, uint64_t time_us);
+
+char *metrics_to_text(const struct metrics_report *report)
+{
+	GString *out = g_string_new(NULL);
+	uint32_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(metrics); i++)
+		write_family(out, &metrics[i], report);
+	return g_string_free(out, FALSE);
+}
+
+static void write_family(GString *out, const struct metric *metric,
+			 const struct metrics_report *report)
+{
+	const char *at = (const char *)report + metric->offset_bytes;
+	uint32_t i;
+
+	g_string_append_printf(out, "# HELP nutmegcrank_%s %s\n", metric->name,
+			       metric->help);
+	g_string_append_printf(out, "# TYPE nutmegcrank_%s %s\n", metric->name,
+			       type_text(metric->kind));
+	switch (metric->kind) {
+	case METRIC_CLASS_COUNTER:
+	case METRIC_CLASS_CAUSES:
+	case METRIC_CLASS_OUTCOMES:
+	case METRIC_CLASS_HISTOGRAM:
+	case METRIC_SERVICE_COUNTER:
+	case METRIC_SERVICE_VERSION:
+	case METRIC_SERVICE_GAUGE:
+		for (i = 0; i < report->service_count; i++)
+			write_service(out, metric, &report->services[i]);
+		break;
+	case METRIC_CAUSES:
+		write_causes(out, metric, "", (const uint64_t *)at);
+		break;
+	case METRIC_COUNTER:
+		write_line(out, metric, "", "", *(const uint64_t *)at);
+		break;
+	case METRIC_GAUGE:
+		write_line(out, metric, "", "", *(const uint32_t *)at);
+		break;
+	}
+}
+
+static void write_service(GString *out, const struct metric *metric,
+			  const struct service_metrics *service)
+{
+	const char *at = (const char *)service + metric->offset_bytes;
+	char *labels;
+	uint32_t i;
+
+	switch (metric->kind) {
+	case METRIC_CLASS_COUNTER:
+	case METRIC_CLASS_CAUSES:
+	case METRIC_CLASS_OUTCOMES:
+	case METRIC_CLASS_HISTOGRAM:
+		for (i = 0; i < service->class_count; i++) {
+			labels = g_strdup_printf("service=\"%s\",class=\"%s\"",
+						 service->service.text,
+						 service->classes[i].text);
+			write_class(out, metric, labels,
+				    &service->counters.classes[i]);
+			g_free(labels);
+		}
+		return;
+	case METRIC_SERVICE_COUNTER:
+	case METRIC_SERVICE_VERSION:
+	case METRIC_SERVICE_GAUGE:
+		labels = g_strdup_printf("service=\"%s\"",
+					 service->service.text);
+		write_line(out, metric, "", labels,
+			   metric->kind == METRIC_SERVICE_GAUGE ?
+				   *(const uint32_t *)at :
+				   *(const uint64_t *)at);
+		g_free(labels);
+		return;
+	case METRIC_CAUSES:
+	case METRIC_COUNTER:
+	case METRIC_GAUGE:
+		return;
+	}
+}
+
+static void write_class(GString *out, const struct metric *metric,
+			const char *labels,
+			const struct class_counters *counters)
+{
+	const char *at = (const char *)counters + metric->offset_bytes;
+
+	switch (metric->kind) {
+	case METRIC_CLASS_COUNTER:
+		write_line(out, metric, "", labels, *(const uint64_t *)at);
+		return;
+	case METRIC_CLASS_CAUSES:
+		write_causes(out, metric, labels, (const uint64_t *)at);
+		return;
+	case METRIC_CLASS_OUTCOMES:
+		write_outcomes(out, metric, labels, (const uint64_t *)at);
+		return;
+	case METRIC_CLASS_HISTOGRAM:
+		write_histogram(out, metric, labels,
+				(const struct histogram *)at);
+		return;
+	case METRIC_SERVICE_COUNTER:
+	case METRIC_SERVICE_VERSION:
+	case METRIC_SERVICE_GAUGE:
+	case METRIC_CAUSES:
+	case METRIC_COUNTER:
+	case METRIC_GAUGE:
+		return;
+	}
+}
+
+/* Causes that never came are left out. */
+static void write_causes(GString *out, const struct metric *metric,
+			 const char *labels, const uint64_t *counts)
+{
+	char *all;
+	uint32_t i;
+
+	for (i = 0; i < REFUSAL_COUNT; i++) {
+		if (counts[i] == 0)
+			continue;
+		all = g_strdup_printf("%s%scause=\"%s\"", labels,
+				      *labels ? "," : "",
+				      refusal_cause_text(i));
+		write_line(out, metric, "", all, counts[i]);
+		g_free(all);
+	}
+}
+
+static void write_outcomes(GString *out, const struct metric *metric,
+			   const char *labels, const uint64_t *counts)
+{
+	char *all;
+	uint32_t i;
+
+	for (i = OUTCOME_COMPLETE; i <= OUTCOME_UNKNOWN; i++) {
+		all = g_strdup_printf("%s,outcome=\"%s\"", labels,
+				      outcome_text(i));
+		write_line(out, metric, "", all, counts[i]);
+		g_free(all);
+	}
+}
+
+static void write_histogram(GString *out, const struct metric *metric,
+			    const char *labels,
+			    const struct histogram *histogram)
+{
+	uint64_t total = 0;
+	GString *all;
+	uint32_t i;
+
+	for (i = 0; i < HISTOGRAM_BUCKETS; i++) {
+		total += histogram->count[i];
+		all = g_string_new(labels);
+		g_string_append(all, ",le=\"");
+		if (i + 1 < HISTOGRAM_BUCKETS)
+			append_seconds(all, histogram_bound_us(i));
+		else
+			g_string_append(all, "+Inf");
+		g_string_append_c(all, '"');
+		write_line(out, metric, "_bucket", all->str, total);
+		g_string_free(all, TRUE);
+	}
+	g_string_append_printf(out, "nutmegcrank_%s_sum{%s} ", metric->name,
+			       labels);
+	append_seconds(out, histogram->sum_us);
+	g_string_append_c(out, '\n');
+	write_line(out, metric, "_count", labels, total);
+}
+
+static void write_line(GString *out, const struct metric *metric,
+		       const char *suffix, const char *labels, uint64_t value)
+{
+	g_string_append_printf(out, "nutmegcrank_%s%s", metric->name, suffix);
+	if (*labels)
+		g_string_append_printf(out, "{%s}", labels);
+	g_string_append_printf(out, " %" G_GUINT64_FORMAT "\n", value);
+}
+
+static const char *type_text(enum metric_kind kind)
+{
+	switch (kind) {
+	case METRIC_CLASS_COUNTER:
+	case METRIC_CLASS_CAUSES:
+	case METRIC_CLASS_OUTCOMES:
+	case METRIC_SERVICE_COUNTER:
+	case METRIC_CAUSES:
+	case METRIC_COUNTER:
+		return "counter";
+	case METRIC_CLASS_HISTOGRAM:
+		return "histogram";
+	case METRIC_SERVICE_VERSION:
+	case METRIC_SERVICE_GAUGE:
+	case METRIC_GAUGE:
+		return "gauge";
+	}
+	return "untyped";
+}
+
+static void append_seconds(GString *out, uint64_t time_us)
+{
+	g_string_append_printf(out,
+			       "%" G_GUINT64_FORMAT ".%06" G_GUINT64_FORMAT,
+			       time_us / US_PER_S, time_us % US_PER_S);
+}
