--- /dev/null
+++ b/test/process/standin_test.cc
@@ -0,0 +1,241 @@
+/* The stand-ins themselves: what they do wrong on order, and what they log. */
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "standins.h"
+
+namespace
+{
+
+struct gray_case {
+	const char *name;
+	const char *order;
+	int code;
+	uint32_t status;
+	const char *end;
+};
+
+const struct gray_case gray_cases[] = {
+	{ "well", "{}", CURLE_OK, 200, "whole" },
+	{ "status", "{\"fault\":\"status\",\"fault_status\":502}", CURLE_OK,
+	  502, "whole" },
+	{ "sheds all", "{\"shed_permille\":1000}", CURLE_OK, 503, "" },
+	{ "no slots", "{\"slots\":0}", CURLE_OK, 503, "" },
+	{ "hangs before the head", "{\"fault\":\"hang_head\"}",
+	  CURLE_OPERATION_TIMEDOUT, 0, "broken" },
+	{ "hangs in the body", "{\"fault\":\"hang_body\"}",
+	  CURLE_OPERATION_TIMEDOUT, 200, "broken" },
+	{ "truncates", "{\"fault\":\"truncate\"}", CURLE_PARTIAL_FILE, 200,
+	  "broken" },
+	{ "closes without an answer", "{\"fault\":\"close\"}",
+	  CURLE_GOT_NOTHING, 0, "broken" },
+	{ "caller gives up", "{\"work_ms\":10000}", CURLE_OPERATION_TIMEDOUT, 0,
+	  "cancelled" },
+};
+
+TEST(StandinTest, GrayBackend)
+{
+	backend_standin backends(1);
+	uint32_t number = 0;
+
+	for (const auto &c : gray_cases) {
+		SCOPED_TRACE(c.name);
+		std::string id = "gray-" + std::to_string(number++);
+		struct http_request request;
+		struct http_reply reply;
+
+		ASSERT_TRUE(backends.order(
+			0, "{\"slots\":6,\"work_ms\":1,\"shed_permille\":0,"
+			   "\"fault\":\"none\"}"));
+		ASSERT_TRUE(backends.order(0, c.order));
+		request.url = "http://127.0.0.1:" +
+			      std::to_string(backends.port(0)) + "/works";
+		request.headers = { "X-Request-Id: " + id };
+		request.timeout_ms = 300;
+		reply = http_ask(request);
+		EXPECT_EQ(reply.code, c.code);
+		EXPECT_EQ(reply.status, c.status);
+		EXPECT_EQ(reply.headers.count("x-shed"),
+			  c.end[0] == '\0' ? 1u : 0u);
+		EXPECT_TRUE(wait_for(2000, [&] {
+			std::vector<struct run_record> runs = backends.runs();
+
+			if (c.end[0] == '\0')
+				return backends.counts().count(id) == 0;
+			return !runs.empty() && runs.back().id == id &&
+			       runs.back().end == c.end;
+		}));
+	}
+}
+
+struct fault_case {
+	const char *name;
+	const char *kind;
+	uint32_t number;
+	const char *source;
+	int code;
+	uint32_t runs;
+};
+
+const struct fault_case fault_cases[] = {
+	{ "passes", "pass", 0, "", CURLE_OK, 1 },
+	{ "delays", "delay", 20, "", CURLE_OK, 1 },
+	{ "delays beyond the deadline", "delay", 2000, "",
+	  CURLE_OPERATION_TIMEDOUT, 0 },
+	{ "holds the request", "drop_up", 0, "", CURLE_OPERATION_TIMEDOUT, 0 },
+	{ "holds the answer", "drop_down", 0, "", CURLE_OPERATION_TIMEDOUT, 1 },
+	{ "resets", "refuse", 0, "", CURLE_RECV_ERROR, 0 },
+	{ "cuts before the head", "truncate", 0, "", CURLE_GOT_NOTHING, 1 },
+	{ "cuts in the body", "truncate", 120, "", CURLE_PARTIAL_FILE, 1 },
+	{ "other source", "drop_up", 0, "127.0.0.9", CURLE_OK, 1 },
+	{ "this source", "drop_up", 0, "127.0.0.1", CURLE_OPERATION_TIMEDOUT,
+	  0 },
+};
+
+TEST(StandinTest, FaultProxy)
+{
+	for (const auto &c : fault_cases) {
+		SCOPED_TRACE(c.name);
+		backend_standin backends(1);
+		std::string listen = "127.0.0.1:" + std::to_string(free_port());
+		fault_standin faults(
+			{ { "b", "tcp", listen,
+			    "127.0.0.1:" + std::to_string(backends.port(0)) } });
+		struct http_request request;
+
+		ASSERT_TRUE(faults.order("b", c.kind, c.number, c.source));
+		request.url = "http://" + listen + "/works";
+		request.headers = { "X-Request-Id: one" };
+		request.timeout_ms = 300;
+		EXPECT_EQ(http_ask(request).code, c.code);
+		EXPECT_EQ(backends.counts()["one"], c.runs);
+	}
+}
+
+TEST(StandinTest, OpenConnectionsGoSilentWhileNewOnesWork)
+{
+	backend_standin backends(1);
+	std::string listen = "127.0.0.1:" + std::to_string(free_port());
+	fault_standin faults(
+		{ { "b", "tcp", listen,
+		    "127.0.0.1:" + std::to_string(backends.port(0)) } });
+	http_client client;
+	struct http_request request;
+
+	request.url = "http://" + listen + "/works";
+	request.timeout_ms = 300;
+	EXPECT_EQ(client.ask(request).code, CURLE_OK);
+	ASSERT_TRUE(faults.order("b", "silence_open"));
+	EXPECT_EQ(client.ask(request).code, CURLE_OPERATION_TIMEDOUT);
+	EXPECT_EQ(http_ask(request).code, CURLE_OK);
+}
+
+struct datagram_case {
+	const char *name;
+	const char *kind;
+	uint32_t number;
+	bool arrives;
+};
+
+const struct datagram_case datagram_cases[] = {
+	{ "passes", "pass", 0, true },
+	{ "delays", "delay", 50, true },
+	{ "drops", "drop_up", 0, false },
+	{ "drops only what comes back", "drop_down", 0, true },
+};
+
+TEST(StandinTest, Datagrams)
+{
+	for (const auto &c : datagram_cases) {
+		SCOPED_TRACE(c.name);
+		struct sockaddr_in addr = {};
+		uint16_t target = free_port();
+		uint16_t listen = free_port();
+		fault_standin faults(
+			{ { "u", "udp", "127.0.0.1:" + std::to_string(listen),
+			    "127.0.0.1:" + std::to_string(target) } });
+		struct timeval limit = { 0, 300000 };
+		int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+		char got[8] = "";
+
+		ASSERT_TRUE(faults.order("u", c.kind, c.number));
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		addr.sin_port = htons(target);
+		ASSERT_EQ(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+		ASSERT_EQ(setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit,
+				     sizeof(limit)),
+			  0);
+		addr.sin_port = htons(listen);
+		ASSERT_EQ(sendto(fd, "beat", 4, 0, (struct sockaddr *)&addr,
+				 sizeof(addr)),
+			  4);
+		EXPECT_EQ(recv(fd, got, sizeof(got), 0), c.arrives ? 4 : -1);
+		close(fd);
+	}
+}
+
+struct config_case {
+	const char *name;
+	const char *mode;
+	int code;
+	uint32_t status;
+	const char *text;
+	const char *version;
+};
+
+const struct config_case config_cases[] = {
+	{ "up", "up", CURLE_OK, 200, "new", "2" },
+	{ "stale", "stale", CURLE_OK, 200, "old", "1" },
+	{ "refuse", "refuse", CURLE_GOT_NOTHING, 0, "", "" },
+	{ "hang", "hang", CURLE_OPERATION_TIMEDOUT, 0, "", "" },
+	{ "error", "error", CURLE_OK, 500, "", "" },
+};
+
+TEST(StandinTest, ConfigModes)
+{
+	for (const auto &c : config_cases) {
+		SCOPED_TRACE(c.name);
+		config_standin config;
+		struct http_request request;
+		struct http_reply reply;
+
+		request.url = "http://" + config.addr() + "/config/gallery";
+		request.timeout_ms = 300;
+		ASSERT_TRUE(config.publish("gallery", "old"));
+		ASSERT_TRUE(config.set_mode(c.mode));
+		ASSERT_TRUE(config.publish("gallery", "new"));
+		reply = http_ask(request);
+		EXPECT_EQ(reply.code, c.code);
+		EXPECT_EQ(reply.status, c.status);
+		EXPECT_EQ(reply.body, c.text);
+		EXPECT_EQ(reply.headers["config-version"], c.version);
+	}
+}
+
+TEST(StandinTest, ConfigWatchWaitsForAChange)
+{
+	config_standin config;
+	struct http_request request;
+	uint64_t begin_ms;
+
+	ASSERT_TRUE(config.publish("gallery", "old"));
+	request.url =
+		"http://" + config.addr() + "/config/index?after=1&wait_ms=200";
+	begin_ms = now_ms();
+	EXPECT_EQ(json_text(http_ask(request).body, "version"), "1");
+	EXPECT_GE(now_ms() - begin_ms, 200u);
+	ASSERT_TRUE(config.publish("gallery", "new"));
+	begin_ms = now_ms();
+	EXPECT_EQ(json_text(http_ask(request).body, "version"), "2");
+	EXPECT_LT(now_ms() - begin_ms, 200u);
+	ASSERT_TRUE(config.publish("gallery", "old", "version=1"));
+	EXPECT_EQ(http_get("http://" + config.addr() + "/config/gallery")
+			  .headers["config-version"],
+		  "1");
+}
+
+} // namespace
--- /dev/null
+++ b/test/process/standins.cc
@@ -0,0 +1,156 @@
+#include "standins.h"
+
+#include <gtest/gtest.h>
+#include <json.h>
+
+#include <sstream>
+
+namespace
+{
+
+const uint32_t START_LIMIT_MS = 5000;
+
+std::string local(uint16_t port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+void wait_up(const std::string &url)
+{
+	EXPECT_TRUE(wait_for(START_LIMIT_MS, [&url] {
+		return http_get(url).code == 0;
+	})) << url;
+}
+
+std::vector<std::string> fault_args(uint16_t admin,
+				    const std::vector<struct fault_rule> &rules)
+{
+	std::vector<std::string> args = { "standin", "fault", "--admin",
+					  local(admin) };
+
+	for (const auto &rule : rules)
+		args.push_back("--rule=" + rule.name + "=" + rule.transport +
+			       ":" + rule.listen + ":" + rule.target);
+	return args;
+}
+
+} // namespace
+
+config_standin::config_standin()
+    : port(free_port()),
+      process("config", { "standin", "config", "--listen", local(port) })
+{
+	wait_up("http://" + addr() + "/standin/reads");
+}
+
+std::string config_standin::addr() const
+{
+	return local(port);
+}
+
+bool config_standin::publish(const std::string &key, const std::string &text,
+			     const std::string &query)
+{
+	return http_put("http://" + addr() + "/standin/config/" + key +
+				(query.empty() ? "" : "?" + query),
+			text);
+}
+
+bool config_standin::publish_instances(const std::string &list)
+{
+	return http_put("http://" + addr() + "/standin/instances", list);
+}
+
+bool config_standin::set_mode(const std::string &mode)
+{
+	return http_put("http://" + addr() + "/standin/mode", mode);
+}
+
+uint64_t config_standin::reads()
+{
+	std::string body = http_get("http://" + addr() + "/standin/reads").body;
+
+	return strtoull(json_text(body, "reads").c_str(), NULL, 10);
+}
+
+backend_standin::backend_standin(uint32_t count)
+    : first(free_ports(count)), admin(free_port()),
+      process("backend",
+	      { "standin", "backend", "--ports",
+		std::to_string(first) + "-" + std::to_string(first + count - 1),
+		"--admin", std::to_string(admin) })
+{
+	wait_up("http://" + local(admin) + "/standin/counts");
+}
+
+uint16_t backend_standin::port(uint32_t index) const
+{
+	return (uint16_t)(first + index);
+}
+
+bool backend_standin::order(uint32_t index, const std::string &order)
+{
+	return http_put("http://" + local(admin) + "/standin/backend?port=" +
+				std::to_string(port(index)),
+			order);
+}
+
+bool backend_standin::order_all(const std::string &order)
+{
+	return http_put("http://" + local(admin) + "/standin/backend", order);
+}
+
+std::vector<struct run_record> backend_standin::runs(uint64_t since)
+{
+	std::istringstream lines(
+		http_get("http://" + local(admin) +
+			 "/standin/log?since=" + std::to_string(since))
+			.body);
+	std::vector<struct run_record> runs;
+	std::string line;
+
+	while (std::getline(lines, line))
+		runs.push_back(
+			{ json_text(line, "id"),
+			  (uint16_t)atoi(json_text(line, "port").c_str()),
+			  strtoull(json_text(line, "begin_unix_us").c_str(),
+				   NULL, 10),
+			  json_text(line, "end") });
+	return runs;
+}
+
+std::map<std::string, uint32_t> backend_standin::counts()
+{
+	std::map<std::string, uint32_t> counts;
+
+	for (const auto &run : runs())
+		counts[run.id]++;
+	return counts;
+}
+
+fault_standin::fault_standin(const std::vector<struct fault_rule> &rules)
+    : admin(free_port()), process("fault", fault_args(admin, rules))
+{
+	wait_up("http://" + local(admin) + "/");
+}
+
+bool fault_standin::order(const std::string &rule, const std::string &kind,
+			  uint32_t number, const std::string &source)
+{
+	return http_put("http://" + local(admin) + "/standin/fault",
+			"{\"rule\":\"" + rule + "\",\"kind\":\"" + kind +
+				"\",\"number\":\"" + std::to_string(number) +
+				"\",\"source\":\"" + source + "\"}");
+}
+
+std::string json_text(const std::string &object, const std::string &field)
+{
+	json_object *parsed = json_tokener_parse(object.c_str());
+	json_object *value = NULL;
+	std::string text;
+
+	if (json_object_object_get_ex(parsed, field.c_str(), &value))
+		text = json_object_get_string(value);
+	json_object_put(parsed);
+	return text;
+}
--- /dev/null
+++ b/test/process/standins.h
@@ -0,0 +1,109 @@
+#ifndef PROCESS_STANDINS_H
+#define PROCESS_STANDINS_H
+
+/**
+ * DOC: the stand-ins as process tests use them
+ */
+
+#include <memory>
+
+#include "harness.h"
+
+/**
+ * struct run_record - one line of the backend servers' run log
+ */
+struct run_record {
+	std::string id;
+	uint16_t port;
+	uint64_t begin_unix_us;
+	std::string end;
+};
+
+/**
+ * class config_standin - the platform's configuration service
+ */
+class config_standin {
+    public:
+	config_standin();
+
+	/* "ip:port" */
+	std::string addr() const;
+
+	/* Publishes a document; @query may set version and index_version. */
+	bool publish(const std::string &key, const std::string &text,
+		     const std::string &query = "");
+
+	/* Publishes the list of instances, a JSON array. */
+	bool publish_instances(const std::string &list);
+
+	/* up, refuse, hang, error or stale */
+	bool set_mode(const std::string &mode);
+
+	/* Calls taken so far. */
+	uint64_t reads();
+
+    private:
+	uint16_t port;
+	child process;
+};
+
+/**
+ * class backend_standin - backend servers, one a port, in one process
+ */
+class backend_standin {
+    public:
+	explicit backend_standin(uint32_t count);
+
+	uint16_t port(uint32_t index) const;
+
+	/* Orders one backend server to behave. */
+	bool order(uint32_t index, const std::string &order);
+
+	/* Orders all of them. */
+	bool order_all(const std::string &order);
+
+	std::vector<struct run_record> runs(uint64_t since = 0);
+	std::map<std::string, uint32_t> counts();
+
+    private:
+	uint16_t first;
+	uint16_t admin;
+	child process;
+};
+
+/**
+ * struct fault_rule - one address that the fault proxy passes on
+ */
+struct fault_rule {
+	std::string name;
+	std::string transport;
+	std::string listen;
+	std::string target;
+};
+
+/**
+ * class fault_standin - the fault proxy
+ */
+class fault_standin {
+    public:
+	explicit fault_standin(const std::vector<struct fault_rule> &rules);
+
+	/* Puts a fault in force; an empty @rule or @source means all. */
+	bool order(const std::string &rule, const std::string &kind,
+		   uint32_t number = 0, const std::string &source = "");
+
+    private:
+	uint16_t admin;
+	child process;
+};
+
+/**
+ * json_text() - read one field of a JSON object
+ * @object: JSON text
+ * @field: its name
+ *
+ * Return: its value as text, empty when it is absent or @object is cut.
+ */
+std::string json_text(const std::string &object, const std::string &field);
+
+#endif
