Let the peers' address be mapped onto another one

Cause: an instance is named by its peers' address, so an instance behind an address mapping, or a proxy that injects faults, had no way to open its sockets elsewhere. Change: an optional setting peers_bind, by default the same as peers. Tests: DocumentJsonTest.PeersBind.

--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -35,6 +35,7 @@
 static const struct json_field settings_fields[] = {
 	{ "callers", FIELD_ADDR, true, AT(caller_listen) },
 	{ "peers", FIELD_ADDR, true, AT(peer_listen) },
+	{ "peers_bind", FIELD_ADDR, false, AT(peer_bind) },
 	{ "operators", FIELD_ADDR, true, AT(operator_listen) },
 	{ "failure_domain", FIELD_NAME, true, AT(domain) },
 	{ "platform", FIELD_ADDR, true, AT(platform) },
@@ -78,6 +79,8 @@
 	place.path = g_string_new(NULL);
 	ok = json_read_fields(&place, settings_table, &settings, error) &&
 	     check_settings(&place, &settings, error);
+	if (settings.peer_bind.port == 0)
+		settings.peer_bind = settings.peer_listen;
 	g_string_free(place.path, TRUE);
 	json_object_put(place.value);
 	if (ok)
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -166,6 +166,8 @@
  * struct settings - one instance's settings file
  * @caller_listen: where callers connect
  * @peer_listen: where peers connect, UDP and TCP
+ * @peer_bind: where the peers' sockets are opened, @peer_listen unless the
+ *	peers' address is mapped onto another one on its way here
  * @operator_listen: where operators connect, loopback unless set
  * @domain: own failure domain
  * @platform: the platform's configuration service
@@ -182,6 +184,7 @@
 struct settings {
 	struct net_addr caller_listen;
 	struct net_addr peer_listen;
+	struct net_addr peer_bind;
 	struct net_addr operator_listen;
 	struct name domain;
 	struct net_addr platform;
--- a/test/unit/document_json_test.cc
+++ b/test/unit/document_json_test.cc
@@ -417,6 +417,36 @@
 	EXPECT_EQ(s.random_seed, 7U);
 }
 
+struct bind_case {
+	const char *name;
+	const char *peers;
+	const char *bind;
+};
+
+const struct bind_case bind_cases[] = {
+	{ "as peers see it", "\"127.0.0.1:8081\"", "127.0.0.1:8081" },
+	{ "mapped", "\"127.0.0.1:8081\", \"peers_bind\": \"127.0.0.2:9081\"",
+	  "127.0.0.2:9081" },
+};
+
+TEST(DocumentJsonTest, PeersBind)
+{
+	for (const auto &c : bind_cases) {
+		SCOPED_TRACE(c.name);
+		const char *peers = "\"127.0.0.1:8081\"";
+		std::string sample = settings_sample;
+		struct settings s = {};
+		char text[ADDR_TEXT_BYTES];
+
+		sample.replace(sample.find(peers), strlen(peers), c.peers);
+		ASSERT_TRUE(settings_parse("file", sample.data(), sample.size(),
+					   &s, NULL));
+		EXPECT_STREQ(addr_format(s.peer_bind, text), c.bind);
+		EXPECT_STREQ(addr_format(s.peer_listen, text),
+			     "127.0.0.1:8081");
+	}
+}
+
 TEST(DocumentJsonTest, DocumentHasItsValues)
 {
 	struct service_doc *doc = service_doc_parse(
