--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-INC = -Isrc
+INC = -Isrc -Itest
 DEFS = -D_GNU_SOURCE
 WARN = -Wall -Wextra -Werror
 CPPFLAGS += $(INC) $(DEFS) -MMD -MP $(shell pkg-config --cflags $(PKGS))
@@ -22,6 +22,7 @@
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 STANDIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/standin/*.c))
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
+MODEL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/model/*.c))
 UNIT_OBJ = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard test/unit/*.cc))
 PROCESS_OBJ = $(patsubst %.cc,$(BUILD)/%.o,$(wildcard test/process/*.cc))
 
@@ -44,10 +45,10 @@
 $(STANDIN): $(STANDIN_OBJ) $(BUILD)/libnutmegcrank.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BENCH): $(BENCH_OBJ) $(BUILD)/libnutmegcrank.a
+$(BENCH): $(BENCH_OBJ) $(MODEL_OBJ) $(BUILD)/libnutmegcrank.a
 	$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(UNIT): $(UNIT_OBJ) $(BUILD)/libnutmegcrank.a
+$(UNIT): $(UNIT_OBJ) $(MODEL_OBJ) $(BUILD)/libnutmegcrank.a
 	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main $(LDLIBS)
 
 $(PROCESS): $(PROCESS_OBJ) $(BUILD)/libnutmegcrank.a
--- /dev/null
+++ b/src/command/health.c
@@ -0,0 +1,291 @@
+#include "command/health.h"
+
+#include <string.h>
+
+#include "command/health_change.h"
+#include "command/health_evidence.h"
+#include "query/floor.h"
+#include "query/health.h"
+
+/* A drain that a load report does not renew is believed this long. */
+#define DRAIN_ANSWER_US (30 * US_PER_S)
+#define DRAIN_REPORT_US (5 * US_PER_S)
+
+/* A backend server is not believed to be cold for longer. */
+#define COLD_MAX_US (60 * US_PER_S)
+
+#define PROBE_BAD_US (5 * US_PER_S)
+
+/* Digests come twice a second. */
+#define VIEW_FRESH_US (2 * US_PER_S)
+
+/* No home works on more in a window; more would drown the others' evidence. */
+#define VIEW_REQUESTS_MAX 100000
+
+#define TRICKLE_OK_REQUESTS 5
+#define TRICKLE_SLOW_REQUESTS 3
+
+static void observe_trickle(struct health_change *change, enum work_end end);
+static void observe_draining(struct health_change *change, uint64_t until_us,
+			     enum audit_cause cause);
+static void observe_cold(struct health_change *change, bool cold);
+static struct health_view *view_of(struct health *health, struct net_addr home,
+				   struct instant now);
+static void forget_view(struct backend *backend, struct net_addr home);
+static uint64_t sender_domain(const struct state *state,
+			      struct net_addr sender);
+static void take_entry(struct health_change *change, struct net_addr sender,
+		       const struct digest_entry *entry);
+static void follow(struct health_change *change);
+static const struct backend *find(const struct backend *backends,
+				  uint32_t count, struct net_addr addr);
+
+void health_observe(struct state *state, struct service *service,
+		    struct backend *backend, const struct ticket *ticket,
+		    const struct evidence *evidence, struct instant now,
+		    struct event_list *out)
+{
+	struct health_change change = { .state = state,
+					.service = service,
+					.backend = backend,
+					.now = now,
+					.out = out };
+	enum work_end end;
+
+	evidence_wake(state, service, now);
+	if (evidence->draining)
+		observe_draining(&change, now.mono_us + DRAIN_ANSWER_US,
+				 CAUSE_DRAIN_ANSWER);
+	end = evidence_judge(service, ticket, evidence);
+	if (evidence->kind == EVIDENCE_OK && !backend_cold(backend, now))
+		evidence_learn_typical(service, ticket, evidence->service_us);
+	if (ticket->granted_us < backend->health.resumed_us)
+		return;
+	if (ticket->counted_overdue && end != WORK_FAILED)
+		end = WORK_NOTHING;
+	evidence_count(&backend->health, end, now);
+	if (backend->health.state == HEALTH_TRICKLE)
+		observe_trickle(&change,
+				ticket->counted_overdue && end == WORK_NOTHING ?
+					WORK_SLOW :
+					end);
+}
+
+void health_observe_probe(struct state *state, struct service *service,
+			  struct backend *backend,
+			  const struct probe_result *result, struct instant now,
+			  struct event_list *out)
+{
+	struct health_change change = { .state = state,
+					.service = service,
+					.backend = backend,
+					.now = now,
+					.out = out };
+
+	if (!result->answered || !result->healthy)
+		backend->health.probe_bad_until_us = now.mono_us + PROBE_BAD_US;
+	else
+		backend->health.probe_bad_until_us = 0;
+	if (!result->answered)
+		return;
+	if (result->draining)
+		observe_draining(&change, now.mono_us + DRAIN_REPORT_US,
+				 CAUSE_LOAD_REPORT);
+	observe_cold(&change, result->cold);
+}
+
+void health_observe_digest(struct state *state, struct service *service,
+			   struct net_addr sender,
+			   const struct peer_digest *digest, struct instant now,
+			   struct event_list *out)
+{
+	struct health_change change = {
+		.state = state, .service = service, .now = now, .out = out
+	};
+	uint32_t i;
+	uint32_t j;
+
+	evidence_wake(state, service, now);
+	for (i = 0; i < service->backend_count; i++) {
+		change.backend = &service->backends[i];
+		for (j = 0; j < digest->entry_count; j++) {
+			if (addr_equal(digest->entries[j].backend,
+				       change.backend->addr))
+				break;
+		}
+		if (j < digest->entry_count)
+			take_entry(&change, sender, &digest->entries[j]);
+		else
+			forget_view(change.backend, sender);
+	}
+}
+
+void health_carry_over(struct state *state, struct service *service,
+		       const struct backend *old, uint32_t old_count,
+		       struct instant now, struct event_list *out)
+{
+	struct health_change change = {
+		.state = state, .service = service, .now = now, .out = out
+	};
+	const struct backend *before;
+	struct backend *backend;
+	uint32_t i;
+
+	if (old)
+		memset(service->route_typical_us, 0,
+		       (DOC_ROUTES_MAX + 1) *
+			       sizeof(*service->route_typical_us));
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		change.backend = backend;
+		before = find(old, old_count, backend->addr);
+		if (before) {
+			backend->health = before->health;
+			backend->drain_seen_until_us =
+				before->drain_seen_until_us;
+			backend->cold = before->cold;
+		} else if (old) {
+			health_ramp(&change, CAUSE_COLD_START);
+		}
+		if (backend->drain_document && !backend->health.drain_audited) {
+			backend->health.drain_audited = true;
+			health_audit(&change, AUDIT_DRAIN_BEGUN,
+				     CAUSE_DOCUMENT);
+		}
+	}
+}
+
+static void observe_trickle(struct health_change *change, enum work_end end)
+{
+	struct health *health = &change->backend->health;
+
+	switch (end) {
+	case WORK_NOTHING:
+		return;
+	case WORK_OK:
+		health->trickle_ok++;
+		break;
+	case WORK_SLOW:
+		health->trickle_ok = 0;
+		health->trickle_slow++;
+		break;
+	case WORK_FAILED:
+		health_relapse(change);
+		return;
+	}
+	if (health->trickle_slow >= TRICKLE_SLOW_REQUESTS)
+		health_relapse(change);
+	else if (health->trickle_ok >= TRICKLE_OK_REQUESTS)
+		health_ramp(change, CAUSE_TRICKLE_OK);
+}
+
+static void observe_draining(struct health_change *change, uint64_t until_us,
+			     enum audit_cause cause)
+{
+	struct backend *backend = change->backend;
+
+	backend->drain_seen_until_us =
+		MAX(backend->drain_seen_until_us, until_us);
+	if (backend->health.drain_audited)
+		return;
+	backend->health.drain_audited = true;
+	change->service->digest_due_us =
+		MIN(change->service->digest_due_us, change->now.mono_us);
+	health_audit(change, AUDIT_DRAIN_BEGUN, cause);
+}
+
+static void observe_cold(struct health_change *change, bool cold)
+{
+	change->backend->cold = cold;
+	if (cold && change->backend->health.cold_until_us == 0)
+		change->backend->health.cold_until_us =
+			change->now.mono_us + COLD_MAX_US;
+}
+
+static struct health_view *view_of(struct health *health, struct net_addr home,
+				   struct instant now)
+{
+	struct health_view *unused = NULL;
+	struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &health->views[i];
+		if (addr_equal(view->home, home))
+			return view;
+		if (!unused && !view_fresh(view, now))
+			unused = view;
+	}
+	return unused;
+}
+
+static void forget_view(struct backend *backend, struct net_addr home)
+{
+	struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (addr_equal(view->home, home))
+			memset(view, 0, sizeof(*view));
+	}
+}
+
+static uint64_t sender_domain(const struct state *state, struct net_addr sender)
+{
+	const struct member *member =
+		membership_find(&state->membership, sender);
+
+	if (!member)
+		return hash_pair(sender, sender, 0);
+	return domain_hash(&member->listed.domain);
+}
+
+static void take_entry(struct health_change *change, struct net_addr sender,
+		       const struct digest_entry *entry)
+{
+	struct health_view *view =
+		view_of(&change->backend->health, sender, change->now);
+	bool covered = floor_covered(change->backend, change->now);
+
+	if (!view)
+		return;
+	view->home = sender;
+	view->domain_hash = sender_domain(change->state, sender);
+	view->fresh_until_us = change->now.mono_us + VIEW_FRESH_US;
+	view->ok_requests = MIN(entry->ok_requests, VIEW_REQUESTS_MAX);
+	view->failed_requests = MIN(entry->failed_requests, VIEW_REQUESTS_MAX);
+	view->slow_requests = MIN(entry->slow_requests, VIEW_REQUESTS_MAX);
+	view->ejected = entry->ejected;
+	view->charged = entry->charged;
+	view->draining = entry->draining;
+	view->cold = entry->cold;
+	if (entry->charged && entry->ejected && !covered)
+		follow(change);
+}
+
+/* An ejection that another home pays for, unless it is well seen from here. */
+static void follow(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	if (!change->state->policy.ejecting || health->out)
+		return;
+	if (health_sees_fine(change->service, change->backend, change->now))
+		return;
+	change->verdict = health_verdict(change->state, change->service,
+					 change->backend, change->now);
+	health_eject(change, CAUSE_PEER_EVIDENCE, false);
+}
+
+static const struct backend *find(const struct backend *backends,
+				  uint32_t count, struct net_addr addr)
+{
+	uint32_t i;
+
+	for (i = 0; backends && i < count; i++) {
+		if (addr_equal(backends[i].addr, addr))
+			return &backends[i];
+	}
+	return NULL;
+}
--- /dev/null
+++ b/src/command/health_change.c
@@ -0,0 +1,211 @@
+#include "command/health_change.h"
+
+#include <string.h>
+
+#include "query/health.h"
+
+#define BACKOFF_US (5 * US_PER_S)
+#define BACKOFF_DOUBLINGS_MAX 6
+#define BACKOFF_JITTER_PERMILLE 200
+#define RELAPSE_FORGOTTEN_US (120 * US_PER_S)
+
+/* Without work to try it with, a trickle ends by itself. */
+#define TRICKLE_IDLE_US (10 * US_PER_S)
+
+#define RAMP_STEP_PERMILLE 250
+#define RAMP_STEP_US (1 * US_PER_S)
+
+#define WITHHELD_AUDIT_US (30 * US_PER_S)
+
+/*
+ * Another home may hold a charge that it heard of as long as its view of it is
+ * fresh; the rest is for messages under way.
+ */
+#define CHARGE_LINGER_US (3500 * US_PER_MS)
+
+static uint64_t backoff_us(struct state *state, const struct health *health);
+static void forget_evidence(struct health *health, struct instant now);
+static void tell_soon(struct health_change *change);
+
+void health_eject(struct health_change *change, enum audit_cause cause,
+		  bool charged)
+{
+	struct health *health = &change->backend->health;
+
+	if (change->now.mono_us >= health->relapse_forgotten_us)
+		health->relapses = 0;
+	health->next_step_us =
+		change->now.mono_us + backoff_us(change->state, health);
+	health->relapses++;
+	health->state = HEALTH_EJECTED;
+	health->out = true;
+	health->charged = charged;
+	health->path_cut = false;
+	health->cold_start = false;
+	health->suspected = false;
+	health->sick_permille = change->verdict.sick_permille;
+	health->relapse_forgotten_us = DEADLINE_NONE_US;
+	change->service->counters.ejections++;
+	tell_soon(change);
+	health_audit(change, AUDIT_EJECTED, cause);
+}
+
+void health_avoid(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	if (change->now.mono_us >= health->relapse_forgotten_us)
+		health->relapses = 0;
+	health->next_step_us =
+		change->now.mono_us + backoff_us(change->state, health);
+	health->relapses++;
+	health->state = HEALTH_AVOIDED;
+	health->out = false;
+	health->path_cut = true;
+	health->cold_start = false;
+	health->suspected = false;
+	health->relapse_forgotten_us = DEADLINE_NONE_US;
+	health_uncharge(health, change->now);
+	health_audit(change, AUDIT_PATH_AVOIDED, CAUSE_PATH);
+}
+
+void health_withhold(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	health->suspected = true;
+	if (change->now.mono_us < health->withheld_until_us)
+		return;
+	health->withheld_until_us = change->now.mono_us + WITHHELD_AUDIT_US;
+	change->service->counters.ejections_withheld++;
+	health_audit(change, AUDIT_EJECTION_WITHHELD, CAUSE_FLOOR);
+}
+
+void health_try(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	forget_evidence(health, change->now);
+	health->state = HEALTH_TRICKLE;
+	health->trickle_ok = 0;
+	health->trickle_slow = 0;
+	health->next_step_us = change->now.mono_us + TRICKLE_IDLE_US;
+	health_audit(change, AUDIT_TRICKLE, CAUSE_BACKOFF_OVER);
+}
+
+void health_relapse(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	health->next_step_us =
+		change->now.mono_us + backoff_us(change->state, health);
+	health->relapses++;
+	health->state = health->path_cut ? HEALTH_AVOIDED : HEALTH_EJECTED;
+	tell_soon(change);
+	health_audit(change,
+		     health->path_cut ? AUDIT_PATH_AVOIDED : AUDIT_EJECTED,
+		     CAUSE_RELAPSE);
+}
+
+void health_ramp(struct health_change *change, enum audit_cause cause)
+{
+	struct health *health = &change->backend->health;
+
+	health->state = HEALTH_RAMP;
+	health->path_cut = false;
+	health->cold_start = cause == CAUSE_COLD_START;
+	health->ramp_permille = RAMP_STEP_PERMILLE;
+	health->next_step_us = change->now.mono_us + RAMP_STEP_US;
+	health_audit(change, AUDIT_RAMP, cause);
+}
+
+void health_ramp_step(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+
+	health->next_step_us = change->now.mono_us + RAMP_STEP_US;
+	health->ramp_permille += RAMP_STEP_PERMILLE;
+	if (health->ramp_permille >= PERMILLE_ONE)
+		health_readmit(change, CAUSE_RAMP_OVER);
+}
+
+void health_readmit(struct health_change *change, enum audit_cause cause)
+{
+	struct health *health = &change->backend->health;
+
+	health->suspected = health->out && cause == CAUSE_FLOOR;
+	health->state = HEALTH_IN_SERVICE;
+	health->out = false;
+	health->path_cut = false;
+	health->cold_start = false;
+	health->next_step_us = 0;
+	health->sick_us = 0;
+	if (health->relapses > 0)
+		health->relapse_forgotten_us =
+			change->now.mono_us + RELAPSE_FORGOTTEN_US;
+	health_uncharge(health, change->now);
+	tell_soon(change);
+	health_audit(change, AUDIT_READMITTED, cause);
+}
+
+void health_uncharge(struct health *health, struct instant now)
+{
+	if (!health->charged)
+		return;
+	health->charged = false;
+	health->charge_ends_us = now.mono_us + CHARGE_LINGER_US;
+}
+
+void health_audit(struct health_change *change, enum audit_kind kind,
+		  enum audit_cause cause)
+{
+	const struct health *health = &change->backend->health;
+	struct audit_record record = {
+		.kind = kind,
+		.cause = cause,
+		.service = change->service->doc->service,
+		.subject = change->backend->addr,
+		.figures_kind = FIGURES_EVIDENCE,
+	};
+
+	record.evidence.ok_requests = change->verdict.pool.ok_requests;
+	record.evidence.failed_requests = change->verdict.pool.failed_requests;
+	record.evidence.slow_requests = change->verdict.pool.slow_requests;
+	record.evidence.observers = change->verdict.observers;
+	record.evidence.in_service_slots =
+		service_in_service_slots(change->service, change->now);
+	record.evidence.floor_slots =
+		service_doc_floor_slots(change->service->doc);
+	if (health->next_step_us > change->now.mono_us)
+		record.evidence.until_unix_ms =
+			change->now.unix_ms +
+			(health->next_step_us - change->now.mono_us) /
+				US_PER_MS;
+	state_audit(change->state, &record, change->now, change->out);
+}
+
+/* Doubles with each relapse; jitter keeps the homes' trials apart. */
+static uint64_t backoff_us(struct state *state, const struct health *health)
+{
+	uint32_t doublings = MIN(health->relapses, BACKOFF_DOUBLINGS_MAX);
+	uint64_t span_us = BACKOFF_US << doublings;
+	int32_t jitter_permille =
+		g_rand_int_range(state->rand, 0, BACKOFF_JITTER_PERMILLE);
+
+	return span_us + span_us * (uint64_t)jitter_permille / PERMILLE_ONE;
+}
+
+static void forget_evidence(struct health *health, struct instant now)
+{
+	memset(health->buckets, 0, sizeof(health->buckets));
+	health->resumed_us = now.mono_us;
+	health->suspected_us = 0;
+	health->sick_us = 0;
+}
+
+/* The other homes learn of it with a digest sent at once. */
+static void tell_soon(struct health_change *change)
+{
+	change->service->digest_due_us =
+		MIN(change->service->digest_due_us, change->now.mono_us);
+}
--- /dev/null
+++ b/src/command/health_change.h
@@ -0,0 +1,97 @@
+#ifndef COMMAND_HEALTH_CHANGE_H
+#define COMMAND_HEALTH_CHANGE_H
+
+/**
+ * DOC: changes of one backend server's health state, each audited
+ */
+
+#include "query/health_verdict.h"
+
+/**
+ * struct health_change - what a change works on
+ * @state: the state
+ * @service: the service
+ * @backend: the backend server
+ * @verdict: figures for the audit
+ * @now: the time
+ * @out: gets audit records
+ */
+struct health_change {
+	struct state *state;
+	struct service *service;
+	struct backend *backend;
+	struct verdict verdict;
+	struct instant now;
+	struct event_list *out;
+};
+
+/**
+ * health_eject() - give no more work to a sick backend server
+ * @change: whom
+ * @cause: why
+ * @charged: this home's part of the budget pays
+ */
+void health_eject(struct health_change *change, enum audit_cause cause,
+		  bool charged);
+
+/**
+ * health_avoid() - give no more work over a cut path
+ * @change: whom
+ */
+void health_avoid(struct health_change *change);
+
+/**
+ * health_withhold() - give less work, for the floor allows no ejection
+ * @change: whom
+ */
+void health_withhold(struct health_change *change);
+
+/**
+ * health_try() - end a back-off: try with a trickle of idempotent work
+ * @change: whom
+ */
+void health_try(struct health_change *change);
+
+/**
+ * health_relapse() - a trial failed: back to where it was, for longer
+ * @change: whom
+ */
+void health_relapse(struct health_change *change);
+
+/**
+ * health_ramp() - begin to open slots step by step
+ * @change: whom
+ * @cause: CAUSE_TRICKLE_OK or CAUSE_COLD_START
+ */
+void health_ramp(struct health_change *change, enum audit_cause cause);
+
+/**
+ * health_ramp_step() - open more slots, and all in the end
+ * @change: whom
+ */
+void health_ramp_step(struct health_change *change);
+
+/**
+ * health_readmit() - back in full service
+ * @change: whom
+ * @cause: CAUSE_RAMP_OVER or CAUSE_FLOOR
+ */
+void health_readmit(struct health_change *change, enum audit_cause cause);
+
+/**
+ * health_uncharge() - give a charge back, once no other home can rely on it
+ * @health: of the backend server
+ * @now: the time
+ */
+void health_uncharge(struct health *health, struct instant now);
+
+/**
+ * health_audit() - append an audit record with the evidence's figures
+ * @change: whom
+ * @kind: what changed
+ * @cause: why
+ */
+void health_audit(struct health_change *change, enum audit_kind kind,
+		  enum audit_cause cause);
+
+#endif
--- /dev/null
+++ b/src/command/health_evidence.c
@@ -0,0 +1,164 @@
+#include "command/health_evidence.h"
+
+#include <string.h>
+
+#include "query/health_verdict.h"
+
+/* The typical time moves by a sixteenth towards each answer. */
+#define TYPICAL_STEP_PART 16
+
+/* Running work is judged later than answers, for it may wait in this process.
+ */
+#define OVERDUE_FACTOR 2
+
+/* Judgements this far apart mean that the process was paused. */
+#define PAUSE_US (1500 * US_PER_MS)
+
+static bool overdue(const struct service *service, const struct ticket *ticket,
+		    struct instant now);
+static void ignore_running(struct state *state, const struct service *service);
+
+void evidence_count(struct health *health, enum work_end end,
+		    struct instant now)
+{
+	uint64_t number = now.mono_us / HEALTH_BUCKET_US;
+	struct health_bucket *bucket =
+		&health->buckets[number % HEALTH_BUCKETS];
+
+	if (bucket->begins_us != number * HEALTH_BUCKET_US) {
+		memset(bucket, 0, sizeof(*bucket));
+		bucket->begins_us = number * HEALTH_BUCKET_US;
+	}
+	switch (end) {
+	case WORK_NOTHING:
+		break;
+	case WORK_OK:
+		bucket->ok_requests++;
+		break;
+	case WORK_FAILED:
+		bucket->failed_requests++;
+		break;
+	case WORK_SLOW:
+		bucket->slow_requests++;
+		break;
+	}
+}
+
+enum work_end evidence_judge(const struct service *service,
+			     const struct ticket *ticket,
+			     const struct evidence *evidence)
+{
+	uint64_t slow_after_us = health_slow_after_us(
+		service->route_typical_us[ticket->route_index]);
+
+	switch (evidence->kind) {
+	case EVIDENCE_OK:
+		if (evidence->service_us > slow_after_us)
+			return WORK_SLOW;
+		return WORK_OK;
+	case EVIDENCE_SHED:
+	case EVIDENCE_CANCELLED:
+		return WORK_NOTHING;
+	case EVIDENCE_TIMEOUT:
+		if (evidence->reused)
+			return WORK_NOTHING;
+		if (slow_after_us != UINT64_MAX &&
+		    evidence->service_us < slow_after_us)
+			return WORK_NOTHING;
+		return WORK_FAILED;
+	case EVIDENCE_RESET:
+		return evidence->reused ? WORK_NOTHING : WORK_FAILED;
+	case EVIDENCE_SERVER_ERROR:
+	case EVIDENCE_CONNECT:
+	case EVIDENCE_TRUNCATED:
+	case EVIDENCE_BAD_ANSWER:
+		return WORK_FAILED;
+	}
+	return WORK_FAILED;
+}
+
+void evidence_learn_typical(struct service *service,
+			    const struct ticket *ticket, uint64_t service_us)
+{
+	uint64_t *typical_us = &service->route_typical_us[ticket->route_index];
+	uint64_t step_us = *typical_us / TYPICAL_STEP_PART + 1;
+
+	if (*typical_us == 0)
+		*typical_us = MAX(service_us, 1);
+	else if (service_us > *typical_us)
+		*typical_us += step_us;
+	else if (*typical_us > step_us)
+		*typical_us -= step_us;
+}
+
+void evidence_count_overdue(struct state *state, struct service *service,
+			    struct instant now)
+{
+	uint32_t left = service->running_requests;
+	struct backend *backend;
+	struct ticket *ticket;
+	uint32_t i;
+
+	for (i = 0; i < TICKETS_MAX && left > 0; i++) {
+		ticket = &state->tickets[i];
+		if (ticket->service != service ||
+		    ticket->state != TICKET_RUNNING)
+			continue;
+		left--;
+		if (ticket->counted_overdue ||
+		    ticket->backend_index >= service->backend_count ||
+		    !overdue(service, ticket, now))
+			continue;
+		ticket->counted_overdue = true;
+		backend = &service->backends[ticket->backend_index];
+		if (ticket->granted_us >= backend->health.resumed_us)
+			evidence_count(&backend->health, WORK_SLOW, now);
+	}
+}
+
+void evidence_wake(struct state *state, struct service *service,
+		   struct instant now)
+{
+	struct health *health;
+	uint32_t i;
+
+	if (service->backend_count == 0)
+		return;
+	health = &service->backends[0].health;
+	if (health->ticked_us == 0 ||
+	    now.mono_us < health->ticked_us + PAUSE_US)
+		return;
+	for (i = 0; i < service->backend_count; i++) {
+		health = &service->backends[i].health;
+		memset(health->buckets, 0, sizeof(health->buckets));
+		memset(health->views, 0, sizeof(health->views));
+		health->resumed_us = now.mono_us;
+		health->ticked_us = now.mono_us;
+		health->suspected_us = 0;
+		health->sick_us = 0;
+	}
+	ignore_running(state, service);
+}
+
+static bool overdue(const struct service *service, const struct ticket *ticket,
+		    struct instant now)
+{
+	uint64_t slow_after_us = health_slow_after_us(
+		service->route_typical_us[ticket->route_index]);
+
+	if (slow_after_us == UINT64_MAX || now.mono_us < ticket->granted_us)
+		return false;
+	return now.mono_us - ticket->granted_us >
+	       slow_after_us * OVERDUE_FACTOR;
+}
+
+/* Work that ran through a pause looks late without fault of its server. */
+static void ignore_running(struct state *state, const struct service *service)
+{
+	uint32_t i;
+
+	for (i = 0; i < TICKETS_MAX; i++) {
+		if (state->tickets[i].service == service)
+			state->tickets[i].counted_overdue = true;
+	}
+}
--- /dev/null
+++ b/src/command/health_evidence.h
@@ -0,0 +1,66 @@
+#ifndef COMMAND_HEALTH_EVIDENCE_H
+#define COMMAND_HEALTH_EVIDENCE_H
+
+/**
+ * DOC: own evidence windows and the routes' typical times
+ */
+
+#include "core/state.h"
+
+/**
+ * enum work_end - what one piece of work says of a backend server
+ */
+enum work_end { WORK_NOTHING, WORK_OK, WORK_FAILED, WORK_SLOW };
+
+/**
+ * evidence_count() - count one piece of work in the window
+ * @health: of the backend server
+ * @end: what it says
+ * @now: the time
+ */
+void evidence_count(struct health *health, enum work_end end,
+		    struct instant now);
+
+/**
+ * evidence_judge() - what the end of an exchange says
+ * @service: gives the route's typical time
+ * @ticket: the request
+ * @evidence: its end
+ *
+ * Return: WORK_NOTHING for load, cancellation, a stale reused connection, and
+ * a deadline too short for the route.
+ */
+enum work_end evidence_judge(const struct service *service,
+			     const struct ticket *ticket,
+			     const struct evidence *evidence);
+
+/**
+ * evidence_learn_typical() - move a route's typical time towards the median
+ * @service: the service
+ * @ticket: the request
+ * @service_us: its time on a slot
+ */
+void evidence_learn_typical(struct service *service,
+			    const struct ticket *ticket, uint64_t service_us);
+
+/**
+ * evidence_count_overdue() - count running work that is already slow
+ * @state: gives the running work
+ * @service: the service
+ * @now: the time
+ */
+void evidence_count_overdue(struct state *state, struct service *service,
+			    struct instant now);
+
+/**
+ * evidence_wake() - drop what was known before a pause of the process
+ * @state: gives the running work
+ * @service: the service
+ * @now: the time
+ *
+ * Does nothing when the last judgement is not long ago.
+ */
+void evidence_wake(struct state *state, struct service *service,
+		   struct instant now);
+
+#endif
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -87,7 +87,8 @@
  * @cold_start: it is in HEALTH_RAMP because it is new or cold
  * @cold_until_us: a cold report counts until then; 0 when there was none
  * @suspected: it gets fewer new requests
- * @suspected_us: when the own evidence began to speak against it, 0 for not
+ * @suspected_us: when evidence began to speak against it, 0 for not
+ * @sick_us: when the verdict became sick, 0 for not
  * @probe_bad_until_us: the last probe spoke against it
  * @drain_audited: AUDIT_DRAIN_BEGUN was given
  * @sick_permille: failed and slow share when it was ejected
@@ -113,6 +114,7 @@
 	uint64_t cold_until_us;
 	bool suspected;
 	uint64_t suspected_us;
+	uint64_t sick_us;
 	uint64_t probe_bad_until_us;
 	bool drain_audited;
 	uint32_t sick_permille;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -221,6 +221,9 @@
  * @overload_ends_us: when it ends unless renewed
  * @overload_refused: refused since it began
  * @digest_due_us: when the next digest goes out
+ * @eject_basis: hash of home set and document version that split the budget
+ * @eject_after_us: no ejection is begun before this, others may still hold an
+ *	older basis
  * @counters: metrics
  */
 struct service {
@@ -251,6 +254,8 @@
 	uint64_t overload_ends_us;
 	uint64_t overload_refused;
 	uint64_t digest_due_us;
+	uint64_t eject_basis;
+	uint64_t eject_after_us;
 	struct service_counters counters;
 };
 
--- /dev/null
+++ b/src/query/health.c
@@ -0,0 +1,176 @@
+#include "query/health.h"
+
+#include <string.h>
+
+#include "query/health_pool.h"
+
+#define SUSPECTED_PART_SLOTS 4
+
+static uint32_t reduced_slots(uint32_t slots, uint32_t permille);
+static bool view_says_draining(const struct backend *backend,
+			       struct instant now);
+static bool view_says_cold(const struct backend *backend, struct instant now);
+static bool view_says_ejected(const struct backend *backend,
+			      struct instant now);
+
+uint32_t backend_open_slots(const struct backend *backend, struct instant now)
+{
+	const struct health *health = &backend->health;
+
+	if (backend_draining(backend, now))
+		return 0;
+	switch (health->state) {
+	case HEALTH_IN_SERVICE:
+		if (health->suspected)
+			return reduced_slots(backend->own_slots,
+					     PERMILLE_ONE /
+						     SUSPECTED_PART_SLOTS);
+		return backend->own_slots;
+	case HEALTH_TRICKLE:
+		return MIN(backend->own_slots, 1);
+	case HEALTH_RAMP:
+		return reduced_slots(backend->own_slots, health->ramp_permille);
+	case HEALTH_EJECTED:
+	case HEALTH_AVOIDED:
+		return 0;
+	}
+	return 0;
+}
+
+bool backend_draining(const struct backend *backend, struct instant now)
+{
+	return backend->drain_document ||
+	       now.mono_us < backend->drain_seen_until_us ||
+	       view_says_draining(backend, now);
+}
+
+bool backend_cold(const struct backend *backend, struct instant now)
+{
+	const struct health *health = &backend->health;
+
+	if (health->state == HEALTH_RAMP && health->cold_start)
+		return true;
+	if (now.mono_us >= health->cold_until_us)
+		return false;
+	return backend->cold || view_says_cold(backend, now);
+}
+
+bool backend_idempotent_only(const struct backend *backend)
+{
+	return backend->health.state == HEALTH_TRICKLE;
+}
+
+bool backend_in_service(const struct backend *backend, struct instant now)
+{
+	return !backend->health.out && !backend_draining(backend, now) &&
+	       !backend_cold(backend, now) && !view_says_ejected(backend, now);
+}
+
+uint32_t service_in_service_slots(const struct service *service,
+				  struct instant now)
+{
+	const struct backend *backend;
+	uint32_t slots = 0;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		if (backend_in_service(backend, now))
+			slots += backend->capacity_slots;
+	}
+	return slots;
+}
+
+bool service_self_cut(const struct service *service, struct instant now)
+{
+	const struct backend *first_cut = NULL;
+	const struct backend *backend;
+	bool cut_domains = false;
+	bool domains = false;
+	uint32_t wanted = 0;
+	uint32_t cut = 0;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		if (!name_equal(&backend->domain, &service->backends[0].domain))
+			domains = true;
+		if (backend->health.out || backend_draining(backend, now))
+			continue;
+		wanted++;
+		if (!backend->health.path_cut)
+			continue;
+		cut++;
+		if (!first_cut)
+			first_cut = backend;
+		if (!name_equal(&backend->domain, &first_cut->domain))
+			cut_domains = true;
+	}
+	return cut * 2 > wanted && (cut_domains || !domains);
+}
+
+struct health_bucket health_window(const struct backend *backend,
+				   struct instant now)
+{
+	const struct health_bucket *bucket;
+	struct health_bucket sum = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < HEALTH_BUCKETS; i++) {
+		bucket = &backend->health.buckets[i];
+		if (bucket->begins_us + HEALTH_BUCKETS * HEALTH_BUCKET_US <=
+		    now.mono_us)
+			continue;
+		sum.ok_requests += bucket->ok_requests;
+		sum.failed_requests += bucket->failed_requests;
+		sum.slow_requests += bucket->slow_requests;
+	}
+	return sum;
+}
+
+static uint32_t reduced_slots(uint32_t slots, uint32_t permille)
+{
+	uint32_t open = slots * permille / PERMILLE_ONE;
+
+	return open > 0 ? open : MIN(slots, 1);
+}
+
+static bool view_says_draining(const struct backend *backend,
+			       struct instant now)
+{
+	const struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view->draining && view_fresh(view, now))
+			return true;
+	}
+	return false;
+}
+
+static bool view_says_cold(const struct backend *backend, struct instant now)
+{
+	const struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view->cold && view_fresh(view, now))
+			return true;
+	}
+	return false;
+}
+
+static bool view_says_ejected(const struct backend *backend, struct instant now)
+{
+	const struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view->ejected && view_fresh(view, now))
+			return true;
+	}
+	return false;
+}
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -25,6 +25,15 @@
  */
 bool backend_draining(const struct backend *backend, struct instant now);
 
+/**
+ * backend_cold() - whether it is starting and slow by right
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true by load report, for a bounded time, or on a first ramp.
+ */
+bool backend_cold(const struct backend *backend, struct instant now);
+
 /**
  * backend_idempotent_only() - whether it gets idempotent work alone
  * @backend: the backend server
@@ -33,6 +42,15 @@
  */
 bool backend_idempotent_only(const struct backend *backend);
 
+/**
+ * backend_in_service() - whether it counts as healthy capacity
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: false when it is ejected at any home, draining or cold.
+ */
+bool backend_in_service(const struct backend *backend, struct instant now);
+
 /**
  * service_in_service_slots() - capacity ejected nowhere, not draining nor cold
  * @service: the service
@@ -43,6 +61,17 @@
 uint32_t service_in_service_slots(const struct service *service,
 				  struct instant now);
 
+/**
+ * service_self_cut() - whether it is this instance that is cut
+ * @service: the service
+ * @now: the time
+ *
+ * Return: true when most backend servers, in two or more failure domains where
+ * there are as many, cannot be reached from here while other homes work with
+ * them.
+ */
+bool service_self_cut(const struct service *service, struct instant now);
+
 /**
  * health_digest() - write this home's evidence for the others
  * @service: the service
--- /dev/null
+++ b/src/query/health_pool.c
@@ -0,0 +1,140 @@
+#include "query/health_pool.h"
+
+#include <string.h>
+
+#include "query/health.h"
+
+static struct pool pool_view(const struct health_view *view);
+static uint32_t domain_add(uint64_t *domains, uint32_t count, uint64_t domain);
+
+uint32_t pool_all(const struct pool *pool)
+{
+	return pool->ok_requests + pool->failed_requests + pool->slow_requests;
+}
+
+struct pool pool_own(const struct backend *backend, struct instant now)
+{
+	struct health_bucket window = health_window(backend, now);
+	struct pool pool = {
+		.ok_requests = window.ok_requests,
+		.failed_requests = window.failed_requests,
+		.slow_requests = window.slow_requests,
+	};
+
+	return pool;
+}
+
+struct pool pool_peers(const struct backend *backend, struct instant now)
+{
+	const struct health_view *view;
+	struct pool pool = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view_fresh(view, now))
+			pool = pool_add(pool, pool_view(view));
+	}
+	return pool;
+}
+
+struct pool pool_add(struct pool a, struct pool b)
+{
+	struct pool sum = {
+		.ok_requests = a.ok_requests + b.ok_requests,
+		.failed_requests = a.failed_requests + b.failed_requests,
+		.slow_requests = a.slow_requests + b.slow_requests,
+	};
+
+	return sum;
+}
+
+struct pool pool_outside_domain(const struct state *state,
+				const struct backend *backend,
+				uint64_t domain_hash_out, struct instant now)
+{
+	const struct health_view *view;
+	struct pool pool = { 0 };
+	uint32_t i;
+
+	if (domain_hash(&state->settings->domain) != domain_hash_out)
+		pool = pool_own(backend, now);
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view_fresh(view, now) &&
+		    view->domain_hash != domain_hash_out)
+			pool = pool_add(pool, pool_view(view));
+	}
+	return pool;
+}
+
+struct pool pool_others(const struct service *service,
+			const struct backend *backend, struct instant now)
+{
+	const struct backend *other;
+	struct pool pool = { 0 };
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		other = &service->backends[i];
+		if (other == backend || other->health.out ||
+		    other->health.path_cut || backend_cold(other, now))
+			continue;
+		pool = pool_add(pool, pool_own(other, now));
+	}
+	return pool;
+}
+
+uint32_t pool_domains(const struct state *state, const struct backend *backend,
+		      struct instant now, uint64_t out[HOMES_MAX + 1])
+{
+	const struct health_view *view;
+	struct pool pool = pool_own(backend, now);
+	uint32_t count = 0;
+	uint32_t i;
+
+	if (pool_all(&pool) >= POOL_EVIDENCE_REQUESTS)
+		out[count++] = domain_hash(&state->settings->domain);
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (!view_fresh(view, now))
+			continue;
+		pool = pool_view(view);
+		if (pool_all(&pool) >= POOL_EVIDENCE_REQUESTS)
+			count = domain_add(out, count, view->domain_hash);
+	}
+	return count;
+}
+
+uint64_t domain_hash(const struct name *domain)
+{
+	return hash_bytes(domain->text, strlen(domain->text), 0);
+}
+
+bool view_fresh(const struct health_view *view, struct instant now)
+{
+	return view->home.port != 0 && now.mono_us < view->fresh_until_us;
+}
+
+static struct pool pool_view(const struct health_view *view)
+{
+	struct pool pool = {
+		.ok_requests = view->ok_requests,
+		.failed_requests = view->failed_requests,
+		.slow_requests = view->slow_requests,
+	};
+
+	return pool;
+}
+
+static uint32_t domain_add(uint64_t *domains, uint32_t count, uint64_t domain)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (domains[i] == domain)
+			return count;
+	}
+	domains[count] = domain;
+	return count + 1;
+}
--- /dev/null
+++ b/src/query/health_verdict.c
@@ -0,0 +1,240 @@
+#include "query/health_verdict.h"
+
+#include "query/health.h"
+#include "query/health_bound.h"
+
+#define SLOW_FACTOR 2
+#define SLOW_SLACK_US (5 * US_PER_MS)
+
+/* Least requests against a backend server before it is sick. */
+#define SICK_REQUESTS 3
+/* Least of them outside any one failure domain. */
+#define CONFIRM_REQUESTS 2
+/* Requests of the others that give a base to compare with. */
+#define BASE_REQUESTS 20
+/* Requests of other homes that can clear a backend server. */
+#define CLEAR_REQUESTS 6
+/* Own requests that speak against a path. */
+#define PATH_REQUESTS 3
+/* Own requests without a fault after which an ejection is not followed. */
+#define FINE_REQUESTS 20
+#define FINE_UPPER_PERMILLE 100
+
+#define FAILED_LEAST_PERMILLE 30
+#define FAILED_MARGIN_PERMILLE 10
+#define FAILED_WITHOUT_BASE_PERMILLE 200
+#define SLOW_MARGIN_PERMILLE 100
+
+/* Time in which the other homes answer a suspicion with their evidence. */
+#define CONFIRM_US (1200 * US_PER_MS)
+/* A pause of a backend server shorter than this is not slowness. */
+#define SLOW_CONFIRM_US (1000 * US_PER_MS)
+
+enum fault_kind { FAULT_FAILING, FAULT_SLOW };
+
+static enum verdict_kind judge(const struct state *state,
+			       const struct service *service,
+			       const struct backend *backend,
+			       enum fault_kind fault, struct instant now);
+static bool confirmed(const struct state *state, const struct service *service,
+		      const struct backend *backend, enum fault_kind fault,
+		      uint32_t threshold_permille, struct instant now);
+static bool answered(const struct backend *backend, struct instant now);
+static bool path_cut(const struct backend *backend, enum fault_kind fault,
+		     uint32_t threshold_permille, struct instant now);
+static bool suspicious(const struct pool *pool, enum fault_kind fault,
+		       uint32_t threshold_permille);
+static uint32_t threshold(const struct pool *others, enum fault_kind fault);
+static uint32_t against(const struct pool *pool, enum fault_kind fault);
+static uint32_t count_observers(const struct backend *backend,
+				struct instant now);
+
+bool verdict_sick(enum verdict_kind kind)
+{
+	return kind == VERDICT_FAILING || kind == VERDICT_SLOW;
+}
+
+struct verdict health_verdict(const struct state *state,
+			      const struct service *service,
+			      const struct backend *backend, struct instant now)
+{
+	struct verdict verdict = { .kind = VERDICT_HEALTHY };
+	enum verdict_kind slow = VERDICT_HEALTHY;
+	uint32_t all;
+
+	verdict.pool =
+		pool_add(pool_own(backend, now), pool_peers(backend, now));
+	all = pool_all(&verdict.pool);
+	if (verdict.pool.failed_requests + verdict.pool.slow_requests == 0)
+		return verdict;
+	verdict.kind = judge(state, service, backend, FAULT_FAILING, now);
+	if (!verdict_sick(verdict.kind) && verdict.kind != VERDICT_PATH &&
+	    !backend_cold(backend, now))
+		slow = judge(state, service, backend, FAULT_SLOW, now);
+	if (slow != VERDICT_HEALTHY)
+		verdict.kind = slow;
+	verdict.observers = count_observers(backend, now);
+	verdict.sick_permille =
+		(verdict.pool.failed_requests + verdict.pool.slow_requests) *
+		PERMILLE_ONE / all;
+	return verdict;
+}
+
+bool health_sees_fine(const struct service *service,
+		      const struct backend *backend, struct instant now)
+{
+	struct pool own = pool_own(backend, now);
+	struct pool others = pool_others(service, backend, now);
+	uint32_t all = pool_all(&own);
+
+	if (all < FINE_REQUESTS)
+		return false;
+	if (share_upper_permille(own.failed_requests, all, BOUND_Z_2) >
+	    FINE_UPPER_PERMILLE + FAILED_MARGIN_PERMILLE)
+		return false;
+	return share_upper_permille(own.slow_requests, all, BOUND_Z_2) <
+	       threshold(&others, FAULT_SLOW);
+}
+
+uint64_t health_slow_after_us(uint64_t typical_us)
+{
+	if (typical_us == 0)
+		return UINT64_MAX;
+	return MAX(typical_us * SLOW_FACTOR, typical_us + SLOW_SLACK_US);
+}
+
+static enum verdict_kind judge(const struct state *state,
+			       const struct service *service,
+			       const struct backend *backend,
+			       enum fault_kind fault, struct instant now)
+{
+	struct pool own = pool_own(backend, now);
+	struct pool all = pool_add(own, pool_peers(backend, now));
+	struct pool others = pool_others(service, backend, now);
+	uint32_t limit = threshold(&others, fault);
+
+	if (against(&all, fault) >= SICK_REQUESTS &&
+	    share_lower_permille(against(&all, fault), pool_all(&all),
+				 BOUND_Z_3) > limit &&
+	    confirmed(state, service, backend, fault, limit, now))
+		return fault == FAULT_SLOW ? VERDICT_SLOW : VERDICT_FAILING;
+	if (path_cut(backend, fault, limit, now))
+		return VERDICT_PATH;
+	if (suspicious(&own, fault, limit) || suspicious(&all, fault, limit))
+		return VERDICT_UNSURE;
+	return VERDICT_HEALTHY;
+}
+
+/*
+ * With evidence from several failure domains, what is left without any one of
+ * them must still speak against the backend server: then it is not the path
+ * from one place. Evidence from one place alone waits for the others to tell.
+ */
+static bool confirmed(const struct state *state, const struct service *service,
+		      const struct backend *backend, enum fault_kind fault,
+		      uint32_t limit, struct instant now)
+{
+	uint64_t since_us = backend->health.suspected_us;
+	uint64_t domains[HOMES_MAX + 1];
+	uint32_t count = pool_domains(state, backend, now, domains);
+	struct pool rest;
+	uint32_t i;
+
+	if (since_us == 0)
+		since_us = now.mono_us;
+	if (fault == FAULT_SLOW && now.mono_us < since_us + SLOW_CONFIRM_US)
+		return false;
+	if (count < 2)
+		return service->home_count < 2 || answered(backend, now);
+	for (i = 0; i < count; i++) {
+		rest = pool_outside_domain(state, backend, domains[i], now);
+		if (against(&rest, fault) < CONFIRM_REQUESTS ||
+		    share_lower_permille(against(&rest, fault), pool_all(&rest),
+					 BOUND_Z_1_6) <= limit)
+			return false;
+	}
+	return true;
+}
+
+/* Whether the other homes had the time to tell what they see. */
+static bool answered(const struct backend *backend, struct instant now)
+{
+	uint64_t since_us = backend->health.suspected_us;
+
+	return since_us != 0 && now.mono_us >= since_us + CONFIRM_US;
+}
+
+static bool path_cut(const struct backend *backend, enum fault_kind fault,
+		     uint32_t limit, struct instant now)
+{
+	struct pool own = pool_own(backend, now);
+	struct pool peers = pool_peers(backend, now);
+	uint32_t own_lower = share_lower_permille(against(&own, fault),
+						  pool_all(&own), BOUND_Z_2);
+
+	if (against(&own, fault) < PATH_REQUESTS || own_lower <= limit)
+		return false;
+	if (!answered(backend, now))
+		return false;
+	if (pool_all(&peers) < CLEAR_REQUESTS)
+		return false;
+	return share_upper_permille(against(&peers, fault), pool_all(&peers),
+				    BOUND_Z_1_6) < own_lower;
+}
+
+static bool suspicious(const struct pool *pool, enum fault_kind fault,
+		       uint32_t limit)
+{
+	return against(pool, fault) >= CONFIRM_REQUESTS &&
+	       share_lower_permille(against(pool, fault), pool_all(pool),
+				    BOUND_Z_1_6) > limit;
+}
+
+/* Share from which the lower bound speaks against a backend server. */
+static uint32_t threshold(const struct pool *others, enum fault_kind fault)
+{
+	uint32_t all = pool_all(others);
+	uint32_t base =
+		share_upper_permille(against(others, fault), all, BOUND_Z_2);
+
+	switch (fault) {
+	case FAULT_FAILING:
+		if (all < BASE_REQUESTS)
+			return FAILED_WITHOUT_BASE_PERMILLE;
+		return MAX(base + FAILED_MARGIN_PERMILLE,
+			   FAILED_LEAST_PERMILLE);
+	case FAULT_SLOW:
+		if (all < BASE_REQUESTS)
+			return PERMILLE_ONE;
+		return base + SLOW_MARGIN_PERMILLE;
+	}
+	return PERMILLE_ONE;
+}
+
+static uint32_t against(const struct pool *pool, enum fault_kind fault)
+{
+	switch (fault) {
+	case FAULT_FAILING:
+		return pool->failed_requests;
+	case FAULT_SLOW:
+		return pool->slow_requests;
+	}
+	return 0;
+}
+
+static uint32_t count_observers(const struct backend *backend,
+				struct instant now)
+{
+	const struct health_view *view;
+	struct pool own = pool_own(backend, now);
+	uint32_t count = own.failed_requests + own.slow_requests > 0;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view_fresh(view, now) &&
+		    view->failed_requests + view->slow_requests > 0)
+			count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/src/query/health_verdict.h
@@ -0,0 +1,87 @@
+#ifndef QUERY_HEALTH_VERDICT_H
+#define QUERY_HEALTH_VERDICT_H
+
+/**
+ * DOC: the verdict on one backend server
+ *
+ * The share of failed or slow requests of a backend server is held against
+ * that of the service's other backend servers, by bounds that allow for few
+ * requests. What all share, such as stragglers, speaks against none.
+ */
+
+#include "query/health_pool.h"
+
+/**
+ * enum verdict_kind - what the evidence says
+ * @VERDICT_HEALTHY: nothing against it
+ * @VERDICT_UNSURE: something against it, but not enough, or not yet confirmed
+ * @VERDICT_PATH: only this home sees it fail
+ * @VERDICT_FAILING: it fails, seen in every failure domain that has evidence
+ *	but one
+ * @VERDICT_SLOW: as @VERDICT_FAILING, for slowness
+ */
+enum verdict_kind {
+	VERDICT_HEALTHY,
+	VERDICT_UNSURE,
+	VERDICT_PATH,
+	VERDICT_FAILING,
+	VERDICT_SLOW,
+};
+
+/**
+ * struct verdict - a verdict and its figures
+ * @kind: what the evidence says
+ * @pool: evidence of all homes
+ * @observers: homes that saw it fail or be slow
+ * @sick_permille: failed and slow share
+ */
+struct verdict {
+	enum verdict_kind kind;
+	struct pool pool;
+	uint32_t observers;
+	uint32_t sick_permille;
+};
+
+/**
+ * verdict_sick() - whether the backend server itself is sick
+ * @kind: the verdict
+ *
+ * Return: true for failing and slow.
+ */
+bool verdict_sick(enum verdict_kind kind);
+
+/**
+ * health_verdict() - judge a backend server
+ * @state: names the own failure domain
+ * @service: the service
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: the verdict.
+ */
+struct verdict health_verdict(const struct state *state,
+			      const struct service *service,
+			      const struct backend *backend,
+			      struct instant now);
+
+/**
+ * health_sees_fine() - whether the own evidence clears a backend server
+ * @service: the service
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true when there is much of it and none speaks against it; then an
+ * ejection elsewhere is not followed.
+ */
+bool health_sees_fine(const struct service *service,
+		      const struct backend *backend, struct instant now);
+
+/**
+ * health_slow_after_us() - from when an answer on a route is slow
+ * @typical_us: the route's typical time, 0 when unknown
+ *
+ * Return: time on a slot; UINT64_MAX when unknown.
+ */
+uint64_t health_slow_after_us(uint64_t typical_us);
+
+#endif
--- /dev/null
+++ b/test/model/fleet_model.c
@@ -0,0 +1,671 @@
+#include "model/fleet_model.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "command/health.h"
+#include "query/health.h"
+
+#define STEP_US (5 * US_PER_MS)
+#define DIGEST_EVERY_US (500 * US_PER_MS)
+#define PROBE_EVERY_US (1 * US_PER_S)
+#define TIMEOUT_US (2 * US_PER_S)
+#define CONNECT_FAILS_US (100 * US_PER_MS)
+#define ERROR_US (5 * US_PER_MS)
+#define RUNNING_MAX 256
+#define MAIL_MAX 256
+#define CONSECUTIVE_FAILURES 5
+#define CONSECUTIVE_OUT_US (30 * US_PER_S)
+#define START_UNIX_MS UINT64_C(1700000000000)
+/* Work of the first second only warms the windows up. */
+#define START_US (1 * US_PER_S)
+
+/**
+ * struct running - one request at work
+ * @active: the place is used
+ * @ends_us: when it ends
+ * @kind: how
+ */
+struct running {
+	bool active;
+	uint64_t ends_us;
+	enum evidence_kind kind;
+};
+
+/**
+ * struct mail - one digest under way
+ * @due_us: when it arrives, 0 for an unused place
+ * @sender: home
+ * @digest: what it says
+ */
+struct mail {
+	uint64_t due_us;
+	uint32_t sender;
+	struct peer_digest digest;
+};
+
+/**
+ * struct model_home - one home
+ */
+struct model_home {
+	struct settings settings;
+	struct state *state;
+	struct service *service;
+	struct running running[RUNNING_MAX];
+	struct mail mail[MAIL_MAX];
+	uint64_t next_arrival_us;
+	uint64_t next_probe_us;
+	uint32_t failures_in_row[MODEL_BACKENDS_MAX];
+	uint64_t out_until_us[MODEL_BACKENDS_MAX];
+};
+
+/**
+ * struct model - the fleet
+ */
+struct model {
+	const struct model_config *config;
+	struct model_result *result;
+	struct service_doc *doc;
+	GRand *rand;
+	struct model_home homes[MODEL_HOMES_MAX];
+	struct instant now;
+	uint64_t onset_us;
+	uint64_t breach_from_us;
+};
+
+static struct service_doc *make_doc(const struct model_config *config);
+static void make_home(struct model *model, uint32_t home);
+static void add_member(struct model_home *home, uint32_t other,
+		       uint32_t domain);
+static struct net_addr home_addr(uint32_t home);
+static void domain_name(struct name *name, uint32_t domain);
+static void step_home(struct model *model, uint32_t home);
+static void finish_work(struct model *model, uint32_t home);
+static void finish_one(struct model *model, uint32_t home, uint32_t place);
+static void begin_work(struct model *model, uint32_t home);
+static void begin_one(struct model *model, uint32_t home);
+static uint32_t pick_backend(struct model *model, uint32_t home);
+static uint32_t open_slots(const struct model *model, uint32_t home,
+			   uint32_t backend);
+static void plan_end(struct model *model, uint32_t home, uint32_t backend,
+		     struct running *running);
+static uint64_t draw_service_us(struct model *model, uint32_t backend);
+static void probe(struct model *model, uint32_t home);
+static void take_mail(struct model *model, uint32_t home);
+static void send_digest(struct model *model, uint32_t home);
+static void post(struct model *model, uint32_t from, uint32_t to,
+		 const struct peer_digest *digest);
+static bool heard(const struct model *model, uint32_t from, uint32_t to);
+static void record(struct model *model, uint32_t home,
+		   struct event_list *events);
+static void record_states(struct model *model, uint32_t home);
+static void check_floor(struct model *model);
+static bool taken_out(const struct model *model, uint32_t backend);
+static const struct model_fault *fault_now(const struct model *model,
+					   enum model_fault_kind kind,
+					   uint32_t backend, uint32_t home);
+static bool chance(struct model *model, uint32_t permille);
+static void count_in_row(struct model *model, uint32_t home, uint32_t backend,
+			 bool failed);
+
+void model_run(const struct model_config *config, struct model_result *result)
+{
+	struct model *model;
+	uint32_t i;
+
+	g_return_if_fail(config->homes > 0 && config->domains > 0);
+	model = g_new0(struct model, 1);
+	memset(result, 0, sizeof(*result));
+	memset(result->lost_us, 0xff, sizeof(result->lost_us));
+	memset(result->self_cut_us, 0xff, sizeof(result->self_cut_us));
+	model->config = config;
+	model->result = result;
+	model->rand = g_rand_new_with_seed(config->seed);
+	model->doc = make_doc(config);
+	model->now.mono_us = START_US;
+	model->onset_us = config->fault_count ? config->faults[0].from_us :
+						config->run_us;
+	result->least_slots = service_doc_slots(model->doc);
+	for (i = 0; i < config->homes; i++)
+		make_home(model, i);
+	while (model->now.mono_us < config->run_us) {
+		model->now.mono_us += STEP_US;
+		model->now.unix_ms =
+			START_UNIX_MS + model->now.mono_us / US_PER_MS;
+		for (i = 0; i < config->homes; i++)
+			step_home(model, i);
+		check_floor(model);
+	}
+	for (i = 0; i < config->homes; i++) {
+		service_free(model->homes[i].service);
+		state_free(model->homes[i].state);
+	}
+	service_doc_unref(model->doc);
+	g_rand_free(model->rand);
+	g_free(model);
+}
+
+uint32_t model_ejections(const struct model_result *result)
+{
+	uint32_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < MODEL_BACKENDS_MAX; i++)
+		sum += result->ejections[i];
+	return sum;
+}
+
+static struct service_doc *make_doc(const struct model_config *config)
+{
+	struct service_doc *doc = g_new0(struct service_doc, 1);
+	struct backend_doc *backend;
+	uint32_t i;
+
+	doc->refs = 1;
+	doc->version = 1;
+	name_set(&doc->service, "gallery");
+	doc->backend_count = config->backends;
+	doc->backends = g_new0(struct backend_doc, config->backends);
+	for (i = 0; i < config->backends; i++) {
+		backend = &doc->backends[i];
+		backend->addr.ip = 0x7f000001;
+		backend->addr.port = (uint16_t)(9001 + i);
+		domain_name(&backend->domain, i % config->domains);
+		backend->capacity_slots = config->slots;
+		backend->connections_max = 350;
+	}
+	doc->floor.kind = FLOOR_PERCENT;
+	doc->floor.percent = config->floor_percent;
+	return doc;
+}
+
+static void make_home(struct model *model, uint32_t home)
+{
+	const struct model_config *config = model->config;
+	struct model_home *self = &model->homes[home];
+	uint32_t homes = MAX(config->homes, 1);
+	struct service *service;
+	uint32_t share;
+	uint32_t i;
+
+	self->settings.random_seed = config->seed + home;
+	self->settings.peer_listen = home_addr(home);
+	domain_name(&self->settings.domain, home % config->domains);
+	self->state = state_new(&self->settings);
+	self->state->policy.ejecting = config->ejector == MODEL_VERDICT;
+	service = service_new(model->doc);
+	self->service = service;
+	service->home_count = config->homes;
+	service->self_home = home;
+	for (i = 0; i < config->homes; i++) {
+		service->homes[i].peer = home_addr(i);
+		if (i != home)
+			add_member(self, i, i % config->domains);
+	}
+	for (i = 0; i < config->backends; i++) {
+		share = config->slots / homes +
+			((home + i) % homes < config->slots % homes);
+		service->backends[i].own_slots = MAX(share, 1);
+	}
+	self->next_arrival_us = START_US;
+	self->next_probe_us = START_US + UINT64_C(100) * home * US_PER_MS;
+	service->digest_due_us = START_US + UINT64_C(70) * home * US_PER_MS;
+}
+
+static void add_member(struct model_home *home, uint32_t other, uint32_t domain)
+{
+	struct member member = { .in_list = true };
+
+	member.listed.peer = home_addr(other);
+	domain_name(&member.listed.domain, domain);
+	g_array_append_val(home->state->membership.members, member);
+}
+
+static struct net_addr home_addr(uint32_t home)
+{
+	struct net_addr addr = { .ip = 0x7f010001 + home, .port = 8081 };
+
+	return addr;
+}
+
+static void domain_name(struct name *name, uint32_t domain)
+{
+	char text[2] = { (char)('a' + domain), '\0' };
+
+	name_set(name, text);
+}
+
+static void step_home(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	struct event_list events;
+
+	if (fault_now(model, MODEL_PAUSE, MODEL_ALL, home))
+		return;
+	event_list_init(&events);
+	take_mail(model, home);
+	finish_work(model, home);
+	health_tick(self->state, self->service, model->now, &events);
+	record(model, home, &events);
+	event_list_clear(&events);
+	begin_work(model, home);
+	if (model->now.mono_us >= self->next_probe_us)
+		probe(model, home);
+	if (model->now.mono_us >= self->service->digest_due_us)
+		send_digest(model, home);
+	record_states(model, home);
+}
+
+static void finish_work(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	uint32_t i;
+
+	for (i = 0; i < RUNNING_MAX; i++) {
+		if (self->running[i].active &&
+		    model->now.mono_us >= self->running[i].ends_us)
+			finish_one(model, home, i);
+	}
+}
+
+static void finish_one(struct model *model, uint32_t home, uint32_t place)
+{
+	struct model_home *self = &model->homes[home];
+	struct running *running = &self->running[place];
+	struct ticket *ticket = &self->state->tickets[place];
+	struct backend *backend =
+		&self->service->backends[ticket->backend_index];
+	struct evidence evidence = { .kind = running->kind,
+				     .request_sent = true };
+	struct event_list events;
+	bool failed;
+
+	evidence.service_us = model->now.mono_us - ticket->granted_us;
+	evidence.draining = fault_now(model, MODEL_DRAIN, ticket->backend_index,
+				      MODEL_ALL) != NULL;
+	event_list_init(&events);
+	health_observe(self->state, self->service, backend, ticket, &evidence,
+		       model->now, &events);
+	record(model, home, &events);
+	event_list_clear(&events);
+	failed = evidence_failed(&evidence);
+	model->result->failed_requests += failed;
+	if (evidence.kind != EVIDENCE_SHED)
+		count_in_row(model, home, ticket->backend_index, failed);
+	backend->in_use_slots--;
+	self->service->running_requests--;
+	memset(ticket, 0, sizeof(*ticket));
+	running->active = false;
+}
+
+static void begin_work(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	double rate_per_us = (double)model->config->requests_per_s *
+			     model->config->backends / model->config->homes /
+			     US_PER_S;
+
+	if (self->next_arrival_us + TIMEOUT_US < model->now.mono_us)
+		self->next_arrival_us = model->now.mono_us;
+	while (self->next_arrival_us <= model->now.mono_us) {
+		begin_one(model, home);
+		self->next_arrival_us +=
+			(uint64_t)(-log(1 - g_rand_double(model->rand)) /
+				   rate_per_us);
+	}
+}
+
+static void begin_one(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	uint32_t backend = pick_backend(model, home);
+	struct ticket *ticket;
+	uint32_t place = 0;
+
+	while (place < RUNNING_MAX && self->running[place].active)
+		place++;
+	if (backend == MODEL_ALL || place == RUNNING_MAX) {
+		model->result->refused_requests++;
+		return;
+	}
+	ticket = &self->state->tickets[place];
+	ticket->state = TICKET_RUNNING;
+	ticket->service = self->service;
+	ticket->idempotent = true;
+	ticket->backend_index = backend;
+	ticket->granted_us = model->now.mono_us;
+	ticket->deadline_us = model->now.mono_us + TIMEOUT_US;
+	self->running[place].active = true;
+	plan_end(model, home, backend, &self->running[place]);
+	self->service->running_requests++;
+	self->service->backends[backend].in_use_slots++;
+	model->result->requests++;
+	model->result->last_work_us[home][backend] = model->now.mono_us;
+}
+
+static uint32_t pick_backend(struct model *model, uint32_t home)
+{
+	const struct model_config *config = model->config;
+	uint32_t start = g_rand_int_range(model->rand, 0, config->backends);
+	uint32_t best = MODEL_ALL;
+	uint32_t best_permille = PERMILLE_ONE;
+	uint32_t permille;
+	uint32_t backend;
+	uint32_t open;
+	uint32_t i;
+
+	for (i = 0; i < config->backends; i++) {
+		backend = (start + i) % config->backends;
+		open = open_slots(model, home, backend);
+		if (open == 0)
+			continue;
+		permille = model->homes[home]
+				   .service->backends[backend]
+				   .in_use_slots *
+			   PERMILLE_ONE / open;
+		if (permille >= best_permille)
+			continue;
+		best = backend;
+		best_permille = permille;
+	}
+	return best;
+}
+
+static uint32_t open_slots(const struct model *model, uint32_t home,
+			   uint32_t backend)
+{
+	const struct model_home *self = &model->homes[home];
+
+	if (model->config->ejector == MODEL_CONSECUTIVE &&
+	    model->now.mono_us < self->out_until_us[backend])
+		return 0;
+	return backend_open_slots(&self->service->backends[backend],
+				  model->now);
+}
+
+static void plan_end(struct model *model, uint32_t home, uint32_t backend,
+		     struct running *running)
+{
+	uint64_t now_us = model->now.mono_us;
+	const struct model_fault *fault;
+
+	running->kind = EVIDENCE_OK;
+	running->ends_us = now_us + draw_service_us(model, backend);
+	if (running->ends_us > now_us + TIMEOUT_US) {
+		running->kind = EVIDENCE_TIMEOUT;
+		running->ends_us = now_us + TIMEOUT_US;
+	}
+	if (chance(model, model->config->error_permille))
+		running->kind = EVIDENCE_SERVER_ERROR;
+	fault = fault_now(model, MODEL_FAIL, backend, MODEL_ALL);
+	if (fault && chance(model, fault->permille)) {
+		running->kind = EVIDENCE_SERVER_ERROR;
+		running->ends_us = now_us + ERROR_US;
+	}
+	fault = fault_now(model, MODEL_SHED, backend, MODEL_ALL);
+	if (fault && chance(model, fault->permille)) {
+		running->kind = EVIDENCE_SHED;
+		running->ends_us = now_us + ERROR_US;
+	}
+	fault = fault_now(model, MODEL_HANG, backend, MODEL_ALL);
+	if (fault && chance(model, fault->permille)) {
+		running->kind = EVIDENCE_TIMEOUT;
+		running->ends_us = now_us + TIMEOUT_US;
+	}
+	if (fault_now(model, MODEL_CUT, backend, home)) {
+		running->kind = EVIDENCE_CONNECT;
+		running->ends_us = now_us + CONNECT_FAILS_US;
+	}
+}
+
+/* Half of the time is fixed, half is exponential; some are stragglers. */
+static uint64_t draw_service_us(struct model *model, uint32_t backend)
+{
+	const struct model_fault *fault;
+	double us = (double)model->config->typical_us / 2;
+
+	us -= us * log(1 - g_rand_double(model->rand));
+	if (chance(model, model->config->straggler_permille))
+		us *= model->config->straggler_factor;
+	fault = fault_now(model, MODEL_SLOW, backend, MODEL_ALL);
+	if (fault)
+		us *= fault->factor;
+	fault = fault_now(model, MODEL_COLD, backend, MODEL_ALL);
+	if (fault)
+		us *= fault->factor;
+	return (uint64_t)us;
+}
+
+/* Health endpoints are green whatever happens; one home probes each. */
+static void probe(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	struct probe_result result = { .answered = true, .healthy = true };
+	struct event_list events;
+	uint32_t i;
+
+	self->next_probe_us = model->now.mono_us + PROBE_EVERY_US;
+	event_list_init(&events);
+	for (i = home; i < model->config->backends; i += model->config->homes) {
+		result.cold = fault_now(model, MODEL_COLD, i, MODEL_ALL);
+		result.draining = fault_now(model, MODEL_DRAIN, i, MODEL_ALL);
+		health_observe_probe(self->state, self->service,
+				     &self->service->backends[i], &result,
+				     model->now, &events);
+	}
+	record(model, home, &events);
+	event_list_clear(&events);
+}
+
+static void take_mail(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	struct event_list events;
+	struct mail *mail;
+	uint32_t i;
+
+	event_list_init(&events);
+	for (i = 0; i < MAIL_MAX; i++) {
+		mail = &self->mail[i];
+		if (mail->due_us == 0 || model->now.mono_us < mail->due_us)
+			continue;
+		mail->due_us = 0;
+		health_observe_digest(self->state, self->service,
+				      home_addr(mail->sender), &mail->digest,
+				      model->now, &events);
+	}
+	record(model, home, &events);
+	event_list_clear(&events);
+}
+
+static void send_digest(struct model *model, uint32_t home)
+{
+	struct model_home *self = &model->homes[home];
+	struct peer_digest digest = { 0 };
+	uint32_t i;
+
+	self->service->digest_due_us = model->now.mono_us + DIGEST_EVERY_US;
+	health_digest(self->service, model->now, &digest);
+	model->result->digests += model->config->homes - 1;
+	model->result->digest_entries +=
+		(uint64_t)digest.entry_count * (model->config->homes - 1);
+	for (i = 0; i < model->config->homes; i++) {
+		if (i != home && heard(model, home, i))
+			post(model, home, i, &digest);
+	}
+}
+
+static void post(struct model *model, uint32_t from, uint32_t to,
+		 const struct peer_digest *digest)
+{
+	struct mail *mail;
+	uint32_t i;
+
+	for (i = 0; i < MAIL_MAX; i++) {
+		mail = &model->homes[to].mail[i];
+		if (mail->due_us != 0)
+			continue;
+		mail->due_us =
+			model->now.mono_us + model->config->digest_delay_us + 1;
+		mail->sender = from;
+		mail->digest = *digest;
+		return;
+	}
+}
+
+static bool heard(const struct model *model, uint32_t from, uint32_t to)
+{
+	const struct model_fault *fault =
+		fault_now(model, MODEL_SPLIT, MODEL_ALL, MODEL_ALL);
+
+	if (fault_now(model, MODEL_DEAF, MODEL_ALL, to))
+		return false;
+	if (!fault)
+		return true;
+	return (fault->home_mask >> from & 1) == (fault->home_mask >> to & 1);
+}
+
+static void record(struct model *model, uint32_t home,
+		   struct event_list *events)
+{
+	struct model_home *self = &model->homes[home];
+	const struct audit_record *audit;
+	const struct event *event;
+	uint32_t backend;
+	guint i;
+
+	for (i = 0; i < events->events->len; i++) {
+		event = &g_array_index(events->events, struct event, i);
+		if (event->kind != EVENT_AUDIT)
+			continue;
+		audit = &event->audit;
+		backend = (uint32_t)(service_backend(self->service,
+						     audit->subject) -
+				     self->service->backends);
+		if (audit->kind == AUDIT_EJECTED)
+			model->result->ejections[backend]++;
+		if (audit->kind == AUDIT_PATH_AVOIDED)
+			model->result->avoidances[backend]++;
+		if (audit->kind == AUDIT_EJECTION_WITHHELD)
+			model->result->withheld[backend]++;
+		if (audit->kind == AUDIT_READMITTED)
+			model->result->whole_us[home][backend] =
+				model->now.mono_us;
+	}
+	g_array_set_size(events->events, 0);
+}
+
+static void record_states(struct model *model, uint32_t home)
+{
+	struct model_result *result = model->result;
+	uint64_t now_us = model->now.mono_us;
+	uint32_t i;
+
+	if (now_us < model->onset_us)
+		return;
+	for (i = 0; i < model->config->backends; i++) {
+		if (result->lost_us[home][i] == MODEL_NEVER_US &&
+		    open_slots(model, home, i) == 0)
+			result->lost_us[home][i] = now_us;
+	}
+	if (result->self_cut_us[home] == MODEL_NEVER_US &&
+	    service_self_cut(model->homes[home].service, model->now))
+		result->self_cut_us[home] = now_us;
+}
+
+/* Capacity that ejections of all homes together leave, against the floor. */
+static void check_floor(struct model *model)
+{
+	uint32_t floor = service_doc_floor_slots(model->doc);
+	uint32_t left = 0;
+	bool ejected = false;
+	uint64_t span_us;
+	uint32_t i;
+
+	for (i = 0; i < model->config->backends; i++) {
+		if (taken_out(model, i))
+			ejected = true;
+		else if (!fault_now(model, MODEL_DRAIN, i, MODEL_ALL))
+			left += model->config->slots;
+	}
+	model->result->least_slots = MIN(model->result->least_slots, left);
+	if (!ejected || left >= floor) {
+		model->breach_from_us = 0;
+		return;
+	}
+	if (model->breach_from_us == 0)
+		model->breach_from_us = model->now.mono_us;
+	model->result->breach_us += STEP_US;
+	span_us = model->now.mono_us - model->breach_from_us;
+	model->result->longest_breach_us =
+		MAX(model->result->longest_breach_us, span_us);
+}
+
+static bool taken_out(const struct model *model, uint32_t backend)
+{
+	uint32_t i;
+
+	if (fault_now(model, MODEL_DRAIN, backend, MODEL_ALL))
+		return false;
+	for (i = 0; i < model->config->homes; i++) {
+		if (model->config->ejector == MODEL_CONSECUTIVE &&
+		    model->now.mono_us < model->homes[i].out_until_us[backend])
+			return true;
+		if (model->homes[i].service->backends[backend].health.out)
+			return true;
+	}
+	return false;
+}
+
+static const struct model_fault *fault_now(const struct model *model,
+					   enum model_fault_kind kind,
+					   uint32_t backend, uint32_t home)
+{
+	const struct model_fault *fault;
+	uint64_t into_us;
+	uint32_t i;
+
+	for (i = 0; i < model->config->fault_count; i++) {
+		fault = &model->config->faults[i];
+		if (fault->kind != kind ||
+		    model->now.mono_us < fault->from_us ||
+		    model->now.mono_us >= fault->until_us)
+			continue;
+		into_us = model->now.mono_us - fault->from_us;
+		if (fault->on_us != 0 &&
+		    into_us % (fault->on_us + fault->off_us) >= fault->on_us)
+			continue;
+		if (backend != MODEL_ALL && fault->backend != MODEL_ALL &&
+		    backend != fault->backend)
+			continue;
+		if (home != MODEL_ALL && fault->home != MODEL_ALL &&
+		    home != fault->home)
+			continue;
+		return fault;
+	}
+	return NULL;
+}
+
+static bool chance(struct model *model, uint32_t permille)
+{
+	return permille > 0 && g_rand_int_range(model->rand, 0, PERMILLE_ONE) <
+				       (int32_t)permille;
+}
+
+static void count_in_row(struct model *model, uint32_t home, uint32_t backend,
+			 bool failed)
+{
+	struct model_home *self = &model->homes[home];
+
+	if (!failed) {
+		self->failures_in_row[backend] = 0;
+		return;
+	}
+	self->failures_in_row[backend]++;
+	if (model->config->ejector != MODEL_CONSECUTIVE ||
+	    self->failures_in_row[backend] < CONSECUTIVE_FAILURES)
+		return;
+	self->failures_in_row[backend] = 0;
+	self->out_until_us[backend] = model->now.mono_us + CONSECUTIVE_OUT_US;
+	model->result->ejections[backend]++;
+}
