--- a/src/query/answer.c
+++ b/src/query/answer.c
@@ -2,8 +2,8 @@
 
 #include "query/entries.h"
 #include "query/listing.h"
+#include "query/ready.h"
 
-static void answer_ready(const struct state *state, struct ready_reply *out);
 static struct service_doc *find_document(const struct state *state,
 					 const struct name *key);
 
@@ -25,7 +25,7 @@
 		reply->records = list_audit(state, query->since_sequence);
 		break;
 	case QUERY_READY:
-		answer_ready(state, &reply->ready);
+		ready_answer(state, &reply->ready);
 		break;
 	case QUERY_DOCUMENT:
 		reply->doc = find_document(state, &query->service);
@@ -36,15 +36,6 @@
 	}
 }
 
-static void answer_ready(const struct state *state, struct ready_reply *out)
-{
-	out->ready = !state->leaving && !state->stepped_back &&
-		     state->membership.list_known &&
-		     g_hash_table_size(state->services) > 0;
-	out->leaving = state->leaving;
-	out->idle = state->admitted_requests == 0;
-}
-
 static struct service_doc *find_document(const struct state *state,
 					 const struct name *key)
 {
--- /dev/null
+++ b/src/query/list_metrics.c
@@ -0,0 +1,66 @@
+#include "query/listing.h"
+
+static void copy_service(const struct service *service,
+			 struct service_metrics *out);
+static void count_members(const struct state *state,
+			  struct metrics_report *report);
+
+struct metrics_report *list_metrics(const struct state *state,
+				    struct instant now)
+{
+	struct metrics_report *report = g_new0(struct metrics_report, 1);
+	guint count = g_hash_table_size(state->services);
+	GHashTableIter iter;
+	gpointer value;
+	uint32_t i;
+
+	(void)now;
+	report->services = g_new0(struct service_metrics, count);
+	g_hash_table_iter_init(&iter, state->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		copy_service(value, &report->services[report->service_count++]);
+	for (i = 0; i < REFUSAL_COUNT; i++)
+		report->refused_early[i] = state->refused_early[i];
+	count_members(state, report);
+	report->audit_records = state->audit_next - 1;
+	return report;
+}
+
+static void copy_service(const struct service *service,
+			 struct service_metrics *out)
+{
+	const struct service_doc *doc = service->doc;
+	uint32_t i;
+
+	out->service = doc->service;
+	out->version = doc->version;
+	for (i = 0; i < doc->class_count; i++)
+		out->classes[i] = doc->classes[i].name;
+	out->class_count = doc->class_count;
+	out->counters = service->counters;
+	out->waiting_requests = service->waiting_requests;
+	out->running_requests = service->running_requests;
+}
+
+static void count_members(const struct state *state,
+			  struct metrics_report *report)
+{
+	const GArray *members = state->membership.members;
+	guint i;
+
+	for (i = 0; i < members->len; i++) {
+		switch (g_array_index(members, struct member, i).status) {
+		case MEMBER_ALIVE:
+			report->members_alive++;
+			break;
+		case MEMBER_SUSPECT:
+			report->members_suspect++;
+			break;
+		case MEMBER_DEAD:
+			report->members_dead++;
+			break;
+		case MEMBER_LEAVING:
+			break;
+		}
+	}
+}
