Keep refused versions apart from those being pulled

Cause: a version that was being pulled could not be told from one that was refused, so the first refusal after a pull was not audited. Change: a hold says whether it is a refusal; a refusal replaces a pull.

--- a/src/command/member.c
+++ b/src/command/member.c
@@ -73,6 +73,10 @@
 static bool hear_offer(struct state *state, struct net_addr sender,
 		       const struct config_offer *offer, struct instant now,
 		       struct event_list *out);
+static struct pull_hold *find_hold(struct state *state,
+				   const struct config_offer *offer);
+static void set_hold(struct pull_hold *hold, const struct config_offer *offer,
+		     uint64_t until_us);
 static void pull_list(struct state *state, struct net_addr sender,
 		      struct instant now, struct event_list *out);
 static void hear_probe(struct state *state, const struct peer_message *message,
@@ -792,8 +796,8 @@
 		if (service->doc->hash == offer->hash)
 			return false;
 		record.config.in_force = service->doc->version;
-		if (member_hold_pull(state, offer,
-				     now.mono_us + CONFLICT_HOLD_US, now))
+		if (member_hold_refused(state, offer,
+					now.mono_us + CONFLICT_HOLD_US, now))
 			state_audit(state, &record, now, out);
 		return false;
 	}
@@ -807,26 +811,55 @@
 
 bool member_hold_pull(struct state *state, const struct config_offer *offer,
 		      uint64_t until_us, struct instant now)
+{
+	struct pull_hold *hold = find_hold(state, offer);
+
+	if (hold->until_us > now.mono_us)
+		return false;
+	set_hold(hold, offer, until_us);
+	return true;
+}
+
+bool member_hold_refused(struct state *state, const struct config_offer *offer,
+			 uint64_t until_us, struct instant now)
+{
+	struct pull_hold *hold = find_hold(state, offer);
+
+	if (hold->refused && hold->until_us > now.mono_us)
+		return false;
+	set_hold(hold, offer, until_us);
+	hold->refused = true;
+	return true;
+}
+
+/* Return: the hold of this version, or the one that ends first, emptied. */
+static struct pull_hold *find_hold(struct state *state,
+				   const struct config_offer *offer)
 {
 	struct pull_hold *holds = state->membership.pull_holds;
-	struct pull_hold *hold = &holds[0];
+	struct pull_hold *oldest = &holds[0];
 	uint32_t i;
 
 	for (i = 0; i < MEMBER_PULLS_MAX; i++) {
-		if (holds[i].until_us < hold->until_us)
-			hold = &holds[i];
-		if (holds[i].until_us <= now.mono_us)
-			continue;
 		if (holds[i].version == offer->version &&
 		    holds[i].hash == offer->hash &&
 		    name_equal(&holds[i].key, &offer->key))
-			return false;
+			return &holds[i];
+		if (holds[i].until_us < oldest->until_us)
+			oldest = &holds[i];
 	}
+	memset(oldest, 0, sizeof(*oldest));
+	return oldest;
+}
+
+static void set_hold(struct pull_hold *hold, const struct config_offer *offer,
+		     uint64_t until_us)
+{
 	hold->key = offer->key;
 	hold->version = offer->version;
 	hold->hash = offer->hash;
 	hold->until_us = until_us;
-	return true;
+	hold->refused = false;
 }
 
 static void pull_list(struct state *state, struct net_addr sender,
--- a/src/command/member.h
+++ b/src/command/member.h
@@ -68,7 +68,7 @@
 void member_spread_offer(struct state *state, const struct name *key);
 
 /**
- * member_hold_pull() - leave a version alone for a while
+ * member_hold_pull() - leave a version alone while it is being pulled
  * @state: the state
  * @offer: the version
  * @until_us: how long
@@ -79,4 +79,16 @@
 bool member_hold_pull(struct state *state, const struct config_offer *offer,
 		      uint64_t until_us, struct instant now);
 
+/**
+ * member_hold_refused() - leave a version alone because it was refused
+ * @state: the state
+ * @offer: the version
+ * @until_us: how long
+ * @now: the time
+ *
+ * Return: false when it is held for that reason already, which stays as it is.
+ */
+bool member_hold_refused(struct state *state, const struct config_offer *offer,
+			 uint64_t until_us, struct instant now);
+
 #endif
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -87,12 +87,14 @@
  * @version: up to this version
  * @hash: of its text
  * @until_us: when it may be pulled again
+ * @refused: it was refused, and that is in the audit trail
  */
 struct pull_hold {
 	struct name key;
 	uint64_t version;
 	uint64_t hash;
 	uint64_t until_us;
+	bool refused;
 };
 
 /**
