Test the backend stand-in's own word and its flapping

Cause: tests of misleading health, drain, cold start and flapping rest on them. Tests: StandinTest.BackendsOwnWord, StandinTest.FlapsBetweenSickAndWell; all 8 of StandinTest green in 4.5 s.

--- a/test/process/standin_test.cc
+++ b/test/process/standin_test.cc
@@ -71,6 +71,65 @@
 	}
 }
 
+struct word_case {
+	const char *name;
+	const char *order;
+	uint32_t health;
+	const char *busy;
+	const char *draining;
+	const char *cold;
+};
+
+const struct word_case word_cases[] = {
+	{ "well", "{}", 200, "0", "false", "false" },
+	{ "sick, says well", "{\"fault\":\"status\"}", 200, "0", "false",
+	  "false" },
+	{ "sick, says so", "{\"fault\":\"status\",\"health\":\"true\"}", 503,
+	  "0", "false", "false" },
+	{ "well, says sick and full", "{\"health\":\"bad\",\"load\":\"bad\"}",
+	  503, "6", "false", "false" },
+	{ "drains", "{\"draining\":true}", 200, "0", "true", "false" },
+	{ "cold", "{\"cold_ms\":60000}", 200, "0", "false", "true" },
+};
+
+TEST(StandinTest, BackendsOwnWord)
+{
+	for (const auto &c : word_cases) {
+		SCOPED_TRACE(c.name);
+		backend_standin backends(1);
+		std::string url =
+			"http://127.0.0.1:" + std::to_string(backends.port(0));
+		std::string load;
+
+		ASSERT_TRUE(backends.order(0, c.order));
+		EXPECT_EQ(http_get(url + "/health").status, c.health);
+		load = http_get(url + "/load").body;
+		EXPECT_EQ(json_text(load, "busy"), c.busy);
+		EXPECT_EQ(json_text(load, "draining"), c.draining);
+		EXPECT_EQ(json_text(load, "cold"), c.cold);
+		EXPECT_EQ(http_get(url + "/works").headers.count("x-draining"),
+			  c.draining[0] == 't' ? 1u : 0u);
+	}
+}
+
+TEST(StandinTest, FlapsBetweenSickAndWell)
+{
+	backend_standin backends(1);
+	std::string url = "http://127.0.0.1:" +
+			  std::to_string(backends.port(0)) + "/works";
+	uint32_t changes = 0;
+	uint32_t before = 200;
+
+	ASSERT_TRUE(backends.order(0, "{\"fault\":\"status\",\"flap_ms\":50}"));
+	EXPECT_TRUE(wait_for(5000, [&] {
+		uint32_t status = http_get(url).status;
+
+		changes += status != before;
+		before = status;
+		return changes >= 4;
+	}));
+}
+
 struct fault_case {
 	const char *name;
 	const char *kind;
