--- /dev/null
+++ b/test/process/fleet.cc
@@ -0,0 +1,309 @@
+#include "fleet.h"
+
+#include <gtest/gtest.h>
+#include <json.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <fstream>
+
+namespace
+{
+
+const uint32_t FIRST_IP = 11;
+const uint32_t START_LIMIT_MS = 10000;
+const uint32_t VIEW_TIMEOUT_MS = 500;
+const char *const SERVICE = "gallery";
+
+std::string at(const std::string &ip, uint16_t port)
+{
+	return ip + ":" + std::to_string(port);
+}
+
+std::string domain(uint32_t index)
+{
+	return std::string(1, (char)('a' + index % 3));
+}
+
+uint64_t number(json_object *object, const char *field)
+{
+	json_object *value = NULL;
+
+	json_object_object_get_ex(object, field, &value);
+	return json_object_get_uint64(value);
+}
+
+std::string text(json_object *object, const char *field)
+{
+	json_object *value = NULL;
+
+	if (!json_object_object_get_ex(object, field, &value))
+		return "";
+	return json_object_get_string(value);
+}
+
+json_object *item(json_object *object, const char *list, size_t index)
+{
+	json_object *value = NULL;
+
+	if (!json_object_object_get_ex(object, list, &value) ||
+	    index >= json_object_array_length(value))
+		return NULL;
+	return json_object_array_get_idx(value, index);
+}
+
+} // namespace
+
+fleet::fleet(const struct fleet_plan &plan)
+    : plan(plan), backends(plan.backends), version_now(0)
+{
+	std::vector<struct fault_rule> rules;
+	uint32_t count = plan.instances + plan.spares;
+
+	for (uint32_t i = 0; i < plan.backends; i++) {
+		backend_ports.push_back(free_port());
+		rules.push_back({ "backend" + std::to_string(i), "tcp",
+				  at("127.0.0.1", backend_ports[i]),
+				  at("127.0.0.1", backends.port(i)) });
+	}
+	for (uint32_t i = 0; i < count; i++) {
+		struct place place = {};
+		std::string name = std::to_string(i);
+
+		place.ip = "127.0.0." + std::to_string(FIRST_IP + i);
+		place.caller = free_port();
+		place.peer = free_port();
+		place.peer_bind = free_port();
+		place.operators = free_port();
+		place.platform = free_port();
+		rules.push_back({ "platform" + name, "tcp",
+				  at("127.0.0.1", place.platform),
+				  config.addr() });
+		for (const char *transport : { "tcp", "udp" })
+			rules.push_back({ "peer" + name, transport,
+					  at(place.ip, place.peer),
+					  at(place.ip, place.peer_bind) });
+		places.push_back(std::move(place));
+	}
+	faults.reset(new fault_standin(rules));
+	EXPECT_TRUE(backends.order_all(
+		"{\"slots\":" + std::to_string(plan.slots) + "}"));
+	publish();
+	publish_list();
+	for (uint32_t i = 0; i < count; i++)
+		write_settings(i);
+	for (uint32_t i = 0; i < plan.instances; i++)
+		start(i);
+	for (uint32_t i = 0; i < plan.instances; i++)
+		EXPECT_TRUE(wait_ready(i, START_LIMIT_MS)) << i;
+}
+
+fleet::~fleet()
+{
+	for (auto &place : places) {
+		place.process.reset();
+		unlink(place.file.c_str());
+	}
+}
+
+void fleet::start(uint32_t index)
+{
+	struct place &place = places[index];
+
+	place.process.reset(
+		new child("instance " + std::to_string(index),
+			  { "nutmegcrank", "run", "-c", place.file }));
+}
+
+bool fleet::wait_ready(uint32_t index, uint32_t limit_ms)
+{
+	std::string url = "http://" + operator_addr(index) + "/ready";
+
+	return wait_for(limit_ms,
+			[&url] { return http_get(url).status == 200; });
+}
+
+child &fleet::instance(uint32_t index)
+{
+	return *places[index].process;
+}
+
+bool fleet::running(uint32_t index) const
+{
+	return places[index].process != nullptr;
+}
+
+bool fleet::stop(uint32_t index, uint32_t limit_ms)
+{
+	int code = places[index].process->stop(limit_ms);
+
+	places[index].process.reset();
+	return code == 0;
+}
+
+std::string fleet::ip(uint32_t index) const
+{
+	return places[index].ip;
+}
+
+std::string fleet::caller_addr(uint32_t index) const
+{
+	return at(places[index].ip, places[index].caller);
+}
+
+std::string fleet::operator_addr(uint32_t index) const
+{
+	return at("127.0.0.1", places[index].operators);
+}
+
+uint32_t fleet::instance_count() const
+{
+	return (uint32_t)places.size();
+}
+
+uint64_t fleet::publish()
+{
+	version_now++;
+	EXPECT_TRUE(publish_as(version_now));
+	return version_now;
+}
+
+bool fleet::publish_as(uint64_t version)
+{
+	return config.publish(SERVICE, document(),
+			      "version=" + std::to_string(version));
+}
+
+bool fleet::publish_list(const std::set<uint32_t> &without,
+			 const std::set<uint32_t> &leaving, bool with_ghost)
+{
+	std::string list;
+
+	for (uint32_t i = 0; i < places.size(); i++) {
+		if (without.count(i) != 0 ||
+		    (i >= plan.instances && !running(i)))
+			continue;
+		list += std::string(list.empty() ? "" : ",") +
+			"{\"caller\":\"" + caller_addr(i) + "\",\"peer\":\"" +
+			at(places[i].ip, places[i].peer) +
+			"\",\"failure_domain\":\"" + domain(i) +
+			"\",\"status\":\"" +
+			(leaving.count(i) != 0 ? "leaving" : "live") + "\"}";
+	}
+	if (with_ghost)
+		list += ",{\"caller\":\"127.0.0.99:9\",\"peer\":"
+			"\"127.0.0.99:10\",\"failure_domain\":\"a\","
+			"\"status\":\"live\"}";
+	return config.publish_instances("[" + list + "]");
+}
+
+void fleet::set_draining(uint32_t backend)
+{
+	draining.insert(backend);
+}
+
+uint64_t fleet::version() const
+{
+	return version_now;
+}
+
+struct instance_view fleet::view(uint32_t index) const
+{
+	struct http_request request;
+	struct http_reply reply;
+	struct instance_view view;
+	json_object *status;
+	json_object *service;
+	json_object *one;
+
+	request.url = "http://" + operator_addr(index) + "/status";
+	request.timeout_ms = VIEW_TIMEOUT_MS;
+	reply = http_ask(request);
+	status = json_tokener_parse(reply.body.c_str());
+	service = item(status, "services", 0);
+
+	view.answered = reply.code == 0 && status != NULL;
+	view.ready = text(status, "ready") == "true";
+	for (size_t i = 0; (one = item(status, "instances", i)) != NULL; i++)
+		view.peers_alive += text(one, "status") == "alive";
+	view.service.version = number(service, "version");
+	view.service.floor_slots = (uint32_t)number(service, "floor_slots");
+	view.service.in_service_slots =
+		(uint32_t)number(service, "in_service_slots");
+	view.service.home = text(service, "home") == "true";
+	for (size_t i = 0; (one = item(service, "backends", i)) != NULL; i++) {
+		std::string addr = text(one, "backend");
+
+		for (uint32_t b = 0; b < backend_ports.size(); b++) {
+			if (addr == at("127.0.0.1", backend_ports[b]) &&
+			    text(one, "state") == "ejected")
+				view.service.ejected.insert(b);
+		}
+	}
+	json_object_put(status);
+	return view;
+}
+
+bool fleet::in_force(uint64_t version) const
+{
+	for (uint32_t i = 0; i < places.size(); i++) {
+		if (running(i) && view(i).service.version != version)
+			return false;
+	}
+	return true;
+}
+
+std::string fleet::audit(uint32_t index) const
+{
+	return http_get("http://" + operator_addr(index) + "/audit?since=0")
+		.body;
+}
+
+std::string fleet::document() const
+{
+	std::string list;
+
+	for (uint32_t i = 0; i < plan.backends; i++)
+		list += std::string(list.empty() ? "" : ",") +
+			"{\"ip\":\"127.0.0.1\",\"port\":" +
+			std::to_string(backend_ports[i]) +
+			",\"failure_domain\":\"" + domain(i) +
+			"\",\"slots\":" + std::to_string(plan.slots) +
+			",\"connections\":350,\"draining\":" +
+			(draining.count(i) != 0 ? "true" : "false") + "}";
+	return std::string("{\"service\":\"") + SERVICE +
+	       "\",\"path_prefix\":\"/gallery\",\"backends\":[" + list +
+	       "],\"classes\":[{\"name\":\"judge\",\"priority\":0,"
+	       "\"queue\":64},{\"name\":\"committee\",\"priority\":1,"
+	       "\"queue\":64}],\"routes\":[{\"methods\":[\"GET\"],"
+	       "\"path_prefix\":\"/gallery/works\",\"class\":\"judge\"},"
+	       "{\"methods\":[\"POST\"],\"path_prefix\":\"/gallery/entries\","
+	       "\"class\":\"committee\",\"idempotent\":false}],"
+	       "\"healthy_floor\":{\"percent\":" +
+	       std::to_string(plan.floor_percent) +
+	       "},\"shed_marker\":{\"header\":\"X-Shed\",\"value\":\"1\"},"
+	       "\"drain_marker\":{\"header\":\"X-Draining\",\"value\":\"1\"},"
+	       "\"probe_path\":\"/health\",\"load_path\":\"/load\","
+	       "\"default_budget_ms\":" +
+	       std::to_string(plan.budget_ms) + "}";
+}
+
+void fleet::write_settings(uint32_t index)
+{
+	struct place &place = places[index];
+	char path[] = "/tmp/nutmegcrank-test-XXXXXX";
+	int fd = mkstemp(path);
+
+	close(fd);
+	place.file = path;
+	std::ofstream(path)
+		<< "{\"callers\":\"" << caller_addr(index) << "\",\"peers\":\""
+		<< at(place.ip, place.peer) << "\",\"peers_bind\":\""
+		<< at(place.ip, place.peer_bind) << "\",\"operators\":\""
+		<< operator_addr(index) << "\",\"failure_domain\":\""
+		<< domain(index) << "\",\"platform\":\""
+		<< at("127.0.0.1", place.platform)
+		<< "\",\"entries_ttl_ms\":1000,\"drain_max_ms\":6000,"
+		   "\"random_seed\":"
+		<< index + 1 << "}";
+}
