Test admission, outcomes, home sets, leases, entries and leaving as tables

Cause: the decisions had no tests. Change: test/unit/world.h holds one instance's state and its own time; tables of cases over it. Conclusion: shares add up to each backend server's slots for the users' sizes.

--- /dev/null
+++ b/test/unit/admit_test.cc
@@ -0,0 +1,269 @@
+/* Admission: bounds, order, reserve for short work, refusal before work. */
+#include "world.h"
+
+namespace
+{
+
+enum action_kind { ARRIVE, FINISH_OLDEST, PASS };
+
+/* ARRIVE: path and caller; FINISH_OLDEST: nothing; PASS: ms. */
+struct action {
+	enum action_kind kind;
+	const char *path;
+	uint64_t value;
+};
+
+struct admit_case {
+	const char *name;
+	struct doc_shape shape;
+	std::vector<struct action> actions;
+	/* State after the last action. */
+	uint32_t running;
+	uint32_t running_long;
+	uint32_t waiting;
+	/* Refusals in order. */
+	std::vector<enum refusal_cause> refused;
+};
+
+std::vector<struct action> repeat(uint32_t times, struct action action,
+				  std::vector<struct action> rest = {})
+{
+	std::vector<struct action> actions(times, action);
+
+	actions.insert(actions.end(), rest.begin(), rest.end());
+	return actions;
+}
+
+const struct action SHORT = { ARRIVE, "/s/short", 1 };
+const struct action LONG = { ARRIVE, "/s/long", 1 };
+const struct action LOW = { ARRIVE, "/s/low", 1 };
+
+const struct admit_case admit_cases[] = {
+	{ "slots fill, then requests wait",
+	  { 1, 2 },
+	  repeat(3, SHORT),
+	  2,
+	  0,
+	  1,
+	  {} },
+	{ "a freed slot goes to who waits",
+	  { 1, 2 },
+	  repeat(3, SHORT, { { FINISH_OLDEST, NULL, 0 } }),
+	  2,
+	  0,
+	  0,
+	  {} },
+	{ "long work leaves the last third of the slots",
+	  { 2, 6 },
+	  repeat(12, LONG),
+	  8,
+	  8,
+	  4,
+	  {} },
+	{ "short work takes what long work leaves",
+	  { 2, 6 },
+	  repeat(12, LONG, repeat(4, SHORT)),
+	  12,
+	  8,
+	  4,
+	  {} },
+	{ "queue of a class is bounded",
+	  { 1, 1, 0, 2 },
+	  repeat(4, SHORT),
+	  1,
+	  0,
+	  2,
+	  { REFUSAL_QUEUE_FULL } },
+	{ "a full class does not close another",
+	  { 1, 1, 0, 2 },
+	  repeat(4, LOW, repeat(1, SHORT)),
+	  1,
+	  0,
+	  3,
+	  { REFUSAL_QUEUE_FULL } },
+	{ "who waits past its deadline is refused",
+	  { 1, 1, 0, 2, 200 },
+	  repeat(2, SHORT, { { PASS, NULL, 250 } }),
+	  1,
+	  0,
+	  0,
+	  { REFUSAL_DEADLINE } },
+	{ "no service has the path",
+	  { 1, 1 },
+	  { { ARRIVE, "/t/short", 1 } },
+	  0,
+	  0,
+	  0,
+	  { REFUSAL_NO_SERVICE } },
+	{ "a prefix ends at a segment",
+	  { 1, 1 },
+	  { { ARRIVE, "/short", 1 }, { ARRIVE, "/sx/short", 1 } },
+	  0,
+	  0,
+	  0,
+	  { REFUSAL_NO_SERVICE, REFUSAL_NO_SERVICE } },
+	{ "one caller cannot take a whole class",
+	  { 1, 1, 0, 16, 60000 },
+	  repeat(9, SHORT,
+		 { { ARRIVE, "/s/short", 2 },
+		   { ARRIVE, "/s/short", 3 },
+		   SHORT,
+		   { ARRIVE, "/s/short", 2 } }),
+	  1,
+	  0,
+	  11,
+	  { REFUSAL_CALLER_SHARE } },
+};
+
+class Actor {
+    public:
+	World world;
+	size_t finished = 0;
+
+	void act(const struct action &action)
+	{
+		switch (action.kind) {
+		case ARRIVE:
+			world.request(action.path, action.value);
+			break;
+		case FINISH_OLDEST:
+			finish_oldest();
+			break;
+		case PASS:
+			world.pass_ms(action.value);
+			break;
+		}
+	}
+
+	void finish_oldest()
+	{
+		size_t seen = 0;
+
+		for (size_t i = 0; i < world.events.size(); i++) {
+			if (world.events[i].kind != EVENT_GRANT ||
+			    seen++ != finished)
+				continue;
+			finished++;
+			struct grant_event grant = world.events[i].grant;
+			world.finish(grant, ended(EVIDENCE_OK));
+			return;
+		}
+		ADD_FAILURE() << "nothing runs";
+	}
+};
+
+std::vector<enum refusal_cause> refusals(const World &world)
+{
+	std::vector<enum refusal_cause> causes;
+
+	for (const auto &event : world.events) {
+		if (event.kind != EVENT_REFUSE)
+			continue;
+		causes.push_back(event.refuse.refusal.cause);
+		EXPECT_EQ(event.refuse.refusal.outcome, OUTCOME_NOT_RUN);
+	}
+	return causes;
+}
+
+TEST(AdmitTest, Actions)
+{
+	for (const auto &c : admit_cases) {
+		SCOPED_TRACE(c.name);
+		Actor actor;
+		actor.world.list(1);
+		actor.world.accept(make_doc(c.shape));
+		for (const auto &action : c.actions)
+			actor.act(action);
+		const struct service *service = actor.world.service();
+		EXPECT_EQ(service->running_requests, c.running);
+		EXPECT_EQ(service->running_long_requests, c.running_long);
+		EXPECT_EQ(service->waiting_requests, c.waiting);
+		EXPECT_EQ(refusals(actor.world), c.refused);
+	}
+}
+
+TEST(AdmitTest, HigherClassThenEarlierDeadlineGoesFirst)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc({ 1, 1, 0 }));
+	uint64_t now_us = world.now.mono_us;
+	struct grant_event running =
+		world.about(world.request("/s/short"))->grant;
+	uint32_t low = world.request("/s/low", 1, now_us + 300000);
+	uint32_t late = world.request("/s/short", 1, now_us + 900000);
+	uint32_t early = world.request("/s/short", 1, now_us + 500000);
+
+	for (uint32_t next : { early, late, low }) {
+		EXPECT_EQ(world.about(next), nullptr);
+		world.finish(running, ended(EVIDENCE_OK));
+		ASSERT_NE(world.about(next), nullptr);
+		ASSERT_EQ(world.about(next)->kind, EVENT_GRANT);
+		running = world.about(next)->grant;
+	}
+}
+
+TEST(AdmitTest, LowestClassIsNeverStarved)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc({ 1, 1, 0, 64, 60000 }));
+	struct grant_event running =
+		world.about(world.request("/s/short"))->grant;
+	uint32_t low = world.request("/s/low");
+	uint32_t grants = 0;
+
+	for (; !world.about(low) && grants < 40; grants++) {
+		world.request("/s/short");
+		world.finish(running, ended(EVIDENCE_OK));
+		for (const auto &event : world.events) {
+			if (event.kind == EVENT_GRANT)
+				running = event.grant;
+		}
+	}
+	EXPECT_LE(grants, 16u);
+}
+
+TEST(AdmitTest, WhoCannotMakeItIsRefusedAtOnce)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc({ 1, 1, 0, 64, 1000 }));
+	/* Teach it that work takes 100 ms. */
+	for (int i = 0; i < 40; i++) {
+		struct grant_event grant =
+			world.about(world.request("/s/short"))->grant;
+		world.now.mono_us += 100000;
+		world.finish(grant, ended(EVIDENCE_OK, true, 100000));
+	}
+	world.forget();
+	uint32_t refused = 0;
+
+	for (int i = 0; i < 20; i++)
+		world.request("/s/short");
+	refused = world.count(EVENT_REFUSE);
+	/* One runs; at 100 ms each at most ten can end within a second. */
+	EXPECT_GE(refused, 9u);
+	EXPECT_LE(refused, 12u);
+	EXPECT_EQ(world.count_audit(AUDIT_OVERLOAD_BEGUN), 1u);
+	for (auto cause : refusals(world))
+		EXPECT_EQ(cause, REFUSAL_OVERLOAD);
+}
+
+TEST(AdmitTest, LongWorkLeavesWorkersOfTheFront)
+{
+	World world;
+	world.settings.worker_threads = 16;
+	world.state->long_workers_max = 8;
+	world.list(1);
+	world.accept(make_doc({ 1, 3, 0, 64, 60000 }));
+
+	for (int i = 0; i < 12; i++)
+		world.request("/s/long");
+
+	EXPECT_EQ(world.state->long_requests, 8u);
+	EXPECT_EQ(refusals(world),
+		  std::vector<enum refusal_cause>(4, REFUSAL_LONG_SHARE));
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/finish_test.cc
@@ -0,0 +1,191 @@
+/* Outcomes and retries: what follows from the end of an exchange. */
+#include "world.h"
+
+namespace
+{
+
+enum follow_up { COMPLETED, RETRIED, REFUSED, DELIVERED };
+
+struct finish_case {
+	const char *name;
+	const char *path;
+	enum evidence_kind kind;
+	bool request_sent;
+	bool head_given;
+	bool held;
+	uint32_t budget_permille;
+	bool overload;
+	uint64_t left_ms;
+	enum follow_up follow_up;
+	enum refusal_cause cause;
+	enum outcome outcome;
+};
+
+#define ANY REFUSAL_COUNT
+
+const struct finish_case finish_cases[] = {
+	{ "whole answer", "/s/short", EVIDENCE_OK, true, true, false, 5000,
+	  false, 500, COMPLETED, ANY, OUTCOME_COMPLETE },
+	{ "idempotent work is repeated after a reset", "/s/short",
+	  EVIDENCE_RESET, true, false, false, 5000, false, 500, RETRIED, ANY,
+	  OUTCOME_UNKNOWN },
+	{ "non-idempotent work is sent once", "/s/write", EVIDENCE_RESET, true,
+	  false, false, 5000, false, 500, REFUSED, REFUSAL_BACKEND_BROKEN,
+	  OUTCOME_UNKNOWN },
+	{ "non-idempotent work that timed out is unknown", "/s/write",
+	  EVIDENCE_TIMEOUT, true, false, false, 5000, false, 500, REFUSED,
+	  REFUSAL_BACKEND_TIMEOUT, OUTCOME_UNKNOWN },
+	{ "non-idempotent work that was never sent goes elsewhere", "/s/write",
+	  EVIDENCE_CONNECT, false, false, false, 5000, false, 500, RETRIED, ANY,
+	  OUTCOME_NOT_RUN },
+	{ "non-idempotent work that was shed goes elsewhere", "/s/write",
+	  EVIDENCE_SHED, true, false, false, 5000, false, 500, RETRIED, ANY,
+	  OUTCOME_NOT_RUN },
+	{ "no retry without budget; not sent is not run", "/s/write",
+	  EVIDENCE_CONNECT, false, false, false, 0, false, 500, REFUSED,
+	  REFUSAL_CONNECT, OUTCOME_NOT_RUN },
+	{ "no retry without budget; sent is unknown", "/s/short",
+	  EVIDENCE_RESET, true, false, false, 0, false, 500, REFUSED,
+	  REFUSAL_BACKEND_BROKEN, OUTCOME_UNKNOWN },
+	{ "no retry during overload; shed is not run", "/s/short",
+	  EVIDENCE_SHED, true, false, false, 5000, true, 500, REFUSED,
+	  REFUSAL_SHED, OUTCOME_NOT_RUN },
+	{ "no retry after the deadline", "/s/short", EVIDENCE_TIMEOUT, true,
+	  false, false, 5000, false, 0, REFUSED, REFUSAL_BACKEND_TIMEOUT,
+	  OUTCOME_UNKNOWN },
+	{ "server error of idempotent work is repeated", "/s/short",
+	  EVIDENCE_SERVER_ERROR, true, false, true, 5000, false, 500, RETRIED,
+	  ANY, OUTCOME_UNKNOWN },
+	{ "server error without budget is delivered whole", "/s/short",
+	  EVIDENCE_SERVER_ERROR, true, false, true, 0, false, 500, DELIVERED,
+	  ANY, OUTCOME_COMPLETE },
+	{ "server error of other work has been given", "/s/write",
+	  EVIDENCE_SERVER_ERROR, true, true, false, 5000, false, 500, COMPLETED,
+	  ANY, OUTCOME_COMPLETE },
+	{ "an answer that broke after its head is not repeated", "/s/short",
+	  EVIDENCE_TRUNCATED, true, true, false, 5000, false, 500, COMPLETED,
+	  ANY, OUTCOME_UNKNOWN },
+	{ "a bad answer to other work is unknown", "/s/write",
+	  EVIDENCE_BAD_ANSWER, true, false, false, 5000, false, 500, REFUSED,
+	  REFUSAL_BAD_ANSWER, OUTCOME_UNKNOWN },
+};
+
+enum follow_up follow_up_of(const World &world, uint32_t number,
+			    uint32_t grants_before)
+{
+	const struct event *event = world.about(number);
+
+	if (world.count(EVENT_GRANT) > grants_before)
+		return RETRIED;
+	if (event && event->kind == EVENT_REFUSE)
+		return REFUSED;
+	if (event && event->kind == EVENT_DELIVER)
+		return DELIVERED;
+	return COMPLETED;
+}
+
+void run_case(const struct finish_case &c)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc(doc_shape()));
+	world.service()->retry_budget_permille = 0;
+	uint32_t number = world.request(c.path);
+	const struct event *event = world.about(number);
+	ASSERT_TRUE(event && event->kind == EVENT_GRANT);
+	struct grant_event grant = event->grant;
+	struct evidence evidence = ended(c.kind, c.request_sent);
+	evidence.head_given = c.head_given;
+	world.service()->retry_budget_permille = c.budget_permille;
+	world.service()->overload = c.overload;
+	world.now.mono_us = grant.deadline_us - c.left_ms * US_PER_MS;
+	struct service_counters before = world.service()->counters;
+
+	world.finish(grant, evidence, c.held);
+
+	EXPECT_EQ(follow_up_of(world, number, 1), c.follow_up);
+	event = world.about(number);
+	if (c.follow_up == RETRIED) {
+		EXPECT_FALSE(addr_equal(event->grant.backend, grant.backend));
+		EXPECT_NE(event->grant.exchange.generation == 0, true);
+		return;
+	}
+	if (c.follow_up == REFUSED) {
+		EXPECT_EQ(event->refuse.refusal.cause, c.cause);
+		EXPECT_EQ(event->refuse.refusal.outcome, c.outcome);
+	}
+	EXPECT_EQ(
+		world.service()->counters.classes[0].outcome_requests[c.outcome],
+		before.classes[0].outcome_requests[c.outcome] + 1);
+	EXPECT_EQ(world.state->admitted_requests, 0u);
+	EXPECT_EQ(world.service()->running_requests, 0u);
+}
+
+TEST(FinishTest, FollowUps)
+{
+	for (const auto &c : finish_cases) {
+		SCOPED_TRACE(c.name);
+		run_case(c);
+	}
+}
+
+TEST(FinishTest, NotRunNeedsEveryTryProved)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc(doc_shape()));
+	uint32_t number = world.request("/s/short");
+	struct grant_event grant = world.about(number)->grant;
+
+	world.finish(grant, ended(EVIDENCE_RESET, true));
+	grant = world.about(number)->grant;
+	world.service()->retry_budget_permille = 0;
+	world.finish(grant, ended(EVIDENCE_CONNECT, false));
+
+	const struct event *event = world.about(number);
+	ASSERT_EQ(event->kind, EVENT_REFUSE);
+	EXPECT_EQ(event->refuse.refusal.outcome, OUTCOME_UNKNOWN);
+}
+
+TEST(FinishTest, LateEndOfAnEarlierExchangeChangesNothing)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc(doc_shape()));
+	struct grant_event old_grant =
+		world.about(world.request("/s/short"))->grant;
+	world.finish(old_grant, ended(EVIDENCE_OK));
+	uint32_t number = world.request("/s/write");
+	struct grant_event grant = world.about(number)->grant;
+	ASSERT_EQ(grant.exchange.index, old_grant.exchange.index);
+
+	world.finish(old_grant, ended(EVIDENCE_RESET, true));
+
+	EXPECT_EQ(world.service()->running_requests, 1u);
+	EXPECT_EQ(world.about(number)->kind, EVENT_GRANT);
+	world.finish(grant, ended(EVIDENCE_OK));
+	EXPECT_EQ(world.service()->running_requests, 0u);
+}
+
+TEST(FinishTest, CancelOfWaitingAndOfRunning)
+{
+	for (bool running : { true, false }) {
+		SCOPED_TRACE(running);
+		World world;
+		world.list(1);
+		world.accept(make_doc({ 1, running ? 6u : 1u }));
+		if (!running)
+			world.request("/s/short");
+		uint32_t number = world.request("/s/short");
+		struct command command = {};
+		command.kind = COMMAND_CANCEL;
+		command.cancel.request = request_ref(world.requests[number]);
+
+		world.apply(command);
+
+		EXPECT_EQ(world.count(EVENT_CANCEL), running ? 1u : 0u);
+		EXPECT_EQ(world.service()->waiting_requests, 0u);
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/homes_test.cc
@@ -0,0 +1,312 @@
+/* Home sets, shares, leases and entries over several instances' states. */
+#include "world.h"
+
+#include <memory>
+#include <set>
+
+extern "C" {
+#include "query/answer.h"
+#include "query/homes.h"
+}
+
+namespace
+{
+
+struct homes_case {
+	const char *name;
+	uint32_t instances;
+	uint32_t domains;
+	struct doc_shape shape;
+	uint32_t homes;
+};
+
+const struct homes_case homes_cases[] = {
+	{ "Vranic registration", 40, 3, { 20, 6 }, 3 },
+	{ "Vranic gallery", 40, 3, { 10, 6 }, 3 },
+	{ "Huon roster", 36, 4, { 15, 3 }, 4 },
+	{ "Huon lookup", 36, 4, { 10, 3 }, 4 },
+	{ "more slots than one home per domain should hold",
+	  40,
+	  3,
+	  { 64, 6 },
+	  6 },
+	{ "fewer instances than domains", 2, 3, { 20, 6 }, 2 },
+	{ "alone", 1, 3, { 20, 6 }, 1 },
+	{ "a small service is not cut to crumbs", 40, 4, { 2, 4 }, 2 },
+};
+
+std::vector<std::unique_ptr<World>>
+make_fleet(uint32_t instances, uint32_t domains, const struct doc_shape &shape)
+{
+	std::vector<std::unique_ptr<World>> fleet;
+
+	for (uint32_t i = 0; i < instances; i++) {
+		fleet.push_back(std::make_unique<World>(i, domains));
+		fleet.back()->list(instances, domains);
+		fleet.back()->accept(make_doc(shape));
+	}
+	return fleet;
+}
+
+TEST(HomesTest, SharesAddUpAndDomainsAreSpread)
+{
+	for (const auto &c : homes_cases) {
+		SCOPED_TRACE(c.name);
+		auto fleet = make_fleet(c.instances, c.domains, c.shape);
+		std::vector<uint32_t> shares(c.shape.backends, 0);
+		std::vector<uint32_t> long_shares(c.shape.backends, 0);
+		std::set<std::string> domains;
+		uint32_t homes = 0;
+
+		for (const auto &world : fleet) {
+			const struct service *service = world->service();
+
+			EXPECT_EQ(service->home_count, c.homes);
+			for (uint32_t i = 0; i < service->home_count; i++)
+				EXPECT_TRUE(addr_equal(
+					service->homes[i].peer,
+					fleet[0]->service()->homes[i].peer));
+			if (service->self_home >= service->home_count)
+				continue;
+			homes++;
+			domains.insert(world->settings.domain.text);
+			for (uint32_t i = 0; i < c.shape.backends; i++) {
+				shares[i] += service->backends[i].own_slots;
+				long_shares[i] +=
+					service->backends[i].own_long_slots;
+			}
+		}
+		EXPECT_EQ(homes, c.homes);
+		EXPECT_EQ(domains.size(),
+			  std::min({ c.domains, c.homes, c.instances }));
+		for (uint32_t i = 0; i < c.shape.backends; i++) {
+			EXPECT_EQ(shares[i], c.shape.slots);
+			EXPECT_LE(long_shares[i] * 3, c.shape.slots * 2);
+		}
+	}
+}
+
+TEST(HomesTest, SharesShrinkAtOnceAndGrowLater)
+{
+	World world(0, 3);
+	world.list(1, 3);
+	world.accept(make_doc({ 20, 6 }));
+	auto own = [&world] {
+		uint32_t slots = 0;
+		for (uint32_t i = 0; i < 20; i++)
+			slots += world.service()->backends[i].own_slots;
+		return slots;
+	};
+	EXPECT_EQ(own(), 120u);
+
+	world.list(3, 3);
+	EXPECT_LT(own(), 60u);
+	world.list(1, 3);
+	EXPECT_LT(own(), 60u);
+	world.pass_ms(1500);
+	EXPECT_LT(own(), 60u);
+	world.pass_ms(1000);
+	EXPECT_EQ(own(), 120u);
+}
+
+/* Delivers all datagrams between two instances until none is left. */
+void exchange_datagrams(World &a, World &b)
+{
+	for (int round = 0; round < 8; round++) {
+		for (World *from : { &a, &b }) {
+			World *to = from == &a ? &b : &a;
+			std::vector<struct event> sent;
+			sent.swap(from->events);
+			for (auto &event : sent) {
+				if (event.kind != EVENT_PEER_SEND ||
+				    !addr_equal(event.peer_send.to,
+						to->settings.peer_listen)) {
+					from->events.push_back(event);
+					continue;
+				}
+				struct command command = {};
+				command.kind = COMMAND_PEER_MESSAGE;
+				command.peer_message = event.peer_send.message;
+				to->apply(command);
+			}
+		}
+	}
+}
+
+TEST(LeaseTest, UnusedSlotsAreLentAndComeBack)
+{
+	World a(0, 2), b(1, 2);
+	for (World *world : { &a, &b }) {
+		world->list(2, 2);
+		world->accept(make_doc({ 4, 6, 0, 64, 60000 }));
+	}
+	ASSERT_EQ(a.service()->home_count, 2u);
+
+	for (int i = 0; i < 16; i++)
+		a.request("/s/short");
+	uint32_t own = a.service()->running_requests;
+	EXPECT_EQ(own, 12u);
+	exchange_datagrams(a, b);
+	uint32_t lent = a.service()->running_requests - own;
+	EXPECT_GT(lent, 0u);
+	EXPECT_EQ(lent, 4u);
+	uint32_t lent_at_b = 0;
+	for (uint32_t i = 0; i < 4; i++)
+		lent_at_b += b.service()->backends[i].lent_slots;
+	EXPECT_EQ(lent_at_b, lent);
+	/* No slot is used twice: what b still grants leaves the lent ones. */
+	for (int i = 0; i < 16; i++)
+		b.request("/s/short");
+	EXPECT_EQ(b.service()->running_requests, 12u - lent);
+
+	/* The borrower's lease ends before the lender takes the slot back. */
+	uint64_t ends_us = 0;
+	for (const auto &borrowed : a.service()->borrowed)
+		ends_us = std::max(ends_us, borrowed.expires_us);
+	for (const auto &given : b.service()->lent) {
+		EXPECT_TRUE(given.borrower.port == 0 ||
+			    given.expires_us > ends_us);
+	}
+	b.pass_ms(1200);
+	EXPECT_EQ(b.service()->running_requests, 12u);
+}
+
+TEST(LeaseTest, NothingStartsOnALeaseThatEndedDuringAPause)
+{
+	World a(0, 2), b(1, 2);
+	for (World *world : { &a, &b }) {
+		world->list(2, 2);
+		world->accept(make_doc({ 4, 6, 0, 64, 60000 }));
+	}
+	for (int i = 0; i < 16; i++)
+		a.request("/s/short");
+	exchange_datagrams(a, b);
+	struct grant_event on_lease = {};
+	for (const auto &event : a.events) {
+		if (event.kind == EVENT_GRANT &&
+		    event.grant.send_before_us < event.grant.deadline_us)
+			on_lease = event.grant;
+	}
+	ASSERT_NE(on_lease.request, nullptr);
+	for (int i = 0; i < 4; i++)
+		a.request("/s/short");
+	uint32_t running = a.service()->running_requests;
+
+	a.now.mono_us += 5 * US_PER_S;
+	a.finish(on_lease, ended(EVIDENCE_OK));
+
+	EXPECT_EQ(a.service()->running_requests, running - 1);
+}
+
+TEST(LeaseTest, AnInstanceThatIsNoHomeServesOnBorrowedSlots)
+{
+	uint32_t guest = 0;
+	World probe(0, 2);
+	probe.list(4, 2);
+	probe.accept(make_doc({ 4, 6, 0, 64, 60000 }));
+	struct net_addr home = probe.service()->homes[0].peer;
+	while (addr_equal(instance_of(guest, 2).peer, home) ||
+	       addr_equal(instance_of(guest, 2).peer,
+			  probe.service()->homes[1].peer))
+		guest++;
+	World a(guest, 2);
+	a.list(4, 2);
+	a.accept(make_doc({ 4, 6, 0, 64, 60000 }));
+	uint32_t number = a.request("/s/short");
+	EXPECT_EQ(a.about(number), nullptr);
+
+	for (uint32_t i = 0; i < 4; i++) {
+		if (i == guest)
+			continue;
+		World b(i, 2);
+		b.list(4, 2);
+		b.accept(make_doc({ 4, 6, 0, 64, 60000 }));
+		exchange_datagrams(a, b);
+	}
+	ASSERT_NE(a.about(number), nullptr);
+	EXPECT_EQ(a.about(number)->kind, EVENT_GRANT);
+}
+
+struct entries_case {
+	const char *name;
+	const char *caller_domain;
+	bool leaving;
+	bool stepped_back;
+	enum member_status other;
+	uint32_t entries;
+	const char *first_domain;
+};
+
+const struct entries_case entries_cases[] = {
+	{ "all homes", "", false, false, MEMBER_ALIVE, 3, NULL },
+	{ "own failure domain first", "b", false, false, MEMBER_ALIVE, 3, "b" },
+	{ "a leaving instance does not name itself", "", true, false,
+	  MEMBER_ALIVE, 2, NULL },
+	{ "nor one that stepped back", "", false, true, MEMBER_ALIVE, 2, NULL },
+	{ "nor a suspected one", "", false, false, MEMBER_SUSPECT, 2, NULL },
+	{ "nor a dead one", "", false, false, MEMBER_DEAD, 2, NULL },
+	{ "nor one that leaves", "", false, false, MEMBER_LEAVING, 2, NULL },
+};
+
+TEST(EntriesTest, NamesUsableHomes)
+{
+	for (const auto &c : entries_cases) {
+		SCOPED_TRACE(c.name);
+		World world(0, 3);
+		world.list(3, 3);
+		world.accept(make_doc({ 20, 6 }));
+		membership_find(&world.state->membership,
+				instance_of(1, 3).peer)
+			->status = c.other;
+		world.state->leaving = c.leaving;
+		world.state->stepped_back = c.stepped_back;
+		struct query query = {};
+		query.kind = QUERY_ENTRIES;
+		name_set(&query.service, "s");
+		if (c.caller_domain[0])
+			name_set(&query.caller_domain, c.caller_domain);
+		struct query_reply reply;
+
+		query_answer(world.state, &query, world.now, &reply);
+
+		EXPECT_TRUE(reply.entries.known);
+		EXPECT_EQ(reply.entries.entry_count, c.entries);
+		EXPECT_EQ(reply.entries.expires_unix_ms,
+			  world.now.unix_ms + 5000);
+		EXPECT_STREQ(c.first_domain ?
+				     reply.entries.entries[0].domain.text :
+				     "",
+			     c.first_domain ? c.first_domain : "");
+	}
+}
+
+TEST(LeaveTest, WaitsForAnswersGivenAndForWorkInProgress)
+{
+	World world;
+	world.list(1);
+	world.accept(make_doc(doc_shape()));
+	world.pass_ms(100);
+	struct grant_event grant =
+		world.about(world.request("/s/short", 1,
+					  world.now.mono_us + 20 * US_PER_S))
+			->grant;
+	struct command command = {};
+	command.kind = COMMAND_LEAVE;
+
+	world.apply(command);
+	world.pass_ms(5000);
+	/* A caller may still hold an answer that names this instance. */
+	uint32_t late = world.request("/s/short");
+	ASSERT_NE(world.about(late), nullptr);
+	EXPECT_EQ(world.about(late)->kind, EVENT_GRANT);
+	struct grant_event late_grant = world.about(late)->grant;
+	world.finish(late_grant, ended(EVIDENCE_OK));
+	world.pass_ms(3000);
+	EXPECT_EQ(world.count(EVENT_LEFT), 0u);
+	world.finish(grant, ended(EVIDENCE_OK));
+	world.pass_ms(100);
+	EXPECT_EQ(world.count(EVENT_LEFT), 1u);
+	EXPECT_EQ(world.count_audit(AUDIT_LEAVING), 1u);
+}
+
+} // namespace
