Step back from a service whose backend servers are cut off from here

Cause: an instance with most of its paths cut still named itself to callers. Change: service_self_cut() is kept as a state with an audit record for each change; entries leaves such an instance out for that service. Conclusion: it stays a home, so its shares move nowhere for a passing cut.

--- a/src/command/home.c
+++ b/src/command/home.c
@@ -18,6 +18,8 @@
 			   bool first, struct instant now);
 static void full_share(const struct state *state, struct backend *backend,
 		       const struct service *service);
+static void note_cut(struct state *state, struct service *service,
+		     struct instant now, struct event_list *out);
 static void send_digests(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out);
 static uint32_t load_permille(const struct service *service,
@@ -57,6 +59,7 @@
 				service->backends[i].grown_long_slots;
 		}
 	}
+	note_cut(state, service, now, out);
 	if (service->self_home < service->home_count &&
 	    now.mono_us >= service->digest_due_us)
 		send_digests(state, service, now, out);
@@ -186,6 +189,26 @@
 		backend->capacity_slots - (backend->capacity_slots + 2) / 3;
 }
 
+/* Callers shall not be sent where most of the backend servers are cut off. */
+static void note_cut(struct state *state, struct service *service,
+		     struct instant now, struct event_list *out)
+{
+	struct audit_record record = {
+		.kind = AUDIT_STEPPED_BACK,
+		.cause = CAUSE_PATH,
+	};
+	bool cut_off = service_self_cut(service, now);
+
+	if (cut_off == service->cut_off)
+		return;
+	service->cut_off = cut_off;
+	if (!cut_off)
+		record.kind = AUDIT_STEPPED_IN;
+	record.service = service->doc->service;
+	record.subject = state->membership.self.peer;
+	state_audit(state, &record, now, out);
+}
+
 static void send_digests(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out)
 {
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -205,6 +205,7 @@
  * @homes: home set, same order on every instance
  * @home_count: used entries of @homes
  * @self_home: own place in @homes, HOMES_MAX when this is no home
+ * @cut_off: most paths to its backend servers are cut from here alone
  * @grow_at_us: when shares that grow take force, DEADLINE_NONE_US for never
  * @borrowed: slots of other homes
  * @lent: slots given to others
@@ -238,6 +239,7 @@
 	struct home homes[HOMES_MAX];
 	uint32_t home_count;
 	uint32_t self_home;
+	bool cut_off;
 	uint64_t grow_at_us;
 	struct borrowed borrowed[BORROWED_MAX];
 	struct lent lent[LENT_MAX];
--- a/src/query/entries.c
+++ b/src/query/entries.c
@@ -59,7 +59,8 @@
 
 	for (i = 0; i < service->home_count; i++) {
 		home = &service->homes[i];
-		if (!usable(state, home->peer, &instance))
+		if (!usable(state, home->peer, &instance) ||
+		    (i == service->self_home && service->cut_off))
 			continue;
 		busy = home->fresh_until_us > now.mono_us &&
 		       home->load_permille >= BUSY_PERMILLE;
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -232,20 +232,27 @@
 	const char *caller_domain;
 	bool leaving;
 	bool stepped_back;
+	bool cut_off;
 	enum member_status other;
 	uint32_t entries;
 	const char *first_domain;
 };
 
 const struct entries_case entries_cases[] = {
-	{ "all homes", "", false, false, MEMBER_ALIVE, 3, NULL },
-	{ "own failure domain first", "b", false, false, MEMBER_ALIVE, 3, "b" },
-	{ "a leaving instance does not name itself", "", true, false,
+	{ "all homes", "", false, false, false, MEMBER_ALIVE, 3, NULL },
+	{ "own failure domain first", "b", false, false, false, MEMBER_ALIVE, 3,
+	  "b" },
+	{ "a leaving instance does not name itself", "", true, false, false,
 	  MEMBER_ALIVE, 2, NULL },
-	{ "nor one that stepped back", "", false, true, MEMBER_ALIVE, 2, NULL },
-	{ "nor a suspected one", "", false, false, MEMBER_SUSPECT, 2, NULL },
-	{ "nor a dead one", "", false, false, MEMBER_DEAD, 2, NULL },
-	{ "nor one that leaves", "", false, false, MEMBER_LEAVING, 2, NULL },
+	{ "nor one that stepped back", "", false, true, false, MEMBER_ALIVE, 2,
+	  NULL },
+	{ "nor one whose paths to the backend servers are cut", "", false,
+	  false, true, MEMBER_ALIVE, 2, NULL },
+	{ "nor a suspected one", "", false, false, false, MEMBER_SUSPECT, 2,
+	  NULL },
+	{ "nor a dead one", "", false, false, false, MEMBER_DEAD, 2, NULL },
+	{ "nor one that leaves", "", false, false, false, MEMBER_LEAVING, 2,
+	  NULL },
 };
 
 TEST(EntriesTest, NamesUsableHomes)
@@ -260,6 +267,7 @@
 			->status = c.other;
 		world.state->leaving = c.leaving;
 		world.state->stepped_back = c.stepped_back;
+		world.service()->cut_off = c.cut_off;
 		struct query query = {};
 		query.kind = QUERY_ENTRIES;
 		name_set(&query.service, "s");
