Give the version of the platform's lists to their reader

Cause: a long poll needs the version that its last answer had. Change: index_parse() and instances_parse() hand it out. Tests: DocumentJsonTest.*

--- a/src/codec/document_json.h
+++ b/src/codec/document_json.h
@@ -52,13 +52,14 @@
  * instances_parse() - read and check the platform's list of instances
  * @text: the text
  * @text_bytes: its length
+ * @version: the platform's version of the list on success
  * @list: owned array of struct instance_doc on success
  * @error: set on failure
  *
  * Return: whether it is accepted.
  */
-bool instances_parse(const char *text, size_t text_bytes, GArray **list,
-		     GError **error);
+bool instances_parse(const char *text, size_t text_bytes, uint64_t *version,
+		     GArray **list, GError **error);
 
 /**
  * struct index_entry - one document in the platform's index
@@ -74,12 +75,13 @@
  * index_parse() - read and check the platform's index of documents
  * @text: the text
  * @text_bytes: its length
+ * @version: the platform's version of the index on success
  * @list: owned array of struct index_entry on success
  * @error: set on failure
  *
  * Return: whether it is accepted.
  */
-bool index_parse(const char *text, size_t text_bytes, GArray **list,
-		 GError **error);
+bool index_parse(const char *text, size_t text_bytes, uint64_t *version,
+		 GArray **list, GError **error);
 
 #endif
--- a/src/codec/platform_json.c
+++ b/src/codec/platform_json.c
@@ -55,8 +55,8 @@
 static bool read_index_entry(const struct json_place *place, uint32_t index,
 			     void *data, GError **error);
 
-bool instances_parse(const char *text, size_t text_bytes, GArray **list,
-		     GError **error)
+bool instances_parse(const char *text, size_t text_bytes, uint64_t *version,
+		     GArray **list, GError **error)
 {
 	const struct json_list how = {
 		.key = "instances",
@@ -69,12 +69,13 @@
 	if (!read_list("instances", text, text_bytes, &how,
 		       sizeof(struct instance_doc), &out, error))
 		return false;
+	*version = out.version;
 	*list = out.entries;
 	return true;
 }
 
-bool index_parse(const char *text, size_t text_bytes, GArray **list,
-		 GError **error)
+bool index_parse(const char *text, size_t text_bytes, uint64_t *version,
+		 GArray **list, GError **error)
 {
 	const struct json_list how = {
 		.key = "documents",
@@ -87,6 +88,7 @@
 	if (!read_list("index", text, text_bytes, &how,
 		       sizeof(struct index_entry), &out, error))
 		return false;
+	*version = out.version;
 	*list = out.entries;
 	return true;
 }
--- a/test/unit/document_json_test.cc
+++ b/test/unit/document_json_test.cc
@@ -86,6 +86,7 @@
 	struct service_doc *doc;
 	struct settings settings;
 	GArray *list = NULL;
+	uint64_t version = 0;
 	bool ok = false;
 
 	switch (kind) {
@@ -99,10 +100,12 @@
 		service_doc_unref(doc);
 		return ok;
 	case INSTANCES:
-		ok = instances_parse(text.data(), text.size(), &list, error);
+		ok = instances_parse(text.data(), text.size(), &version, &list,
+				     error);
 		break;
 	case INDEX:
-		ok = index_parse(text.data(), text.size(), &list, error);
+		ok = index_parse(text.data(), text.size(), &version, &list,
+				 error);
 		break;
 	}
 	if (ok)
@@ -496,16 +499,17 @@
 
 TEST(DocumentJsonTest, ListsHaveTheirValues)
 {
+	uint64_t version;
 	GArray *list = NULL;
 
 	ASSERT_TRUE(instances_parse(instances_sample, strlen(instances_sample),
-				    &list, NULL));
+				    &version, &list, NULL));
 	ASSERT_EQ(list->len, 2U);
 	EXPECT_EQ(g_array_index(list, struct instance_doc, 1).status,
 		  INSTANCE_LEAVING);
 	g_array_unref(list);
-	ASSERT_TRUE(
-		index_parse(index_sample, strlen(index_sample), &list, NULL));
+	ASSERT_TRUE(index_parse(index_sample, strlen(index_sample), &version,
+				&list, NULL));
 	ASSERT_EQ(list->len, 2U);
 	EXPECT_EQ(g_array_index(list, struct index_entry, 0).version, 3U);
 	g_array_unref(list);
