Let a newcomer learn the list of instances from a peer

Cause: with the platform away a newcomer got documents from peers but no list, and so no home sets. Change: QUERY_INSTANCES answers with the published list; a relayed list counts only while none is known; a pull says whether it wants the list too. An instance without a list no longer takes the reader's role: it reads list and index at its start anyway, and the role follows from the list. Tests: build and unit tests pass.

--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -11,6 +11,9 @@
 #include "command/schedule.h"
 #include "command/tick.h"
 
+static void accept_instances(struct state *state,
+			     const struct accept_instances_command *command,
+			     struct instant now, struct event_list *out);
 static void apply_peer_message(struct state *state,
 			       const struct peer_message *message,
 			       struct instant now, struct event_list *out);
@@ -43,8 +46,7 @@
 		configure_refuse(state, &command->refuse_config, now, out);
 		break;
 	case COMMAND_ACCEPT_INSTANCES:
-		member_accept_list(state, command->accept_instances.list,
-				   command->accept_instances.count, now, out);
+		accept_instances(state, &command->accept_instances, now, out);
 		break;
 	case COMMAND_PEER_MESSAGE:
 		apply_peer_message(state, command->peer_message, now, out);
@@ -66,6 +68,16 @@
 	command_clear(command);
 }
 
+static void accept_instances(struct state *state,
+			     const struct accept_instances_command *command,
+			     struct instant now, struct event_list *out)
+{
+	/* What the platform itself said is never older than a relayed list. */
+	if (command->from_peer && state->membership.list_known)
+		return;
+	member_accept_list(state, command->list, command->count, now, out);
+}
+
 static void apply_peer_message(struct state *state,
 			       const struct peer_message *message,
 			       struct instant now, struct event_list *out)
--- a/src/command/member.c
+++ b/src/command/member.c
@@ -764,12 +764,13 @@
 	for (i = 0; i < message->offer_count; i++)
 		explained |= hear_offer(state, message->sender,
 					&message->offers[i], now, out);
-	if (message->config_digest == membership->config_digest) {
+	if (membership->list_known &&
+	    message->config_digest == membership->config_digest) {
 		membership->list_pulls = 0;
 		membership->list_pull_due_us = 0;
 		return;
 	}
-	if (!explained)
+	if (!explained || !membership->list_known)
 		pull_list(state, message->sender, now, out);
 }
 
@@ -881,6 +882,7 @@
 	if (membership->list_pulls < LIST_PULL_DOUBLINGS_MAX)
 		membership->list_pulls++;
 	event.config_pull.from = sender;
+	event.config_pull.instances = !membership->list_known;
 	event_list_add(out, &event);
 }
 
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -50,6 +50,9 @@
 	case QUERY_OFFERS:
 		g_array_unref(reply->offers);
 		break;
+	case QUERY_INSTANCES:
+		g_array_unref(reply->instances);
+		break;
 	}
 }
 
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -84,10 +84,12 @@
  * struct accept_instances_command - the platform's list of instances
  * @list: owned array
  * @count: entries of @list
+ * @from_peer: a peer relayed it; it counts only while none is known
  */
 struct accept_instances_command {
 	struct instance_doc *list;
 	uint32_t count;
+	bool from_peer;
 };
 
 /**
@@ -154,6 +156,7 @@
 	QUERY_READY,
 	QUERY_DOCUMENT,
 	QUERY_OFFERS,
+	QUERY_INSTANCES,
 };
 
 /**
@@ -222,6 +225,7 @@
  * @records: with QUERY_AUDIT, owned array of struct audit_record
  * @doc: with QUERY_DOCUMENT, carries a reference, NULL when absent
  * @offers: with QUERY_OFFERS, owned array of struct config_offer
+ * @instances: with QUERY_INSTANCES, owned array of struct instance_doc
  */
 struct query_reply {
 	enum query_kind kind;
@@ -233,6 +237,7 @@
 		GArray *records;
 		struct service_doc *doc;
 		GArray *offers;
+		GArray *instances;
 	};
 };
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -93,10 +93,12 @@
  * @from: peer address
  * @offer: what to fetch; an empty key fetches the peer's list of offers and
  *	all that is newer
+ * @instances: the list of instances too, for none is known here
  */
 struct config_pull_event {
 	struct net_addr from;
 	struct config_offer offer;
+	bool instances;
 };
 
 /**
--- a/src/query/answer.c
+++ b/src/query/answer.c
@@ -33,6 +33,9 @@
 	case QUERY_OFFERS:
 		reply->offers = list_offers(state);
 		break;
+	case QUERY_INSTANCES:
+		reply->instances = list_instances(state);
+		break;
 	}
 }
 
--- a/src/query/listing.c
+++ b/src/query/listing.c
@@ -45,6 +45,23 @@
 }
 
 /* A sum, so that the order of the table does not matter. */
+GArray *list_instances(const struct state *state)
+{
+	const struct membership *membership = &state->membership;
+	GArray *out = g_array_new(FALSE, TRUE, sizeof(struct instance_doc));
+	const struct member *member;
+	guint i;
+
+	if (membership->self_listed)
+		g_array_append_val(out, membership->self);
+	for (i = 0; i < membership->members->len; i++) {
+		member = &g_array_index(membership->members, struct member, i);
+		if (member->in_list)
+			g_array_append_val(out, member->listed);
+	}
+	return out;
+}
+
 uint64_t offers_digest(const struct state *state)
 {
 	uint64_t digest = 0;
--- a/src/query/listing.h
+++ b/src/query/listing.h
@@ -47,6 +47,14 @@
  */
 GArray *list_offers(const struct state *state);
 
+/**
+ * list_instances() - the published list as it was last read
+ * @state: only read
+ *
+ * Return: an owned array of struct instance_doc, empty while none is known.
+ */
+GArray *list_instances(const struct state *state);
+
 /**
  * offers_digest() - one hash over all documents held
  * @state: only read
--- a/src/query/readers.c
+++ b/src/query/readers.c
@@ -14,7 +14,7 @@
 	guint i;
 
 	if (!membership->list_known)
-		return true;
+		return false;
 	for (i = 0; i < membership->members->len; i++) {
 		member = &g_array_index(membership->members, struct member, i);
 		if (!may_read(state, member))
--- a/src/query/readers.h
+++ b/src/query/readers.h
@@ -17,7 +17,7 @@
  * @state: only read
  *
  * Return: true when it ranks among the first of its failure domain's live
- * instances, and while no list is known.
+ * instances; never while no list is known.
  */
 bool readers_include_self(const struct state *state);
 
