--- /dev/null
+++ b/src/duty/config_watch.c
@@ -0,0 +1,85 @@
+#include "duty/config_watch.h"
+
+#define LONG_POLL_MS 10000
+#define INDEX_EVERY_US (30 * US_PER_S)
+#define INSTANCES_EVERY_US (5 * US_PER_S)
+#define SAME_VERSION_US US_PER_S
+#define NEXT_READ_US (100 * US_PER_MS)
+#define RETRY_FIRST_US (500 * US_PER_MS)
+#define RETRY_DOUBLINGS_MAX 5
+#define RELAY_GRACE_US (1500 * US_PER_MS)
+
+static uint64_t every_us(enum watch_kind kind);
+static uint64_t jitter(uint64_t span_us, GRand *rand);
+
+bool watch_tried(const struct watch *watch)
+{
+	return watch->known || watch->failures > 0;
+}
+
+uint32_t watch_wait_ms(const struct watch *watch, bool reader)
+{
+	/* The first read wants what there is, not what will change. */
+	if (!reader || !watch->known)
+		return 0;
+	return LONG_POLL_MS;
+}
+
+void watch_answered(struct watch *watch, uint64_t version, bool reader,
+		    GRand *rand, uint64_t now_us)
+{
+	bool same = watch->known && version == watch->after;
+
+	watch->running = false;
+	watch->failures = 0;
+	watch->known = true;
+	watch->after = version;
+	if (!reader) {
+		watch->due_us = now_us + jitter(every_us(watch->kind), rand);
+		return;
+	}
+	/* A platform that does not wait must not be asked without pause. */
+	watch->due_us =
+		watch->began_us + (same ? SAME_VERSION_US : NEXT_READ_US);
+	watch->due_us = MAX(watch->due_us, now_us);
+}
+
+void watch_failed(struct watch *watch, GRand *rand, uint64_t now_us)
+{
+	watch->running = false;
+	watch->failures++;
+	watch->due_us = watch_retry_us(watch->failures, rand, now_us);
+}
+
+uint64_t watch_retry_us(uint32_t failures, GRand *rand, uint64_t now_us)
+{
+	uint32_t doublings = MIN(failures - 1, RETRY_DOUBLINGS_MAX);
+
+	return now_us + jitter(RETRY_FIRST_US << doublings, rand);
+}
+
+uint64_t watch_document_due_us(bool reader, bool alone, GRand *rand,
+			       uint64_t now_us)
+{
+	if (reader || alone)
+		return now_us;
+	return now_us + jitter(RELAY_GRACE_US, rand);
+}
+
+static uint64_t every_us(enum watch_kind kind)
+{
+	switch (kind) {
+	case WATCH_INDEX:
+		return INDEX_EVERY_US;
+	case WATCH_INSTANCES:
+		break;
+	}
+	return INSTANCES_EVERY_US;
+}
+
+/* Return: half of the span up to all of it. */
+static uint64_t jitter(uint64_t span_us, GRand *rand)
+{
+	return span_us / 2 +
+	       (uint64_t)g_rand_int_range(rand, 0, (gint32)(span_us / 2) + 1);
+}
