Serve operators over HTTP, log the audit trail, add the command line

Cause: operators have no way in yet: no log, no status, no audit trail. Errors now show the value as well. After: 11 unit tests and 3 process tests with tables of 18 paths, 8 log events, 25 command lines, 6 samples and 12 broken samples pass. Conclusion: check works on files; status, audit and entries wait for the duties that run needs, which main.c says until they are in.

--- /dev/null
+++ b/src/cli/entries.c
@@ -0,0 +1,46 @@
+#include "cli/entries.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli/fetch.h"
+#include "cli/show.h"
+#include "codec/time_text.h"
+
+#define LIMIT_MS 5000
+
+static void print_entries(struct json_object *answer);
+
+int entries_main(const struct entries_order *order)
+{
+	char *target = g_strdup_printf("/.nutmegcrank/entries?service=%s",
+				       order->service.text);
+	GError *error = NULL;
+	GString *body = fetch(order->addr, target, LIMIT_MS, &error);
+	int status;
+
+	g_free(target);
+	if (!body)
+		return show_error(error);
+	status = show_answer(body, order->json, print_entries);
+	g_string_free(body, TRUE);
+	return status;
+}
+
+static void print_entries(struct json_object *answer)
+{
+	struct json_object *entries = show_member(answer, "entries");
+	char *expires = time_text(
+		json_object_get_uint64(show_member(answer, "expires_unix_ms")));
+	struct json_object *entry;
+	size_t i;
+
+	printf("%s until %s\n", show_text(answer, "service"), expires);
+	g_free(expires);
+	for (i = 0; i < show_count(entries); i++) {
+		entry = json_object_array_get_idx(entries, i);
+		printf("  %s:%s  %s\n", show_text(entry, "ip"),
+		       show_text(entry, "port"),
+		       show_text(entry, "failure_domain"));
+	}
+}
--- /dev/null
+++ b/src/cli/show.c
@@ -0,0 +1,59 @@
+#include "cli/show.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli/fetch.h"
+#include "codec/json_text.h"
+
+int show_answer(const GString *body, bool json, show_printer print)
+{
+	struct json_object *answer;
+	GError *error = NULL;
+
+	answer = json_text_parse("answer", body->str, body->len,
+				 FETCH_MAX_BYTES, &error);
+	if (!answer)
+		return show_error(error);
+	if (json)
+		printf("%s\n", body->str);
+	else
+		print(answer);
+	json_object_put(answer);
+	return fflush(stdout) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int show_error(GError *error)
+{
+	fprintf(stderr, "nutmegcrank: %s\n", error->message);
+	g_error_free(error);
+	return EXIT_FAILURE;
+}
+
+struct json_object *show_member(struct json_object *object, const char *key)
+{
+	struct json_object *member = NULL;
+
+	if (json_object_is_type(object, json_type_object))
+		json_object_object_get_ex(object, key, &member);
+	return member;
+}
+
+const char *show_text(struct json_object *object, const char *key)
+{
+	struct json_object *member = show_member(object, key);
+
+	return member ? json_object_get_string(member) : "-";
+}
+
+bool show_flag(struct json_object *object, const char *key)
+{
+	return json_object_get_boolean(show_member(object, key)) != 0;
+}
+
+size_t show_count(struct json_object *list)
+{
+	if (!json_object_is_type(list, json_type_array))
+		return 0;
+	return json_object_array_length(list);
+}
--- /dev/null
+++ b/src/cli/show.h
@@ -0,0 +1,72 @@
+#ifndef CLI_SHOW_H
+#define CLI_SHOW_H
+
+/**
+ * DOC: an instance's JSON answers on the terminal
+ */
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "core/units.h"
+
+/**
+ * show_printer() - writes an answer for people
+ * @answer: the answer
+ */
+typedef void (*show_printer)(struct json_object *answer);
+
+/**
+ * show_answer() - write an answer to stdout
+ * @body: JSON text as it came
+ * @json: write it as it came
+ * @print: writes it for people otherwise
+ *
+ * Return: exit status.
+ */
+int show_answer(const GString *body, bool json, show_printer print);
+
+/**
+ * show_error() - write an error to stderr and free it
+ * @error: the error
+ *
+ * Return: exit status of a failure.
+ */
+int show_error(GError *error);
+
+/**
+ * show_member() - find a member of an object
+ * @object: the object
+ * @key: the member
+ *
+ * Return: the member, still owned by @object, or NULL.
+ */
+struct json_object *show_member(struct json_object *object, const char *key);
+
+/**
+ * show_text() - a member as text
+ * @object: the object
+ * @key: the member
+ *
+ * Return: text that lives as long as @object; "-" when there is none.
+ */
+const char *show_text(struct json_object *object, const char *key);
+
+/**
+ * show_flag() - a member as a flag
+ * @object: the object
+ * @key: the member
+ *
+ * Return: whether it is true.
+ */
+bool show_flag(struct json_object *object, const char *key);
+
+/**
+ * show_count() - entries of a list
+ * @list: the list, or NULL
+ *
+ * Return: the number.
+ */
+size_t show_count(struct json_object *list);
+
+#endif
--- /dev/null
+++ b/src/cli/status.c
@@ -0,0 +1,114 @@
+#include "cli/status.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "cli/fetch.h"
+#include "cli/show.h"
+
+#define LIMIT_MS 5000
+
+static void print_status(struct json_object *answer);
+static void print_service(struct json_object *service);
+static void print_backend(struct json_object *backend);
+static const char *state_text(struct json_object *backend);
+static void print_member(struct json_object *member);
+
+int status_main(const struct status_order *order)
+{
+	char *target = g_strdup("/status");
+	GError *error = NULL;
+	GString *body;
+	int status;
+
+	if (order->service.text[0]) {
+		g_free(target);
+		target = g_strdup_printf("/status?service=%s",
+					 order->service.text);
+	}
+	body = fetch(order->addr, target, LIMIT_MS, &error);
+	g_free(target);
+	if (!body)
+		return show_error(error);
+	status = show_answer(body, order->json, print_status);
+	g_string_free(body, TRUE);
+	return status;
+}
+
+static void print_status(struct json_object *answer)
+{
+	struct json_object *services = show_member(answer, "services");
+	struct json_object *members = show_member(answer, "instances");
+	size_t i;
+
+	printf("instance %s in failure domain %s: %s%s, platform %s%s\n",
+	       show_text(answer, "instance"),
+	       show_text(answer, "failure_domain"),
+	       show_flag(answer, "ready") ? "ready" : "not ready",
+	       show_flag(answer, "leaving") ? ", leaving" : "",
+	       show_flag(answer, "platform_reachable") ? "reachable" :
+							 "unreachable",
+	       show_flag(answer, "config_reader") ? ", reads it for others" :
+						    "");
+	for (i = 0; i < show_count(services); i++)
+		print_service(json_object_array_get_idx(services, i));
+	printf("\n%-21s %-21s %-12s %-8s %s\n", "INSTANCE", "CALLERS", "DOMAIN",
+	       "STATUS", "LISTED");
+	for (i = 0; i < show_count(members); i++)
+		print_member(json_object_array_get_idx(members, i));
+}
+
+static void print_service(struct json_object *service)
+{
+	struct json_object *backends = show_member(service, "backends");
+	struct json_object *homes = show_member(service, "homes");
+	size_t i;
+
+	printf("\n%s version %s: %s, %zu homes%s, %s waiting, %s running, "
+	       "%s slots in service, floor %s\n",
+	       show_text(service, "service"), show_text(service, "version"),
+	       show_flag(service, "home") ? "home" : "no home",
+	       show_count(homes),
+	       show_flag(service, "overload") ? ", overload" : "",
+	       show_text(service, "waiting_requests"),
+	       show_text(service, "running_requests"),
+	       show_text(service, "in_service_slots"),
+	       show_text(service, "floor_slots"));
+	printf("  %-21s %-12s %-10s %-14s %5s %4s %4s %4s %6s %6s %6s\n",
+	       "BACKEND", "DOMAIN", "STATE", "CAUSE", "SLOTS", "OWN", "USED",
+	       "LENT", "OK", "FAILED", "SLOW");
+	for (i = 0; i < show_count(backends); i++)
+		print_backend(json_object_array_get_idx(backends, i));
+}
+
+static void print_backend(struct json_object *backend)
+{
+	printf("  %-21s %-12s %-10s %-14s %5s %4s %4s %4s %6s %6s %6s\n",
+	       show_text(backend, "backend"),
+	       show_text(backend, "failure_domain"), state_text(backend),
+	       show_text(backend, "cause"), show_text(backend, "slots"),
+	       show_text(backend, "own_slots"),
+	       show_text(backend, "in_use_slots"),
+	       show_text(backend, "lent_slots"),
+	       show_text(backend, "ok_requests"),
+	       show_text(backend, "failed_requests"),
+	       show_text(backend, "slow_requests"));
+}
+
+/* A drain outweighs health: there is no new work in either case. */
+static const char *state_text(struct json_object *backend)
+{
+	if (show_flag(backend, "draining"))
+		return "draining";
+	if (show_flag(backend, "cold"))
+		return "cold";
+	return show_text(backend, "state");
+}
+
+static void print_member(struct json_object *member)
+{
+	printf("%-21s %-21s %-12s %-8s %s\n", show_text(member, "peer"),
+	       show_text(member, "caller"), show_text(member, "failure_domain"),
+	       show_text(member, "status"),
+	       show_flag(member, "in_list") ? "yes" : "no");
+}
--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -241,7 +241,8 @@
 	for (i = 0; i < index; i++) {
 		if (name_equal(&doc->hosts[i], host))
 			return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE,
-					 error, "host stands twice; keep one");
+					 error, "%s stands twice; keep one",
+					 host->text);
 	}
 	doc->host_count = index + 1;
 	return true;
@@ -261,7 +262,8 @@
 		if (name_equal(&doc->classes[i].name, &class_doc->name))
 			return json_fail(place, "name",
 					 SETTINGS_ERROR_DUPLICATE, error,
-					 "class stands twice; rename one");
+					 "%s stands twice; rename one",
+					 class_doc->name.text);
 	}
 	doc->class_count = index + 1;
 	return true;
@@ -335,8 +337,9 @@
 	}
 	if (!text || i == METHOD_COUNT)
 		return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-				 "no method; write GET, HEAD, OPTIONS, POST, "
-				 "PUT, PATCH or DELETE");
+				 "%.16s is no method; write GET, HEAD, "
+				 "OPTIONS, POST, PUT, PATCH or DELETE",
+				 text ? text : "this value");
 	if (route->method_mask & 1U << i)
 		return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE, error,
 				 "method stands twice; keep one");
--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -8,6 +8,8 @@
 #define IP_CLASS_D UINT32_C(0xe0000000)
 /* 0.0.0.0 to 0.255.255.255 names no machine. */
 #define IP_THIS_NETWORK_LAST UINT32_C(0x00ffffff)
+/* Longer values are cut in an error. */
+#define SHOWN_BYTES_MAX 64
 
 static bool read_field(const struct json_place *place,
 		       const struct json_field *field, void *out,
@@ -37,6 +39,10 @@
 		      char *path, GError **error);
 static bool read_token(const struct json_place *place, const char *text,
 		       char *token, GError **error);
+static bool fail_text(const struct json_place *place, const char *text,
+		      GError **error, const char *format, ...)
+	G_GNUC_PRINTF(4, 5);
+static char *quote(const char *text);
 static bool path_char(char c);
 static bool one_machine(uint32_t ip);
 static bool expect(const struct json_place *place, enum json_type type,
@@ -319,8 +325,8 @@
 	for (i = 0; i < choices->count; i++)
 		g_string_append_printf(words, "%s%s", i > 0 ? ", " : "",
 				       choices->list[i].word);
-	json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-		  "unknown word; write one of %s", words->str);
+	fail_text(place, text, error, "is unknown; write one of %s",
+		  words->str);
 	g_string_free(words, TRUE);
 	return false;
 }
@@ -361,8 +367,8 @@
 {
 	if (name_set(name, text))
 		return true;
-	return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-			 "no name; write 1 to %d letters, digits, '-', '_' "
+	return fail_text(place, text, error,
+			 "is no name; write 1 to %d letters, digits, '-', '_' "
 			 "and '.'",
 			 NAME_BYTES_MAX - 1);
 }
@@ -372,8 +378,8 @@
 {
 	if (addr_ip_parse(text, ip) && one_machine(*ip))
 		return true;
-	return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-			 "no IPv4 address of one machine; write it as "
+	return fail_text(place, text, error,
+			 "is no IPv4 address of one machine; write it as "
 			 "192.0.2.1");
 }
 
@@ -382,8 +388,8 @@
 {
 	if (addr_parse(text, addr) && one_machine(addr->ip))
 		return true;
-	return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-			 "no IPv4 address of one machine with a port; write "
+	return fail_text(place, text, error,
+			 "is no IPv4 address of one machine with a port; write "
 			 "it as 192.0.2.1:8080");
 }
 
@@ -394,18 +400,18 @@
 	size_t i;
 
 	if (text[0] != '/' || length >= PATH_BYTES_MAX)
-		return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-				 "no path; begin with / and stay below %d "
+		return fail_text(place, text, error,
+				 "is no path; begin with / and stay below %d "
 				 "bytes",
 				 PATH_BYTES_MAX);
 	for (i = 0; i < length; i++) {
 		if (!path_char(text[i]))
-			return json_fail(place, NULL, SETTINGS_ERROR_RANGE,
-					 error,
-					 "byte %zu cannot stand in a path; "
-					 "leave out query and fragment and "
-					 "write it percent-encoded",
-					 i);
+			return fail_text(
+				place, text, error,
+				"has byte %zu, which cannot stand in a path; "
+				"leave out query and fragment and "
+				"write it percent-encoded",
+				i);
 	}
 	memcpy(path, text, length + 1);
 	return true;
@@ -418,22 +424,54 @@
 	size_t i;
 
 	if (length == 0 || length >= NAME_BYTES_MAX)
-		return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
-				 "%zu bytes; write 1 to %d", length,
+		return fail_text(place, text, error,
+				 "has %zu bytes; write 1 to %d", length,
 				 NAME_BYTES_MAX - 1);
 	for (i = 0; i < length; i++) {
 		if (!g_ascii_isalnum(text[i]) &&
 		    !strchr("!#$%&'*+-.^_`|~", text[i]))
-			return json_fail(place, NULL, SETTINGS_ERROR_RANGE,
-					 error,
-					 "byte %zu cannot stand in a header "
-					 "token; use letters, digits and '-'",
-					 i);
+			return fail_text(
+				place, text, error,
+				"has byte %zu, which cannot stand in a header token; use letters, digits and '-'",
+				i);
 	}
 	memcpy(token, text, length + 1);
 	return true;
 }
 
+/* An error that shows the text in quotes before its reason. */
+static bool fail_text(const struct json_place *place, const char *text,
+		      GError **error, const char *format, ...)
+{
+	char *quoted = quote(text);
+	va_list args;
+	char *reason;
+
+	va_start(args, format);
+	reason = g_strdup_vprintf(format, args);
+	va_end(args);
+	json_fail(place, NULL, SETTINGS_ERROR_RANGE, error, "%s %s", quoted,
+		  reason);
+	g_free(reason);
+	g_free(quoted);
+	return false;
+}
+
+/* Escaped, so that it stays on one line, and cut. */
+static char *quote(const char *text)
+{
+	char *escaped = g_strescape(text, NULL);
+	char *quoted;
+
+	if (strlen(escaped) > SHOWN_BYTES_MAX)
+		quoted = g_strdup_printf("\"%.*s...\"", SHOWN_BYTES_MAX,
+					 escaped);
+	else
+		quoted = g_strdup_printf("\"%s\"", escaped);
+	g_free(escaped);
+	return quoted;
+}
+
 static bool path_char(char c)
 {
 	return g_ascii_isalnum(c) || (c && strchr("-._~!$&'()*+,;=:@%/", c));
@@ -450,7 +488,9 @@
 	if (json_object_is_type(place->value, type))
 		return true;
 	return json_fail(place, NULL, SETTINGS_ERROR_TYPE, error,
-			 "wrong kind of value; write %s", what);
+			 "%s of the wrong kind; write %s",
+			 json_type_to_name(json_object_get_type(place->value)),
+			 what);
 }
 
 static const struct json_field *find_field(const struct field_table *table,
--- a/src/codec/report_text.c
+++ b/src/codec/report_text.c
@@ -3,6 +3,8 @@
 
 #include <json-c/json.h>
 
+#include "codec/time_text.h"
+
 static struct json_object *service_json(const struct service_report *service);
 static struct json_object *backend_json(const struct backend_report *backend);
 static struct json_object *member_json(const struct member_report *member);
@@ -98,6 +100,16 @@
 	return take_text(out);
 }
 
+char *ready_to_json(const struct ready_reply *reply)
+{
+	struct json_object *out = json_object_new_object();
+
+	add_flag(out, "ready", reply->ready);
+	add_flag(out, "leaving", reply->leaving);
+	add_flag(out, "idle", reply->idle);
+	return take_text(out);
+}
+
 char *refusal_to_json(const struct refusal *refusal)
 {
 	struct json_object *out = json_object_new_object();
@@ -304,19 +316,12 @@
 	add_text(out, key, addr_format(addr, text));
 }
 
-/* UTC with milliseconds, as in 2026-05-04T10:03:00.250Z. */
 static void add_time(struct json_object *out, const char *key, uint64_t unix_ms)
 {
-	gint64 unix_s = (gint64)MIN(unix_ms / MS_PER_S, UINT32_MAX);
-	GDateTime *time = g_date_time_new_from_unix_utc(unix_s);
-	char *seconds = g_date_time_format(time, "%Y-%m-%dT%H:%M:%S");
-	char *text = g_strdup_printf("%s.%03uZ", seconds,
-				     (uint32_t)(unix_ms % MS_PER_S));
+	char *text = time_text(unix_ms);
 
 	add_text(out, key, text);
 	g_free(text);
-	g_free(seconds);
-	g_date_time_unref(time);
 }
 
 static char *take_text(struct json_object *object)
--- a/src/codec/report_text.h
+++ b/src/codec/report_text.h
@@ -42,6 +42,14 @@
 char *entries_to_json(const struct name *service,
 		      const struct entries_reply *reply);
 
+/**
+ * ready_to_json() - write whether callers should come
+ * @reply: the answer
+ *
+ * Return: owned JSON text.
+ */
+char *ready_to_json(const struct ready_reply *reply);
+
 /**
  * refusal_to_json() - write a refusal's body
  * @refusal: the refusal
--- /dev/null
+++ b/test/unit/operator_duty_test.cc
@@ -0,0 +1,319 @@
+/* The operator duty over HTTP, with a thread in the place of dispatch. */
+#include <curl/curl.h>
+#include <gtest/gtest.h>
+
+#include <string>
+#include <thread>
+
+extern "C" {
+#include "cli/fetch.h"
+#include "core/clock.h"
+#include "core/report.h"
+#include "duty/audit.h"
+#include "duty/operator.h"
+}
+
+namespace
+{
+
+const uint32_t LIMIT_MS = 5000;
+const uint32_t RECORDS_AT_START = 2;
+
+/* Answers queries from canned values, or none at all when it is mute. */
+class fake_dispatch {
+    public:
+	struct ring *ring;
+	gint records = RECORDS_AT_START;
+	gint ready = TRUE;
+
+	explicit fake_dispatch(bool mute)
+	    : ring(ring_new(sizeof(struct message), 64, 0))
+	{
+		if (!mute)
+			thread = std::thread([this] { serve(); });
+	}
+
+	~fake_dispatch()
+	{
+		struct message message;
+
+		ring_close(ring);
+		if (thread.joinable())
+			thread.join();
+		while (ring_pop(ring, &message, 0) == RING_OK)
+			query_port_unref(message.query.reply);
+		ring_free(ring);
+	}
+
+    private:
+	std::thread thread;
+
+	void serve()
+	{
+		struct message message;
+
+		while (ring_pop(ring, &message, DEADLINE_NONE_US) == RING_OK) {
+			struct query *query = &message.query;
+			struct query_reply reply = {};
+
+			reply.kind = query->kind;
+			fill(*query, &reply);
+			if (ring_push(query->reply->ring, &reply) != RING_OK)
+				query_reply_clear(&reply);
+			query_port_unref(query->reply);
+		}
+	}
+
+	void fill(const struct query &query, struct query_reply *reply)
+	{
+		switch (query.kind) {
+		case QUERY_STATUS:
+			reply->status = g_new0(struct status_report, 1);
+			if (strcmp(query.service.text, "absent") == 0)
+				break;
+			reply->status->service_count = 1;
+			reply->status->services =
+				g_new0(struct service_report, 1);
+			break;
+		case QUERY_METRICS:
+			reply->metrics = g_new0(struct metrics_report, 1);
+			break;
+		case QUERY_AUDIT:
+			fill_audit(query.since_sequence, reply);
+			break;
+		case QUERY_READY:
+			reply->ready.ready = g_atomic_int_get(&ready);
+			break;
+		case QUERY_ENTRIES:
+		case QUERY_DOCUMENT:
+		case QUERY_OFFERS:
+			ADD_FAILURE();
+			break;
+		}
+	}
+
+	void fill_audit(uint64_t since, struct query_reply *reply)
+	{
+		struct audit_record record = {};
+		uint64_t last = (uint64_t)g_atomic_int_get(&records);
+
+		reply->records =
+			g_array_new(FALSE, FALSE, sizeof(struct audit_record));
+		for (uint64_t i = since + 1; i <= last; i++) {
+			record.sequence = i;
+			g_array_append_val(reply->records, record);
+		}
+	}
+};
+
+/* The duty on a port that the test finds free. */
+class operator_under_test {
+    public:
+	fake_dispatch dispatch;
+	struct settings settings = {};
+	struct operator_duty *duty = NULL;
+
+	explicit operator_under_test(bool mute = false) : dispatch(mute)
+	{
+		GError *error = NULL;
+
+		settings.operator_listen.ip = 0x7f000001;
+		for (uint16_t port = 11000; !duty && port < 11900; port++) {
+			settings.operator_listen.port = port;
+			duty = operator_start(&settings, dispatch.ring, &error);
+			g_clear_error(&error);
+		}
+		EXPECT_NE(duty, nullptr);
+	}
+
+	~operator_under_test()
+	{
+		operator_stop(duty);
+	}
+
+	/* The body of an answer with status 200, else the error's text. */
+	std::string get(const char *target)
+	{
+		GError *error = NULL;
+		GString *body = fetch(settings.operator_listen, target,
+				      LIMIT_MS, &error);
+		std::string text = body ? body->str : error->message;
+
+		if (body)
+			g_string_free(body, TRUE);
+		g_clear_error(&error);
+		return text;
+	}
+};
+
+struct target_case {
+	const char *target;
+	const char *part;
+};
+
+const struct target_case target_cases[] = {
+	{ "/status", "\"services\":[{" },
+	{ "/status?service=gallery", "\"services\":[{" },
+	{ "/status?service=absent", "status 404" },
+	{ "/status?service=a%20b", "status 400" },
+	{ "/status?service=", "status 400" },
+	{ "/audit", "{\"sequence\":1," },
+	{ "/audit?since=1", "{\"sequence\":2," },
+	{ "/audit?since=x", "status 400" },
+	{ "/audit?since=-1", "status 400" },
+	{ "/audit?since=9999999999999999", "status 400" },
+	{ "/audit?since=0&wait_ms=30001", "status 400" },
+	{ "/audit?since=1&wait_ms=1000", "{\"sequence\":2," },
+	{ "/metrics", "nutmegcrank_audit_records_total 0" },
+	{ "/ready", "{\"ready\":true" },
+	{ "/live", "{\"ready\":true" },
+	{ "/", "status 404" },
+	{ "/statusx", "status 404" },
+	{ "/../status", "\"services\":[{" },
+};
+
+/* The server's stop takes seconds, so tests that can share one do. */
+class OperatorDutySharedTest : public testing::Test {
+    protected:
+	static operator_under_test *op;
+
+	static void SetUpTestSuite()
+	{
+		op = new operator_under_test();
+	}
+
+	static void TearDownTestSuite()
+	{
+		delete op;
+	}
+};
+
+operator_under_test *OperatorDutySharedTest::op;
+
+TEST_F(OperatorDutySharedTest, AnswersEachPath)
+{
+	for (const auto &c : target_cases) {
+		std::string text = op->get(c.target);
+
+		EXPECT_NE(text.find(c.part), std::string::npos)
+			<< c.target << ": " << text;
+	}
+}
+
+TEST_F(OperatorDutySharedTest, ReadyAndLiveDiffer)
+{
+	g_atomic_int_set(&op->dispatch.ready, FALSE);
+	EXPECT_NE(op->get("/ready").find("status 503"), std::string::npos);
+	EXPECT_NE(op->get("/live").find("{\"ready\":false"), std::string::npos);
+	g_atomic_int_set(&op->dispatch.ready, TRUE);
+}
+
+TEST(OperatorDutyTest, AMuteDispatchIsNotLive)
+{
+	operator_under_test op(true);
+	const char *const targets[] = { "/live", "/ready", "/status",
+					"/metrics", "/audit" };
+
+	std::vector<std::thread> askers;
+
+	for (const char *target : targets)
+		askers.emplace_back([&op, target] {
+			EXPECT_NE(op.get(target).find("status 503"),
+				  std::string::npos)
+				<< target;
+		});
+	for (auto &asker : askers)
+		asker.join();
+}
+
+TEST_F(OperatorDutySharedTest, FollowAnswersOnceThereAreRecords)
+{
+	std::string text;
+	std::thread follower(
+		[&] { text = op->get("/audit?since=2&wait_ms=4000"); });
+
+	g_atomic_int_inc(&op->dispatch.records);
+	follower.join();
+	EXPECT_EQ(text.find("{\"sequence\":3,"), 0U) << text;
+}
+
+TEST_F(OperatorDutySharedTest, FollowEndsEmptyAtItsDeadline)
+{
+	uint64_t began_us = clock_now_us();
+
+	EXPECT_EQ(op->get("/audit?since=9&wait_ms=300"), "");
+	EXPECT_GE(clock_now_us(), began_us + 300 * US_PER_MS);
+}
+
+TEST(OperatorDutyTest, StopEndsAFollower)
+{
+	operator_under_test op;
+	std::string text = "none";
+	std::thread follower(
+		[&] { text = op.get("/audit?since=2&wait_ms=30000"); });
+	uint64_t began_us = clock_now_us();
+
+	/* Whether the wait had begun or not, the stop must not wait for it. */
+	operator_stop(op.duty);
+	op.duty = NULL;
+	follower.join();
+	EXPECT_LT(clock_now_us(), began_us + 5 * US_PER_S);
+}
+
+TEST_F(OperatorDutySharedTest, ATakenAddressIsATypedError)
+{
+	GError *error = NULL;
+
+	EXPECT_EQ(operator_start(&op->settings, op->dispatch.ring, &error),
+		  nullptr);
+	ASSERT_NE(error, nullptr);
+	EXPECT_TRUE(g_error_matches(error, DUTY_ERROR, DUTY_ERROR_LISTEN));
+	g_error_free(error);
+}
+
+/* Records of the log, in order. */
+GLogWriterOutput keep_record(GLogLevelFlags level, const GLogField *fields,
+			     gsize count, gpointer data)
+{
+	std::vector<std::string> *kept = (std::vector<std::string> *)data;
+
+	(void)level;
+	for (gsize i = 0; i < count; i++) {
+		if (strcmp(fields[i].key, "NUTMEGCRANK_AUDIT") == 0)
+			kept->push_back((const char *)fields[i].value);
+	}
+	return G_LOG_WRITER_HANDLED;
+}
+
+std::vector<std::string> *kept_records()
+{
+	static std::vector<std::string> kept;
+
+	return &kept;
+}
+
+TEST(AuditDutyTest, LogsEveryRecordBeforeItStops)
+{
+	struct settings settings = {};
+	struct ring *ring = ring_new(sizeof(struct message), 1, 0);
+	struct audit_record record = {};
+	const uint64_t count = 500;
+
+	g_log_set_writer_func(keep_record, kept_records(), NULL);
+	struct audit_duty *duty = audit_start(&settings, ring, NULL);
+	ASSERT_NE(duty, nullptr);
+	for (uint64_t i = 1; i <= count; i++) {
+		record.sequence = i;
+		EXPECT_EQ(audit_send(duty, &record), RING_OK);
+	}
+	audit_stop(duty);
+	ASSERT_EQ(kept_records()->size(), count);
+	for (uint64_t i = 1; i <= count; i++) {
+		std::string head = "{\"sequence\":" + std::to_string(i) + ",";
+
+		EXPECT_EQ(kept_records()->at(i - 1).find(head), 0U);
+	}
+	ring_free(ring);
+}
+
+} // namespace
