Tell in a request that its answer waits for room

Cause: an exchange that finds the answer ring full pauses its transfer and must hear when the front has taken a part. Change: a flag in struct request, set by the exchange, taken back by whoever orders the resumption. Conclusion: one order for each pause instead of one for each part.

--- a/src/core/request.h
+++ b/src/core/request.h
@@ -129,6 +129,8 @@
  * struct request - one caller's request, shared by reference count
  * @refs: reference count, atomic
  * @caller_gone: set by the front when the caller is known to be gone, atomic
+ * @answer_paused: set by the exchange when it waits for room in @answer, taken
+ *	back by whoever sends ORDER_RESUME, atomic
  * @method: request method
  * @target: path and query as sent
  * @headers: end-to-end headers only
@@ -139,6 +141,7 @@
 struct request {
 	gint refs;
 	gint caller_gone;
+	gint answer_paused;
 	enum http_method method;
 	char *target;
 	struct header headers[REQUEST_HEADERS_MAX];
