Read callers' requests and backend servers' answers strictly

Cause: what two HTTP readers could take for two messages lets one caller's bytes become another's request or answer. Change: http_request refuses double or malformed framing, hosts, deadlines, and paths with dot segments in any coding (a path could pass for an idempotent route here and be served as another one there); http_answer takes only answers whose own framing proves their end; both strip hop-by-hop fields and our own. Conclusion: CivetWeb's and libcurl's types stay out of the checks.

--- /dev/null
+++ b/src/codec/http_answer.c
@@ -0,0 +1,338 @@
+#include "codec/http_answer.h"
+
+#include <inttypes.h>
+
+#include <string.h>
+#include <strings.h>
+
+#define STATUS_MIN 100
+#define STATUS_SWITCHING 101
+#define STATUS_FINAL_MIN 200
+#define STATUS_MAX 599
+#define STATUS_NO_CONTENT 204
+#define STATUS_NOT_MODIFIED 304
+
+static bool status_line(struct http_answer_reader *reader, const char *line);
+static bool field_line(struct http_answer_reader *reader, char *line);
+static bool note_field(struct http_answer_reader *reader,
+		       const struct http_field *field);
+static bool note_length(struct http_answer_reader *reader, const char *value);
+static void note_connection(struct http_answer_reader *reader,
+			    const char *value);
+static bool end_head(struct http_answer_reader *reader);
+static enum http_framing framing_of(const struct http_answer_reader *reader);
+static void drop_hop_fields(struct http_answer_reader *reader);
+static void restart(struct http_answer_reader *reader);
+static const char *reason_text(uint32_t status);
+
+void http_answer_reader_init(struct http_answer_reader *reader,
+			     enum http_method method, uint64_t head_max_bytes)
+{
+	memset(reader, 0, sizeof(*reader));
+	reader->method = method;
+	reader->head_max_bytes = head_max_bytes;
+	restart(reader);
+}
+
+void http_answer_reader_clear(struct http_answer_reader *reader)
+{
+	g_clear_pointer(&reader->head, answer_head_free);
+	g_clear_pointer(&reader->connection, g_free);
+}
+
+bool http_answer_line(struct http_answer_reader *reader, const char *line,
+		      size_t line_bytes)
+{
+	char *text;
+	bool valid;
+
+	if (reader->complete)
+		return true;
+	reader->head_bytes += line_bytes;
+	if (reader->head_bytes > reader->head_max_bytes ||
+	    memchr(line, '\0', line_bytes))
+		return false;
+	if (line_bytes > 0 && line[line_bytes - 1] == '\n')
+		line_bytes--;
+	if (line_bytes > 0 && line[line_bytes - 1] == '\r')
+		line_bytes--;
+	text = g_strndup(line, line_bytes);
+	if (!reader->status_read)
+		valid = status_line(reader, text);
+	else if (text[0] == '\0')
+		valid = end_head(reader);
+	else
+		valid = field_line(reader, text);
+	g_free(text);
+	return valid;
+}
+
+bool http_answer_marked(const struct answer_head *head,
+			const struct marker_doc *marker)
+{
+	uint32_t i;
+
+	if (marker->header[0] == '\0')
+		return false;
+	for (i = 0; i < head->header_count; i++) {
+		if (strcasecmp(head->headers[i].name, marker->header) == 0 &&
+		    strcasecmp(head->headers[i].value, marker->value) == 0)
+			return true;
+	}
+	return false;
+}
+
+GString *http_answer_text(const struct answer_head *head, const char *reason,
+			  enum http_framing framing, uint64_t body_bytes,
+			  bool close)
+{
+	GString *text = g_string_new(NULL);
+	uint32_t i;
+
+	g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", head->status,
+			       reason);
+	for (i = 0; i < head->header_count; i++)
+		g_string_append_printf(text, "%s: %s\r\n",
+				       head->headers[i].name,
+				       head->headers[i].value);
+	g_string_append_printf(text, HTTP_OUTCOME_FIELD ": %s\r\n",
+			       outcome_text(OUTCOME_COMPLETE));
+	switch (framing) {
+	case FRAMING_LENGTH:
+		g_string_append_printf(text, "Content-Length: %" PRIu64 "\r\n",
+				       body_bytes);
+		break;
+	case FRAMING_CHUNKED:
+		g_string_append(text, "Transfer-Encoding: chunked\r\n");
+		break;
+	case FRAMING_NONE:
+	case FRAMING_UNPROVED:
+		break;
+	}
+	g_string_append_printf(text, "Connection: %s\r\n\r\n",
+			       close ? "close" : "keep-alive");
+	return text;
+}
+
+GString *http_json_text(uint32_t status, const char *json, enum outcome outcome,
+			uint64_t retry_after_s, bool with_body, bool close)
+{
+	GString *text = g_string_new(NULL);
+
+	g_string_append_printf(text,
+			       "HTTP/1.1 %u %s\r\n"
+			       "Content-Type: application/json\r\n"
+			       "Cache-Control: no-store\r\n"
+			       "Content-Length: %zu\r\n" HTTP_OUTCOME_FIELD
+			       ": %s\r\n",
+			       status, reason_text(status), strlen(json),
+			       outcome_text(outcome));
+	if (retry_after_s > 0)
+		g_string_append_printf(text, "Retry-After: %" PRIu64 "\r\n",
+				       retry_after_s);
+	g_string_append_printf(text, "Connection: %s\r\n\r\n",
+			       close ? "close" : "keep-alive");
+	if (with_body)
+		g_string_append(text, json);
+	return text;
+}
+
+uint32_t http_refusal_status(enum refusal_cause cause)
+{
+	switch (cause) {
+	case REFUSAL_BAD_REQUEST:
+		return 400;
+	case REFUSAL_TOO_LARGE:
+		return 413;
+	case REFUSAL_NO_SERVICE:
+		return 404;
+	case REFUSAL_DEADLINE:
+	case REFUSAL_BACKEND_TIMEOUT:
+		return 504;
+	case REFUSAL_CONNECT:
+	case REFUSAL_BACKEND_BROKEN:
+	case REFUSAL_BAD_ANSWER:
+		return 502;
+	case REFUSAL_NO_BACKEND:
+	case REFUSAL_NOT_READY:
+	case REFUSAL_LEAVING:
+	case REFUSAL_QUEUE_FULL:
+	case REFUSAL_CALLER_SHARE:
+	case REFUSAL_LONG_SHARE:
+	case REFUSAL_OVERLOAD:
+	case REFUSAL_SHED:
+	case REFUSAL_CALLER_GONE:
+	case REFUSAL_COUNT:
+		break;
+	}
+	return 503;
+}
+
+uint64_t http_retry_after_s(const struct refusal *refusal, uint64_t now_unix_ms)
+{
+	uint64_t left_ms;
+
+	if (refusal->retry_at_unix_ms == 0)
+		return 0;
+	if (refusal->retry_at_unix_ms <= now_unix_ms)
+		return 1;
+	left_ms = refusal->retry_at_unix_ms - now_unix_ms;
+	return (left_ms + MS_PER_S - 1) / MS_PER_S;
+}
+
+static bool status_line(struct http_answer_reader *reader, const char *line)
+{
+	char digits[4];
+	uint64_t status;
+
+	if (strncmp(line, "HTTP/1.1 ", 9) != 0 &&
+	    strncmp(line, "HTTP/1.0 ", 9) != 0)
+		return false;
+	if (strlen(line) < 12 || (line[12] != ' ' && line[12] != '\0'))
+		return false;
+	memcpy(digits, line + 9, 3);
+	digits[3] = '\0';
+	if (!http_number_parse(digits, STATUS_MAX, &status) ||
+	    status < STATUS_MIN || status == STATUS_SWITCHING)
+		return false;
+	reader->head->status = (uint32_t)status;
+	reader->status_read = true;
+	return true;
+}
+
+static bool field_line(struct http_answer_reader *reader, char *line)
+{
+	struct http_field field = { .name = line };
+	struct header *copy;
+	char *colon = strchr(line, ':');
+
+	if (!colon)
+		return false;
+	*colon = '\0';
+	field.value = g_strstrip(colon + 1);
+	/* A folded line or a space before the colon is no token. */
+	if (!http_token_valid(field.name) || !http_value_valid(field.value))
+		return false;
+	if (!note_field(reader, &field))
+		return false;
+	if (http_field_reserved(field.name))
+		return true;
+	if (reader->head->header_count == REQUEST_HEADERS_MAX)
+		return false;
+	copy = &reader->head->headers[reader->head->header_count++];
+	copy->name = g_strdup(field.name);
+	copy->value = g_strdup(field.value);
+	return true;
+}
+
+/* Keeps what framing and hygiene need of a field. */
+static bool note_field(struct http_answer_reader *reader,
+		       const struct http_field *field)
+{
+	if (strcasecmp(field->name, "Content-Length") == 0)
+		return note_length(reader, field->value);
+	if (strcasecmp(field->name, "Transfer-Encoding") == 0) {
+		if (reader->chunked || strcasecmp(field->value, "chunked") != 0)
+			return false;
+		reader->chunked = true;
+	}
+	if (strcasecmp(field->name, "Connection") == 0)
+		note_connection(reader, field->value);
+	return true;
+}
+
+static bool note_length(struct http_answer_reader *reader, const char *value)
+{
+	if (reader->has_length)
+		return false;
+	reader->has_length = true;
+	return http_number_parse(value, INT64_MAX, &reader->head->body_bytes);
+}
+
+static void note_connection(struct http_answer_reader *reader,
+			    const char *value)
+{
+	char *before = reader->connection;
+
+	reader->connection = before ? g_strconcat(before, ",", value, NULL) :
+				      g_strdup(value);
+	g_free(before);
+}
+
+static bool end_head(struct http_answer_reader *reader)
+{
+	if (reader->head->status < STATUS_FINAL_MIN) {
+		restart(reader);
+		return true;
+	}
+	if (reader->chunked && reader->has_length)
+		return false;
+	reader->framing = framing_of(reader);
+	drop_hop_fields(reader);
+	reader->complete = true;
+	return reader->framing != FRAMING_UNPROVED;
+}
+
+static enum http_framing framing_of(const struct http_answer_reader *reader)
+{
+	uint32_t status = reader->head->status;
+
+	if (reader->method == METHOD_HEAD || status == STATUS_NO_CONTENT ||
+	    status == STATUS_NOT_MODIFIED)
+		return FRAMING_NONE;
+	if (reader->chunked)
+		return FRAMING_CHUNKED;
+	return reader->has_length ? FRAMING_LENGTH : FRAMING_UNPROVED;
+}
+
+/* Removes the fields that the Connection field lists. */
+static void drop_hop_fields(struct http_answer_reader *reader)
+{
+	struct answer_head *head = reader->head;
+	uint32_t kept = 0;
+	uint32_t i;
+
+	if (!reader->connection)
+		return;
+	for (i = 0; i < head->header_count; i++) {
+		if (http_list_has(reader->connection, head->headers[i].name)) {
+			g_free(head->headers[i].name);
+			g_free(head->headers[i].value);
+			continue;
+		}
+		head->headers[kept++] = head->headers[i];
+	}
+	head->header_count = kept;
+}
+
+static void restart(struct http_answer_reader *reader)
+{
+	http_answer_reader_clear(reader);
+	reader->head = g_new0(struct answer_head, 1);
+	reader->head->body_bytes = UINT64_MAX;
+	reader->has_length = false;
+	reader->chunked = false;
+	reader->status_read = false;
+}
+
+static const char *reason_text(uint32_t status)
+{
+	switch (status) {
+	case 200:
+		return "OK";
+	case 400:
+		return "Bad Request";
+	case 404:
+		return "Not Found";
+	case 413:
+		return "Content Too Large";
+	case 502:
+		return "Bad Gateway";
+	case 503:
+		return "Service Unavailable";
+	case 504:
+		return "Gateway Timeout";
+	default:
+		return "";
+	}
+}
--- /dev/null
+++ b/src/codec/http_client.c
@@ -0,0 +1,132 @@
+#include "codec/http_client.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <strings.h>
+
+#include "codec/http_field.h"
+#include "codec/http_request.h"
+
+#define URL_BYTES_MAX (ADDR_TEXT_BYTES + 16)
+
+static bool set_method(CURL *easy, const struct request *request);
+static bool set_body(CURL *easy, const struct request *request);
+static bool add_field(struct curl_slist **fields, const char *name,
+		      const char *value);
+static bool add_text(struct curl_slist **fields, const char *text);
+static bool has_field(const struct request *request, const char *name);
+
+bool http_client_defaults(CURL *easy)
+{
+	return curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_PROXY, "") == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_NOPROXY, "*") == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http") ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+				(long)CURL_HTTP_VERSION_1_1) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_IPRESOLVE,
+				(long)CURL_IPRESOLVE_V4) == CURLE_OK;
+}
+
+bool http_client_target(CURL *easy, struct net_addr to, const char *target)
+{
+	char addr[ADDR_TEXT_BYTES];
+	char url[URL_BYTES_MAX];
+
+	snprintf(url, sizeof(url), "http://%s/", addr_format(to, addr));
+	return curl_easy_setopt(easy, CURLOPT_URL, url) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, target) ==
+		       CURLE_OK;
+}
+
+bool http_client_request(CURL *easy, const struct request *request,
+			 uint64_t deadline_unix_ms, struct curl_slist **fields)
+{
+	/* libcurl adds these by itself unless they are emptied. */
+	static const char *const emptied[] = { "Accept", "User-Agent",
+					       "Content-Type" };
+	char number[24];
+	bool ok;
+	uint32_t i;
+
+	*fields = NULL;
+	snprintf(number, sizeof(number), "%" PRIu64, deadline_unix_ms);
+	ok = add_text(fields, "Expect:") &&
+	     add_field(fields, HTTP_DEADLINE_FIELD, number);
+	for (i = 0; ok && i < request->header_count; i++)
+		ok = add_field(fields, request->headers[i].name,
+			       request->headers[i].value);
+	for (i = 0; ok && i < G_N_ELEMENTS(emptied); i++) {
+		char text[32];
+
+		if (has_field(request, emptied[i]))
+			continue;
+		snprintf(text, sizeof(text), "%s:", emptied[i]);
+		ok = add_text(fields, text);
+	}
+	return ok && set_method(easy, request) && set_body(easy, request) &&
+	       curl_easy_setopt(easy, CURLOPT_HTTPHEADER, *fields) == CURLE_OK;
+}
+
+static bool set_method(CURL *easy, const struct request *request)
+{
+	if (request->method == METHOD_HEAD)
+		return curl_easy_setopt(easy, CURLOPT_NOBODY, 1L) == CURLE_OK;
+	return curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST,
+				http_method_text(request->method)) == CURLE_OK;
+}
+
+static bool set_body(CURL *easy, const struct request *request)
+{
+	gsize length = 0;
+	const char *data = "";
+
+	if (request->method == METHOD_HEAD)
+		return true;
+	if (request->body)
+		data = g_bytes_get_data(request->body, &length);
+	else if (request->method != METHOD_POST &&
+		 request->method != METHOD_PUT &&
+		 request->method != METHOD_PATCH)
+		return true;
+	return curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+				(curl_off_t)length) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_POSTFIELDS, data ? data : "") ==
+		       CURLE_OK;
+}
+
+static bool add_field(struct curl_slist **fields, const char *name,
+		      const char *value)
+{
+	/* libcurl sends an empty value only for a name ended by ';'. */
+	char *text = *value != '\0' ? g_strconcat(name, ": ", value, NULL) :
+				      g_strconcat(name, ";", NULL);
+	bool ok = add_text(fields, text);
+
+	g_free(text);
+	return ok;
+}
+
+static bool add_text(struct curl_slist **fields, const char *text)
+{
+	struct curl_slist *longer = curl_slist_append(*fields, text);
+
+	if (!longer)
+		return false;
+	*fields = longer;
+	return true;
+}
+
+static bool has_field(const struct request *request, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->header_count; i++) {
+		if (strcasecmp(request->headers[i].name, name) == 0)
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/codec/http_client.h
@@ -0,0 +1,45 @@
+#ifndef CODEC_HTTP_CLIENT_H
+#define CODEC_HTTP_CLIENT_H
+
+/**
+ * DOC: requests to backend servers as libcurl wants them
+ */
+
+#include <curl/curl.h>
+
+#include "core/request.h"
+
+/**
+ * http_client_defaults() - set what every transfer needs
+ * @easy: a fresh or reset handle
+ *
+ * HTTP/1.1 only, no redirects, no proxy, no signals, nothing from the
+ * environment.
+ *
+ * Return: whether libcurl took all of it.
+ */
+bool http_client_defaults(CURL *easy);
+
+/**
+ * http_client_target() - say where a transfer goes
+ * @easy: the handle
+ * @to: the server
+ * @target: path and query, sent as they are; must outlive the transfer
+ *
+ * Return: whether libcurl took it.
+ */
+bool http_client_target(CURL *easy, struct net_addr to, const char *target);
+
+/**
+ * http_client_request() - encode a caller's request
+ * @easy: the handle
+ * @request: must outlive the transfer
+ * @deadline_unix_ms: told to the backend server
+ * @fields: owned list, to be freed after the transfer
+ *
+ * Return: whether libcurl took it.
+ */
+bool http_client_request(CURL *easy, const struct request *request,
+			 uint64_t deadline_unix_ms, struct curl_slist **fields);
+
+#endif
--- /dev/null
+++ b/src/codec/http_request.c
@@ -0,0 +1,349 @@
+#include "codec/http_request.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#define CALLER_HASH_SEED 0
+/* A caller's deadline further away is taken for this. */
+#define CALLER_DEADLINE_MAX_US (86400 * US_PER_S)
+
+/**
+ * struct framing - what the fields say of connection and body
+ */
+struct framing {
+	const char *host;
+	const char *length;
+	const char *coding;
+	const char *deadline;
+	const char *expect;
+	uint32_t host_count;
+	uint32_t length_count;
+	uint32_t coding_count;
+	uint32_t deadline_count;
+	uint32_t expect_count;
+};
+
+static bool method_parse(const char *text, enum http_method *out);
+static bool path_valid(const char *path);
+static bool segment_is_dots(const char *segment, size_t length);
+static bool decode_path(const char *path, GString *out);
+static bool query_valid(const char *query);
+static bool fields_valid(const struct http_request_head *head);
+static void read_framing(const struct http_request_head *head,
+			 struct framing *framing);
+static bool plan_body(const struct framing *framing, uint64_t body_max_bytes,
+		      struct http_body_plan *plan, enum refusal_cause *cause);
+static bool host_parse(const char *value, char out[NAME_BYTES_MAX]);
+static bool deadline_parse(const struct framing *framing, struct instant now,
+			   uint64_t *out);
+static void copy_fields(const struct http_request_head *head,
+			struct request *request);
+static bool listed_in_connection(const struct http_request_head *head,
+				 const char *name);
+
+bool http_request_read(const struct http_request_head *head,
+		       uint64_t body_max_bytes, struct instant now,
+		       struct request *request, struct request_facts *facts,
+		       struct http_body_plan *plan, enum refusal_cause *cause)
+{
+	struct framing framing;
+
+	*cause = REFUSAL_BAD_REQUEST;
+	memset(facts, 0, sizeof(*facts));
+	if (!method_parse(head->method, &facts->method) ||
+	    strcmp(head->version, "1.1") != 0 || !path_valid(head->path) ||
+	    !query_valid(head->query) || !fields_valid(head))
+		return false;
+	read_framing(head, &framing);
+	if (framing.host_count != 1 || !host_parse(framing.host, facts->host))
+		return false;
+	if (!deadline_parse(&framing, now, &facts->deadline_us))
+		return false;
+	if (!plan_body(&framing, body_max_bytes, plan, cause))
+		return false;
+	g_strlcpy(facts->path, head->path, sizeof(facts->path));
+	facts->caller_hash = hash_bytes(
+		head->caller_ip, strlen(head->caller_ip), CALLER_HASH_SEED);
+	request->method = facts->method;
+	request->target =
+		head->query ? g_strconcat(head->path, "?", head->query, NULL) :
+			      g_strdup(head->path);
+	copy_fields(head, request);
+	return true;
+}
+
+bool http_entries_read(const char *query, const char *caller_ip,
+		       struct query *out)
+{
+	char **pairs = g_strsplit(query ? query : "", "&", -1);
+	bool valid = true;
+	char *value;
+	struct name *name;
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->kind = QUERY_ENTRIES;
+	out->caller_hash =
+		hash_bytes(caller_ip, strlen(caller_ip), CALLER_HASH_SEED);
+	for (i = 0; valid && pairs[i]; i++) {
+		value = strchr(pairs[i], '=');
+		name = NULL;
+		if (g_str_has_prefix(pairs[i], "service="))
+			name = &out->service;
+		else if (g_str_has_prefix(pairs[i], "failure_domain="))
+			name = &out->caller_domain;
+		valid = name && name->text[0] == '\0' &&
+			name_set(name, value + 1);
+	}
+	g_strfreev(pairs);
+	return valid && out->service.text[0] != '\0';
+}
+
+const char *http_method_text(enum http_method method)
+{
+	switch (method) {
+	case METHOD_GET:
+		return "GET";
+	case METHOD_HEAD:
+		return "HEAD";
+	case METHOD_OPTIONS:
+		return "OPTIONS";
+	case METHOD_POST:
+		return "POST";
+	case METHOD_PUT:
+		return "PUT";
+	case METHOD_PATCH:
+		return "PATCH";
+	case METHOD_DELETE:
+		return "DELETE";
+	case METHOD_COUNT:
+		break;
+	}
+	g_assert_not_reached();
+}
+
+static bool method_parse(const char *text, enum http_method *out)
+{
+	uint32_t i;
+
+	for (i = 0; i < METHOD_COUNT; i++) {
+		if (strcmp(text, http_method_text((enum http_method)i)) == 0) {
+			*out = (enum http_method)i;
+			return true;
+		}
+	}
+	return false;
+}
+
+/*
+ * A path with dot segments could be routed as one resource here and served as
+ * another by the backend server, so it could pass for idempotent.
+ */
+static bool path_valid(const char *path)
+{
+	GString *decoded;
+	const char *at;
+	size_t length;
+	bool valid;
+
+	if (path[0] != '/')
+		return false;
+	decoded = g_string_new(NULL);
+	valid = decode_path(path, decoded);
+	for (at = decoded->str; valid && *at != '\0'; at += length) {
+		at += strspn(at, "/\\");
+		length = strcspn(at, "/\\");
+		valid = !segment_is_dots(at, length);
+	}
+	g_string_free(decoded, TRUE);
+	return valid;
+}
+
+static bool segment_is_dots(const char *segment, size_t length)
+{
+	if (length == 1)
+		return segment[0] == '.';
+	return length == 2 && segment[0] == '.' && segment[1] == '.';
+}
+
+static bool decode_path(const char *path, GString *out)
+{
+	int32_t high;
+	int32_t low;
+
+	for (; *path != '\0'; path++) {
+		if (*path <= ' ' || *path > '~' || *path == '#')
+			return false;
+		if (*path != '%') {
+			g_string_append_c(out, *path);
+			continue;
+		}
+		high = g_ascii_xdigit_value(path[1]);
+		low = high < 0 ? -1 : g_ascii_xdigit_value(path[2]);
+		if (low < 0 || high * 16 + low < ' ')
+			return false;
+		g_string_append_c(out, (char)(high * 16 + low));
+		path += 2;
+	}
+	return true;
+}
+
+static bool query_valid(const char *query)
+{
+	if (!query)
+		return true;
+	for (; *query != '\0'; query++) {
+		if (*query <= ' ' || *query > '~' || *query == '#')
+			return false;
+	}
+	return true;
+}
+
+static bool fields_valid(const struct http_request_head *head)
+{
+	uint32_t i;
+
+	if (head->field_count > REQUEST_HEADERS_MAX)
+		return false;
+	for (i = 0; i < head->field_count; i++) {
+		if (!http_token_valid(head->fields[i].name) ||
+		    !http_value_valid(head->fields[i].value))
+			return false;
+	}
+	return true;
+}
+
+static void read_framing(const struct http_request_head *head,
+			 struct framing *framing)
+{
+	const struct {
+		const char *name;
+		const char **value;
+		uint32_t *count;
+	} wanted[] = {
+		{ "Host", &framing->host, &framing->host_count },
+		{ "Content-Length", &framing->length, &framing->length_count },
+		{ "Transfer-Encoding", &framing->coding,
+		  &framing->coding_count },
+		{ HTTP_DEADLINE_FIELD, &framing->deadline,
+		  &framing->deadline_count },
+		{ "Expect", &framing->expect, &framing->expect_count },
+	};
+	uint32_t i;
+	uint32_t k;
+
+	memset(framing, 0, sizeof(*framing));
+	for (i = 0; i < head->field_count; i++) {
+		for (k = 0; k < G_N_ELEMENTS(wanted); k++) {
+			if (strcasecmp(head->fields[i].name, wanted[k].name) !=
+			    0)
+				continue;
+			*wanted[k].value = head->fields[i].value;
+			(*wanted[k].count)++;
+		}
+	}
+}
+
+static bool plan_body(const struct framing *framing, uint64_t body_max_bytes,
+		      struct http_body_plan *plan, enum refusal_cause *cause)
+{
+	memset(plan, 0, sizeof(*plan));
+	if (framing->length_count > 1 || framing->coding_count > 1 ||
+	    framing->expect_count > 1)
+		return false;
+	if (framing->length_count == 1 && framing->coding_count == 1)
+		return false;
+	if (framing->expect_count == 1) {
+		if (strcasecmp(framing->expect, "100-continue") != 0)
+			return false;
+		plan->expects_continue = true;
+	}
+	if (framing->coding_count == 1) {
+		plan->chunked = true;
+		return strcasecmp(framing->coding, "chunked") == 0;
+	}
+	if (framing->length_count == 0)
+		return true;
+	if (!http_number_parse(framing->length, INT64_MAX, &plan->length_bytes))
+		return false;
+	if (plan->length_bytes > body_max_bytes) {
+		*cause = REFUSAL_TOO_LARGE;
+		return false;
+	}
+	return true;
+}
+
+static bool host_parse(const char *value, char out[NAME_BYTES_MAX])
+{
+	size_t length = strcspn(value, ":");
+	uint64_t port;
+	size_t i;
+
+	if (length == 0 || length >= NAME_BYTES_MAX)
+		return false;
+	if (value[length] == ':' &&
+	    !http_number_parse(value + length + 1, UINT16_MAX, &port))
+		return false;
+	for (i = 0; i < length; i++) {
+		if (!isalnum((unsigned char)value[i]) &&
+		    !strchr("-._", value[i]))
+			return false;
+		out[i] = g_ascii_tolower(value[i]);
+	}
+	out[length] = '\0';
+	return true;
+}
+
+static bool deadline_parse(const struct framing *framing, struct instant now,
+			   uint64_t *out)
+{
+	uint64_t unix_ms;
+	uint64_t left_us;
+
+	*out = DEADLINE_NONE_US;
+	if (framing->deadline_count == 0)
+		return true;
+	if (framing->deadline_count > 1 ||
+	    !http_number_parse(framing->deadline, UINT64_MAX / US_PER_MS,
+			       &unix_ms))
+		return false;
+	left_us = unix_ms > now.unix_ms ? (unix_ms - now.unix_ms) * US_PER_MS :
+					  0;
+	*out = now.mono_us + MIN(left_us, CALLER_DEADLINE_MAX_US);
+	return true;
+}
+
+static void copy_fields(const struct http_request_head *head,
+			struct request *request)
+{
+	const struct http_field *field;
+	struct header *copy;
+	uint32_t i;
+
+	for (i = 0; i < head->field_count; i++) {
+		field = &head->fields[i];
+		if (http_field_reserved(field->name) ||
+		    listed_in_connection(head, field->name))
+			continue;
+		copy = &request->headers[request->header_count++];
+		copy->name = g_strdup(field->name);
+		copy->value = g_strdup(field->value);
+	}
+}
+
+static bool listed_in_connection(const struct http_request_head *head,
+				 const char *name)
+{
+	uint32_t i;
+
+	/* Some fields belong to the message whatever a caller lists. */
+	if (strcasecmp(name, "Host") == 0)
+		return false;
+	for (i = 0; i < head->field_count; i++) {
+		if (strcasecmp(head->fields[i].name, "Connection") == 0 &&
+		    http_list_has(head->fields[i].value, name))
+			return true;
+	}
+	return false;
+}
