--- /dev/null
+++ b/src/duty/backend_socket.h
@@ -0,0 +1,30 @@
+#ifndef DUTY_BACKEND_SOCKET_H
+#define DUTY_BACKEND_SOCKET_H
+
+/**
+ * DOC: sockets towards backend servers
+ */
+
+#include "core/units.h"
+
+/**
+ * backend_socket() - make a TCP socket for a connection to a backend server
+ * @own_ip: address it comes from, host byte order; 0 for any
+ *
+ * Keep-alive and a bound on unacknowledged data let a silent connection be
+ * found.
+ *
+ * Return: the socket, or -1.
+ */
+int32_t backend_socket(uint32_t own_ip);
+
+/**
+ * backend_socket_received() - bytes that have arrived on a socket so far
+ * @fd: the socket
+ * @bytes: filled on success, read ones included
+ *
+ * Return: false when the connection has ended or cannot be asked.
+ */
+bool backend_socket_received(int32_t fd, uint64_t *bytes);
+
+#endif
--- /dev/null
+++ b/src/duty/exchange.c
@@ -0,0 +1,1035 @@
+#include "duty/exchange.h"
+
+#include <pthread.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "codec/http_answer.h"
+#include "codec/http_client.h"
+#include "core/clock.h"
+#include "duty/backend_socket.h"
+#include "duty/connections.h"
+
+#define ORDERS_ROOM 1024
+#define ORDERS_RESERVE_MIN 256
+#define CONNECT_MAX_MS 250
+#define KEPT_AGE_MAX_S 30
+#define KEPT_IDLE_MAX_S 15L
+#define KEPT_CONNECTIONS_MAX 2048L
+#define SPARE_HANDLES_MAX 64
+#define BACKLOG_RETRY_MS 1
+#define WAIT_MAX_MS 1000
+#define PAUSE_NOTICED_US (500 * US_PER_MS)
+#define FORGET_EVERY_US (10 * US_PER_S)
+
+/**
+ * enum stop_cause - why this duty itself ended a transfer
+ * @STOP_NONE: it did not
+ * @STOP_LATE: at the send point it was too late to begin
+ * @STOP_STALE: the kept connection has ended or holds bytes of nobody
+ * @STOP_REPLAY: libcurl was about to send the request again
+ * @STOP_BAD_ANSWER: the answer is not valid or above a bound
+ * @STOP_CALLER: the caller is gone
+ */
+enum stop_cause {
+	STOP_NONE,
+	STOP_LATE,
+	STOP_STALE,
+	STOP_REPLAY,
+	STOP_BAD_ANSWER,
+	STOP_CALLER,
+};
+
+/**
+ * struct exchange - one request on its way to a backend server and back
+ * @duty: its duty
+ * @grant: what was ordered; owns a reference to the request
+ * @key: exchange id as a table key
+ * @host: its backend server's connections
+ * @easy: libcurl's handle
+ * @fields: request header fields, libcurl's
+ * @reader: reads the answer's head
+ * @held: body bytes that have not gone to the caller
+ * @body_bytes: body bytes read so far
+ * @length_bytes: body length that the head states, else UINT64_MAX
+ * @status: of the final head
+ * @shed: the answer has the shed marker
+ * @draining: the answer has the drain marker
+ * @streaming: the answer has begun to go to the caller
+ * @fd: socket made for it, -1 when there is none
+ * @own_port: local port of its connection
+ * @reused: the request went out on a kept connection
+ * @sent: the request may have begun to go out
+ * @overslept: the process was paused while it ran
+ * @connect_cut: it had less than the usual time to connect
+ * @sent_us: when it began to go out
+ * @stop: why the duty ended it
+ */
+struct exchange {
+	struct exchange_duty *duty;
+	struct grant_event grant;
+	uint64_t key;
+	struct connection_host *host;
+	CURL *easy;
+	struct curl_slist *fields;
+	struct http_answer_reader reader;
+	GByteArray *held;
+	uint64_t body_bytes;
+	uint64_t length_bytes;
+	uint32_t status;
+	int32_t fd;
+	uint16_t own_port;
+	bool shed;
+	bool draining;
+	bool streaming;
+	bool reused;
+	bool sent;
+	bool overslept;
+	bool connect_cut;
+	uint64_t sent_us;
+	enum stop_cause stop;
+};
+
+/**
+ * struct exchange_duty - the duty
+ * @settings: not owned
+ * @dispatch: where finish commands go
+ * @orders: ring of struct exchange_order
+ * @multi: libcurl's
+ * @connections: counts by backend server
+ * @by_key: exchanges that run, by id
+ * @by_request: the same by request token
+ * @waiting: array of struct grant_event that wait for a connection
+ * @backlog: array of struct command that dispatch had no room for
+ * @spare: handles to be used again
+ * @began: exchanges were begun since libcurl last ran
+ * @forget_due_us: when unused counts are dropped next
+ * @thread: its thread
+ */
+struct exchange_duty {
+	const struct settings *settings;
+	struct ring *dispatch;
+	struct ring *orders;
+	CURLM *multi;
+	struct connections *connections;
+	GHashTable *by_key;
+	GHashTable *by_request;
+	GArray *waiting;
+	GArray *backlog;
+	GPtrArray *spare;
+	bool began;
+	uint64_t forget_due_us;
+	pthread_t thread;
+};
+
+static void *run(void *data);
+static bool step(struct exchange_duty *duty);
+static bool take_orders(struct exchange_duty *duty);
+static void take_grant(struct exchange_duty *duty, struct grant_event *grant);
+static void take_cancel(struct exchange_duty *duty, struct exchange_id id);
+static void take_resume(struct exchange_duty *duty, struct request *request);
+static bool begin(struct exchange_duty *duty, const struct grant_event *grant);
+static bool prepare(struct exchange *exchange, enum connection_choice choice);
+static bool set_limits(struct exchange *exchange, uint64_t now_us,
+		       enum connection_choice choice);
+static bool set_callbacks(struct exchange *exchange);
+static CURL *take_handle(struct exchange_duty *duty);
+static void give_handle(struct exchange_duty *duty, CURL *easy);
+static bool grant_expired(const struct grant_event *grant, uint64_t now_us);
+static bool grant_too_late(const struct grant_event *grant, uint64_t now_us);
+static void start_waiting(struct exchange_duty *duty);
+static void finish_unsent(struct exchange_duty *duty, struct grant_event *grant,
+			  enum evidence_kind kind);
+static void collect_done(struct exchange_duty *duty);
+static void end(struct exchange *exchange, CURLcode code);
+static void begin_again(struct exchange *exchange);
+static struct answer_held *deliver(struct exchange *exchange,
+				   const struct evidence *evidence);
+static enum evidence_kind judge(const struct exchange *exchange, CURLcode code);
+static enum evidence_kind judge_stopped(const struct exchange *exchange);
+static enum evidence_kind judge_whole(const struct exchange *exchange);
+static enum evidence_kind judge_timeout(const struct exchange *exchange);
+static enum evidence_kind judge_cut(const struct exchange *exchange);
+static void free_exchange(struct exchange *exchange);
+static void push_last(struct request *request, enum answer_part_kind kind);
+static void send_finish(struct exchange_duty *duty,
+			const struct finish_command *finish);
+static void flush_backlog(struct exchange_duty *duty);
+static void note_pause(struct exchange_duty *duty);
+static int32_t wait_ms(const struct exchange_duty *duty);
+static curl_socket_t on_open_socket(void *data, curlsocktype purpose,
+				    struct curl_sockaddr *addr);
+static int on_close_socket(void *data, curl_socket_t fd);
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's type */
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's type */
+static int on_send_point(void *data, char *to_ip, char *own_ip, int to_port,
+			 int own_port);
+static bool note_connection(struct exchange *exchange, uint16_t own_port);
+static void note_answer(struct exchange *exchange);
+static size_t on_head(char *line, size_t size, size_t count, void *data);
+static size_t on_body(char *bytes, size_t size, size_t count, void *data);
+static bool begin_streaming(struct exchange *exchange);
+static enum ring_result push_chunk(struct exchange *exchange, const void *bytes,
+				   size_t length);
+static void stop_all(struct exchange_duty *duty);
+static void order_clear(struct exchange_order *order);
+static uint64_t key_of(struct exchange_id id);
+
+struct exchange_duty *exchange_start(const struct settings *settings,
+				     struct ring *dispatch, GError **error)
+{
+	struct exchange_duty *duty;
+	uint32_t reserve =
+		MAX(ORDERS_RESERVE_MIN, 2 * settings->worker_threads);
+
+	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_LIBRARY,
+				    "exchange: libcurl does not start");
+		return NULL;
+	}
+	duty = g_new0(struct exchange_duty, 1);
+	duty->settings = settings;
+	duty->dispatch = dispatch;
+	duty->orders = ring_new(sizeof(struct exchange_order),
+				ORDERS_ROOM + reserve, reserve);
+	duty->connections = connections_new();
+	duty->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+	duty->by_request = g_hash_table_new(NULL, NULL);
+	duty->waiting = g_array_new(FALSE, FALSE, sizeof(struct grant_event));
+	duty->backlog = g_array_new(FALSE, FALSE, sizeof(struct command));
+	duty->spare = g_ptr_array_new();
+	duty->multi = curl_multi_init();
+	if (!duty->multi || curl_multi_setopt(duty->multi, CURLMOPT_MAXCONNECTS,
+					      KEPT_CONNECTIONS_MAX) != CURLM_OK)
+		g_error("exchange: out of memory");
+	if (pthread_create(&duty->thread, NULL, run, duty) != 0) {
+		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_THREAD,
+				    "exchange: no thread");
+		ring_close(duty->orders);
+		stop_all(duty);
+		return NULL;
+	}
+	return duty;
+}
+
+void exchange_stop(struct exchange_duty *duty)
+{
+	if (!duty)
+		return;
+	ring_close(duty->orders);
+	if (curl_multi_wakeup(duty->multi) != CURLM_OK)
+		g_warning("exchange: cannot wake its thread");
+	pthread_join(duty->thread, NULL);
+	stop_all(duty);
+}
+
+enum ring_result exchange_send(struct exchange_duty *duty,
+			       const struct exchange_order *order)
+{
+	enum ring_result result = RING_OK;
+
+	switch (order->kind) {
+	case ORDER_GRANT:
+		result = ring_push(duty->orders, order);
+		break;
+	case ORDER_CANCEL:
+	case ORDER_RESUME:
+		result = ring_push_reserved(duty->orders, order);
+		break;
+	}
+	if (result == RING_OK && curl_multi_wakeup(duty->multi) != CURLM_OK)
+		g_warning("exchange: cannot wake its thread");
+	return result;
+}
+
+static void *run(void *data)
+{
+	struct exchange_duty *duty = data;
+	uint64_t until_us;
+	int32_t timeout_ms;
+
+	for (;;) {
+		until_us = clock_now_us() + PAUSE_NOTICED_US;
+		if (!step(duty))
+			break;
+		timeout_ms = wait_ms(duty);
+		until_us += (uint64_t)timeout_ms * US_PER_MS;
+		if (curl_multi_poll(duty->multi, NULL, 0, timeout_ms, NULL) !=
+		    CURLM_OK)
+			g_warning("exchange: cannot wait for its sockets");
+		if (clock_now_us() > until_us)
+			note_pause(duty);
+	}
+	return NULL;
+}
+
+/* Return: false once the duty shall end. */
+static bool step(struct exchange_duty *duty)
+{
+	int running;
+	uint64_t now_us;
+
+	if (!take_orders(duty))
+		return false;
+	if (curl_multi_perform(duty->multi, &running) != CURLM_OK)
+		g_warning("exchange: libcurl fails");
+	if (duty->began)
+		connections_settled(duty->connections);
+	duty->began = false;
+	collect_done(duty);
+	start_waiting(duty);
+	flush_backlog(duty);
+	now_us = clock_now_us();
+	if (now_us < duty->forget_due_us)
+		return true;
+	connections_forget_idle(duty->connections);
+	duty->forget_due_us = now_us + FORGET_EVERY_US;
+	return true;
+}
+
+/* Return: false once the ring is closed. */
+static bool take_orders(struct exchange_duty *duty)
+{
+	struct exchange_order order;
+	enum ring_result result;
+
+	while ((result = ring_pop(duty->orders, &order, 0)) == RING_OK) {
+		switch (order.kind) {
+		case ORDER_GRANT:
+			take_grant(duty, &order.grant);
+			break;
+		case ORDER_CANCEL:
+			take_cancel(duty, order.cancel.exchange);
+			break;
+		case ORDER_RESUME:
+			take_resume(duty, order.resume);
+			break;
+		}
+	}
+	return result != RING_CLOSED;
+}
+
+static void take_grant(struct exchange_duty *duty, struct grant_event *grant)
+{
+	if (!begin(duty, grant))
+		g_array_append_vals(duty->waiting, grant, 1);
+}
+
+static void take_cancel(struct exchange_duty *duty, struct exchange_id id)
+{
+	uint64_t key = key_of(id);
+	struct exchange *exchange = g_hash_table_lookup(duty->by_key, &key);
+	struct grant_event grant;
+	guint i;
+
+	if (exchange) {
+		exchange->stop = STOP_CALLER;
+		end(exchange, CURLE_ABORTED_BY_CALLBACK);
+		return;
+	}
+	for (i = 0; i < duty->waiting->len; i++) {
+		grant = g_array_index(duty->waiting, struct grant_event, i);
+		if (key_of(grant.exchange) != key)
+			continue;
+		g_array_remove_index(duty->waiting, i);
+		finish_unsent(duty, &grant, EVIDENCE_CANCELLED);
+		return;
+	}
+}
+
+static void take_resume(struct exchange_duty *duty, struct request *request)
+{
+	struct exchange *exchange =
+		g_hash_table_lookup(duty->by_request, request);
+	CURLcode code = CURLE_OK;
+
+	/* May call on_body() at once. */
+	if (exchange)
+		code = curl_easy_pause(exchange->easy, CURLPAUSE_CONT);
+	if (code != CURLE_OK)
+		end(exchange, code);
+	request_unref(request);
+}
+
+/*
+ * Begins an exchange or finishes it at once.
+ *
+ * Return: false when it must wait for a connection.
+ */
+static bool begin(struct exchange_duty *duty, const struct grant_event *grant)
+{
+	struct grant_event late = *grant;
+	struct connection_host *host;
+	struct exchange *exchange;
+	enum connection_choice choice;
+
+	if (grant_expired(grant, clock_now_us())) {
+		finish_unsent(duty, &late, EVIDENCE_CANCELLED);
+		return true;
+	}
+	host = connections_host(duty->connections, grant->backend);
+	choice = connections_begin(host, grant->connections_max,
+				   grant->idempotent, clock_now_us());
+	if (choice == CONNECTION_NONE)
+		return false;
+	exchange = g_new0(struct exchange, 1);
+	exchange->duty = duty;
+	exchange->grant = *grant;
+	exchange->key = key_of(grant->exchange);
+	exchange->host = host;
+	exchange->fd = -1;
+	exchange->held = g_byte_array_new();
+	exchange->easy = take_handle(duty);
+	http_answer_reader_init(&exchange->reader, grant->request->method,
+				duty->settings->head_max_bytes);
+	g_hash_table_insert(duty->by_key, &exchange->key, exchange);
+	g_hash_table_insert(duty->by_request, grant->request, exchange);
+	duty->began = true;
+	if (!prepare(exchange, choice) ||
+	    curl_multi_add_handle(duty->multi, exchange->easy) != CURLM_OK) {
+		g_warning("exchange: libcurl refuses a request");
+		exchange->stop = STOP_LATE;
+		end(exchange, CURLE_ABORTED_BY_CALLBACK);
+	}
+	return true;
+}
+
+static bool prepare(struct exchange *exchange, enum connection_choice choice)
+{
+	const struct grant_event *grant = &exchange->grant;
+	struct instant now = clock_now();
+	uint64_t left_ms =
+		(uint64_t)clock_ms_left(grant->deadline_us, now.mono_us);
+
+	return http_client_defaults(exchange->easy) &&
+	       http_client_target(exchange->easy, grant->backend,
+				  grant->request->target) &&
+	       http_client_request(exchange->easy, grant->request,
+				   now.unix_ms + left_ms, &exchange->fields) &&
+	       set_limits(exchange, now.mono_us, choice) &&
+	       set_callbacks(exchange);
+}
+
+static bool set_limits(struct exchange *exchange, uint64_t now_us,
+		       enum connection_choice choice)
+{
+	CURL *easy = exchange->easy;
+	long left_ms = clock_ms_left(exchange->grant.deadline_us, now_us);
+	uint64_t age_s =
+		connections_age_max_s(exchange->host, now_us, KEPT_AGE_MAX_S);
+	bool fresh = choice == CONNECTION_FRESH;
+	bool forbid = fresh && !exchange->grant.idempotent;
+
+	exchange->connect_cut = left_ms < CONNECT_MAX_MS;
+	return curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, MAX(left_ms, 1L)) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+				(long)CONNECT_MAX_MS) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, KEPT_IDLE_MAX_S) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+				age_s > 0 ? (long)age_s : 1L) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, (long)fresh) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, (long)forbid) ==
+		       CURLE_OK;
+}
+
+static bool set_callbacks(struct exchange *exchange)
+{
+	CURL *easy = exchange->easy;
+
+	return curl_easy_setopt(easy, CURLOPT_PRIVATE, exchange) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION,
+				on_open_socket) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, exchange) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION,
+				on_close_socket) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA,
+				exchange->duty) == CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_send_point) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_PREREQDATA, exchange) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_head) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_HEADERDATA, exchange) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body) ==
+		       CURLE_OK &&
+	       curl_easy_setopt(easy, CURLOPT_WRITEDATA, exchange) == CURLE_OK;
+}
+
+static CURL *take_handle(struct exchange_duty *duty)
+{
+	CURL *easy;
+
+	if (duty->spare->len > 0)
+		return g_ptr_array_remove_index_fast(duty->spare,
+						     duty->spare->len - 1);
+	easy = curl_easy_init();
+	if (!easy)
+		g_error("exchange: out of memory");
+	return easy;
+}
+
+static void give_handle(struct exchange_duty *duty, CURL *easy)
+{
+	if (duty->spare->len >= SPARE_HANDLES_MAX) {
+		curl_easy_cleanup(easy);
+		return;
+	}
+	curl_easy_reset(easy);
+	g_ptr_array_add(duty->spare, easy);
+}
+
+static bool grant_expired(const struct grant_event *grant, uint64_t now_us)
+{
+	return grant_too_late(grant, now_us) ||
+	       g_atomic_int_get(&grant->request->caller_gone) != 0;
+}
+
+static bool grant_too_late(const struct grant_event *grant, uint64_t now_us)
+{
+	return now_us >= grant->send_before_us || now_us >= grant->deadline_us;
+}
+
+/* Begins exchanges that waited for a connection, ends those that are late. */
+static void start_waiting(struct exchange_duty *duty)
+{
+	struct grant_event grant;
+	guint i = 0;
+
+	while (i < duty->waiting->len) {
+		grant = g_array_index(duty->waiting, struct grant_event, i);
+		if (begin(duty, &grant))
+			g_array_remove_index(duty->waiting, i);
+		else
+			i++;
+	}
+}
+
+/* Ends an exchange of which no byte was sent; takes the grant over. */
+static void finish_unsent(struct exchange_duty *duty, struct grant_event *grant,
+			  enum evidence_kind kind)
+{
+	struct finish_command finish = {
+		.exchange = grant->exchange,
+		.backend = grant->backend,
+		.evidence = { .kind = kind },
+	};
+
+	send_finish(duty, &finish);
+	request_unref(grant->request);
+}
+
+static void collect_done(struct exchange_duty *duty)
+{
+	struct exchange *exchange;
+	CURLMsg *message;
+	CURLcode code;
+	char *private;
+	int left;
+
+	while ((message = curl_multi_info_read(duty->multi, &left))) {
+		if (message->msg != CURLMSG_DONE)
+			continue;
+		code = message->data.result;
+		if (curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE,
+				      &private) != CURLE_OK)
+			g_error("exchange: libcurl lost a handle");
+		exchange = (struct exchange *)(void *)private;
+		end(exchange, code);
+	}
+}
+
+/* Ends an exchange: last part to the caller, evidence to the decisions. */
+static void end(struct exchange *exchange, CURLcode code)
+{
+	struct exchange_duty *duty = exchange->duty;
+	uint64_t now_us = clock_now_us();
+	struct finish_command finish = {
+		.exchange = exchange->grant.exchange,
+		.backend = exchange->grant.backend,
+		.evidence = {
+			.kind = judge(exchange, code),
+			.request_sent = exchange->sent,
+			.reused = exchange->reused,
+			.draining = exchange->draining,
+			.status = exchange->status,
+		},
+	};
+
+	if (exchange->sent)
+		finish.evidence.service_us = now_us - exchange->sent_us;
+	if (finish.evidence.kind == EVIDENCE_TIMEOUT && exchange->reused)
+		connections_suspect(exchange->host, now_us);
+	if (code == CURLE_OK)
+		note_answer(exchange);
+	/* Removing an unfinished transfer closes its connection. */
+	curl_multi_remove_handle(duty->multi, exchange->easy);
+	if (exchange->stop == STOP_STALE) {
+		begin_again(exchange);
+		return;
+	}
+	finish.held = deliver(exchange, &finish.evidence);
+	finish.evidence.head_given = exchange->streaming;
+	send_finish(duty, &finish);
+	free_exchange(exchange);
+}
+
+/* Nothing was sent, so this is no retry; libcurl has closed the connection. */
+static void begin_again(struct exchange *exchange)
+{
+	struct exchange_duty *duty = exchange->duty;
+	struct grant_event grant = exchange->grant;
+
+	request_ref(grant.request);
+	free_exchange(exchange);
+	take_grant(duty, &grant);
+}
+
+/* Gives the caller what the evidence allows; the rest is left to decide. */
+static struct answer_held *deliver(struct exchange *exchange,
+				   const struct evidence *evidence)
+{
+	struct request *request = exchange->grant.request;
+	struct answer_held *held;
+
+	switch (evidence->kind) {
+	case EVIDENCE_SERVER_ERROR:
+		if (exchange->streaming || !exchange->grant.hold_server_error)
+			break;
+		held = g_new0(struct answer_held, 1);
+		if (exchange->reader.framing != FRAMING_NONE)
+			exchange->reader.head->body_bytes =
+				exchange->body_bytes;
+		held->head = g_steal_pointer(&exchange->reader.head);
+		held->body = g_byte_array_free_to_bytes(exchange->held);
+		exchange->held = NULL;
+		return held;
+	case EVIDENCE_OK:
+		break;
+	case EVIDENCE_SHED:
+		if (exchange->streaming)
+			push_last(request, PART_END);
+		return NULL;
+	case EVIDENCE_CONNECT:
+	case EVIDENCE_TIMEOUT:
+	case EVIDENCE_RESET:
+	case EVIDENCE_TRUNCATED:
+	case EVIDENCE_BAD_ANSWER:
+	case EVIDENCE_CANCELLED:
+		if (exchange->streaming)
+			push_last(request, PART_BROKEN);
+		return NULL;
+	}
+	if (!exchange->streaming && exchange->reader.framing != FRAMING_NONE)
+		exchange->reader.head->body_bytes = exchange->body_bytes;
+	if (exchange->streaming || begin_streaming(exchange))
+		push_last(request, PART_END);
+	return NULL;
+}
+
+static enum evidence_kind judge(const struct exchange *exchange, CURLcode code)
+{
+	if (exchange->stop != STOP_NONE)
+		return judge_stopped(exchange);
+	switch (code) {
+	case CURLE_OK:
+		return judge_whole(exchange);
+	case CURLE_OPERATION_TIMEDOUT:
+		return judge_timeout(exchange);
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_BAD_CONTENT_ENCODING:
+	case CURLE_WRITE_ERROR:
+		return EVIDENCE_BAD_ANSWER;
+	default:
+		return judge_cut(exchange);
+	}
+}
+
+static enum evidence_kind judge_stopped(const struct exchange *exchange)
+{
+	switch (exchange->stop) {
+	case STOP_REPLAY:
+		return EVIDENCE_RESET;
+	case STOP_BAD_ANSWER:
+		return EVIDENCE_BAD_ANSWER;
+	case STOP_NONE:
+	case STOP_LATE:
+	case STOP_STALE:
+	case STOP_CALLER:
+		break;
+	}
+	return EVIDENCE_CANCELLED;
+}
+
+static enum evidence_kind judge_whole(const struct exchange *exchange)
+{
+	const struct http_answer_reader *reader = &exchange->reader;
+
+	/* libcurl takes an answer for whole that ends within its head. */
+	if (!reader->complete)
+		return EVIDENCE_RESET;
+	if (reader->framing == FRAMING_LENGTH &&
+	    exchange->body_bytes != exchange->length_bytes)
+		return EVIDENCE_TRUNCATED;
+	if (exchange->shed)
+		return EVIDENCE_SHED;
+	return exchange->status >= 500 ? EVIDENCE_SERVER_ERROR : EVIDENCE_OK;
+}
+
+static enum evidence_kind judge_timeout(const struct exchange *exchange)
+{
+	/* Time that the process was paused speaks against nobody. */
+	if (exchange->overslept)
+		return EVIDENCE_CANCELLED;
+	if (exchange->sent)
+		return EVIDENCE_TIMEOUT;
+	return exchange->connect_cut ? EVIDENCE_CANCELLED : EVIDENCE_CONNECT;
+}
+
+static enum evidence_kind judge_cut(const struct exchange *exchange)
+{
+	if (!exchange->sent)
+		return EVIDENCE_CONNECT;
+	return exchange->reader.complete ? EVIDENCE_TRUNCATED : EVIDENCE_RESET;
+}
+
+static void free_exchange(struct exchange *exchange)
+{
+	struct exchange_duty *duty = exchange->duty;
+
+	g_hash_table_remove(duty->by_key, &exchange->key);
+	g_hash_table_remove(duty->by_request, exchange->grant.request);
+	connections_end(exchange->host);
+	give_handle(duty, exchange->easy);
+	curl_slist_free_all(exchange->fields);
+	http_answer_reader_clear(&exchange->reader);
+	if (exchange->held)
+		g_byte_array_unref(exchange->held);
+	request_unref(exchange->grant.request);
+	g_free(exchange);
+}
+
+static void push_last(struct request *request, enum answer_part_kind kind)
+{
+	struct answer_part part = { .kind = kind };
+
+	/* Refused only when nobody reads the ring any more. */
+	if (ring_push_reserved(request->answer, &part) != RING_OK)
+		g_debug("exchange: last part of an answer not taken");
+}
+
+static void send_finish(struct exchange_duty *duty,
+			const struct finish_command *finish)
+{
+	struct command command = { .kind = COMMAND_FINISH };
+
+	command.finish = *finish;
+	g_array_append_vals(duty->backlog, &command, 1);
+	flush_backlog(duty);
+}
+
+/* Keeps the order of finish commands and never loses one. */
+static void flush_backlog(struct exchange_duty *duty)
+{
+	enum ring_result result = RING_OK;
+	guint sent = 0;
+
+	while (sent < duty->backlog->len && result != RING_FULL) {
+		result = send_command(duty->dispatch,
+				      &g_array_index(duty->backlog,
+						     struct command, sent));
+		if (result == RING_CLOSED)
+			command_clear(&g_array_index(duty->backlog,
+						     struct command, sent));
+		if (result != RING_FULL)
+			sent++;
+	}
+	if (sent > 0)
+		g_array_remove_range(duty->backlog, 0, sent);
+}
+
+static void note_pause(struct exchange_duty *duty)
+{
+	GHashTableIter iter;
+	gpointer exchange;
+
+	g_hash_table_iter_init(&iter, duty->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &exchange))
+		((struct exchange *)exchange)->overslept = true;
+}
+
+/* Longest wait; libcurl shortens it to its own deadlines. */
+static int32_t wait_ms(const struct exchange_duty *duty)
+{
+	uint64_t now_us = clock_now_us();
+	int32_t shortest_ms = WAIT_MAX_MS;
+	const struct grant_event *grant;
+	int32_t left_ms;
+	guint i;
+
+	if (duty->backlog->len > 0)
+		return BACKLOG_RETRY_MS;
+	for (i = 0; i < duty->waiting->len; i++) {
+		grant = &g_array_index(duty->waiting, struct grant_event, i);
+		left_ms = clock_ms_left(
+			MIN(grant->deadline_us, grant->send_before_us), now_us);
+		shortest_ms = MIN(shortest_ms, left_ms);
+	}
+	return shortest_ms;
+}
+
+static curl_socket_t on_open_socket(void *data, curlsocktype purpose,
+				    struct curl_sockaddr *addr)
+{
+	struct exchange *exchange = data;
+	struct exchange_duty *duty = exchange->duty;
+	int32_t fd;
+
+	(void)purpose;
+	(void)addr;
+	fd = backend_socket(duty->settings->peer_listen.ip);
+	if (fd < 0)
+		return CURL_SOCKET_BAD;
+	exchange->fd = fd;
+	connections_opened(duty->connections, exchange->host, fd);
+	return fd;
+}
+
+static int on_close_socket(void *data, curl_socket_t fd)
+{
+	struct exchange_duty *duty = data;
+
+	connections_closed(duty->connections, fd);
+	return close(fd);
+}
+
+/*
+ * Called by libcurl once a connection is there, right before the request goes
+ * out; a second call would be a replay after a kept connection died.
+ */
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's type */
+static int on_send_point(void *data, char *to_ip, char *own_ip, int to_port,
+			 int own_port)
+{
+	struct exchange *exchange = data;
+	uint64_t now_us = clock_now_us();
+
+	(void)to_ip;
+	(void)own_ip;
+	(void)to_port;
+	if (exchange->sent) {
+		exchange->stop = STOP_REPLAY;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	if (grant_expired(&exchange->grant, now_us)) {
+		exchange->stop = STOP_LATE;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	if (!note_connection(exchange, (uint16_t)own_port)) {
+		exchange->stop = STOP_STALE;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	exchange->sent = true;
+	exchange->sent_us = now_us;
+	return CURL_PREREQFUNC_OK;
+}
+
+/*
+ * Bytes that came outside any answer would be taken for this one's.
+ *
+ * Return: false when a kept connection must not be used.
+ */
+static bool note_connection(struct exchange *exchange, uint16_t own_port)
+{
+	struct connections *connections = exchange->duty->connections;
+	const struct connection *connection;
+	uint64_t received_bytes;
+
+	exchange->own_port = own_port;
+	exchange->reused = exchange->fd < 0;
+	if (!exchange->reused) {
+		connections_connected(connections, exchange->fd, own_port);
+		return true;
+	}
+	connection = connections_find(connections, exchange->host, own_port);
+	return connection &&
+	       backend_socket_received(connection->fd, &received_bytes) &&
+	       received_bytes == connection->read_bytes;
+}
+
+/* Counts what a whole answer took of its connection. */
+static void note_answer(struct exchange *exchange)
+{
+	struct connection *connection =
+		connections_find(exchange->duty->connections, exchange->host,
+				 exchange->own_port);
+	uint64_t received_bytes;
+
+	if (!connection)
+		return;
+	connection->read_bytes +=
+		exchange->reader.head_bytes + exchange->body_bytes;
+	/* libcurl does not tell what the framing of chunks took. */
+	if (exchange->reader.framing == FRAMING_CHUNKED &&
+	    backend_socket_received(connection->fd, &received_bytes))
+		connection->read_bytes = received_bytes;
+}
+
+static size_t on_head(char *line, size_t size, size_t count, void *data)
+{
+	struct exchange *exchange = data;
+	struct http_answer_reader *reader = &exchange->reader;
+	bool before = reader->complete;
+
+	bool valid = http_answer_line(reader, line, size * count);
+
+	if (reader->complete && !before) {
+		exchange->status = reader->head->status;
+		exchange->length_bytes = reader->head->body_bytes;
+		exchange->draining = http_answer_marked(reader->head,
+							&exchange->grant.drain);
+		exchange->shed =
+			exchange->status == 503 &&
+			http_answer_marked(reader->head, &exchange->grant.shed);
+	}
+	if (valid)
+		return size * count;
+	exchange->stop = STOP_BAD_ANSWER;
+	return 0;
+}
+
+static size_t on_body(char *bytes, size_t size, size_t count, void *data)
+{
+	struct exchange *exchange = data;
+	size_t length = size * count;
+	uint64_t hold_max = exchange->duty->settings->hold_max_bytes;
+	enum ring_result result;
+
+	if (!exchange->reader.complete) {
+		exchange->stop = STOP_BAD_ANSWER;
+		return 0;
+	}
+	if (!exchange->streaming && exchange->body_bytes + length <= hold_max) {
+		g_byte_array_append(exchange->held, (const guint8 *)bytes,
+				    (guint)length);
+		exchange->body_bytes += length;
+		return length;
+	}
+	if (!exchange->streaming && !begin_streaming(exchange)) {
+		exchange->stop = STOP_CALLER;
+		return 0;
+	}
+	result = push_chunk(exchange, bytes, length);
+	if (result == RING_FULL)
+		return CURL_WRITEFUNC_PAUSE;
+	if (result != RING_OK) {
+		exchange->stop = STOP_CALLER;
+		return 0;
+	}
+	exchange->body_bytes += length;
+	return length;
+}
+
+/* Gives the caller the head and what was held; the ring is still empty. */
+static bool begin_streaming(struct exchange *exchange)
+{
+	struct request *request = exchange->grant.request;
+	struct answer_part head = { .kind = PART_HEAD };
+	struct answer_part body = { .kind = PART_CHUNK };
+
+	head.head = exchange->reader.head;
+	if (ring_push(request->answer, &head) != RING_OK)
+		return false;
+	exchange->reader.head = NULL;
+	exchange->streaming = true;
+	if (exchange->held->len == 0)
+		return true;
+	body.chunk = g_byte_array_free_to_bytes(exchange->held);
+	exchange->held = g_byte_array_new();
+	if (ring_push(request->answer, &body) == RING_OK)
+		return true;
+	answer_part_clear(&body);
+	return false;
+}
+
+/* A full ring is tried once more after the flag is set, so none is missed. */
+static enum ring_result push_chunk(struct exchange *exchange, const void *bytes,
+				   size_t length)
+{
+	struct request *request = exchange->grant.request;
+	struct answer_part part = { .kind = PART_CHUNK };
+	enum ring_result result;
+
+	part.chunk = g_bytes_new(bytes, length);
+	result = ring_push(request->answer, &part);
+	if (result == RING_FULL) {
+		g_atomic_int_set(&request->answer_paused, 1);
+		result = ring_push(request->answer, &part);
+	}
+	if (result != RING_OK)
+		answer_part_clear(&part);
+	return result;
+}
+
+/* Ends what still runs and frees the duty; its thread has ended. */
+static void stop_all(struct exchange_duty *duty)
+{
+	struct exchange_order order;
+	struct grant_event grant;
+	GHashTableIter iter;
+	gpointer exchange;
+	guint i;
+
+	while (ring_pop(duty->orders, &order, 0) == RING_OK)
+		order_clear(&order);
+	g_hash_table_iter_init(&iter, duty->by_key);
+	while (g_hash_table_iter_next(&iter, NULL, &exchange)) {
+		((struct exchange *)exchange)->stop = STOP_CALLER;
+		end(exchange, CURLE_ABORTED_BY_CALLBACK);
+		g_hash_table_iter_init(&iter, duty->by_key);
+	}
+	for (i = 0; i < duty->waiting->len; i++) {
+		grant = g_array_index(duty->waiting, struct grant_event, i);
+		finish_unsent(duty, &grant, EVIDENCE_CANCELLED);
+	}
+	for (i = 0; i < duty->backlog->len; i++)
+		command_clear(&g_array_index(duty->backlog, struct command, i));
+	for (i = 0; i < duty->spare->len; i++)
+		curl_easy_cleanup(g_ptr_array_index(duty->spare, i));
+	/* Closes the kept connections, which the count still has. */
+	curl_multi_cleanup(duty->multi);
+	g_ptr_array_unref(duty->spare);
+	g_array_unref(duty->backlog);
+	g_array_unref(duty->waiting);
+	g_hash_table_unref(duty->by_request);
+	g_hash_table_unref(duty->by_key);
+	connections_free(duty->connections);
+	ring_free(duty->orders);
+	curl_global_cleanup();
+	g_free(duty);
+}
+
+static void order_clear(struct exchange_order *order)
+{
+	switch (order->kind) {
+	case ORDER_GRANT:
+		request_unref(order->grant.request);
+		break;
+	case ORDER_RESUME:
+		request_unref(order->resume);
+		break;
+	case ORDER_CANCEL:
+		break;
+	}
+}
+
+static uint64_t key_of(struct exchange_id id)
+{
+	return (uint64_t)id.index << 32 | id.generation;
+}
--- /dev/null
+++ b/test/unit/exchange_test.cc
@@ -0,0 +1,880 @@
+/* The exchange duty against servers that behave in all ways. */
+#include <gtest/gtest.h>
+
+#include "script_server.h"
+
+extern "C" {
+#include "core/clock.h"
+#include "duty/exchange.h"
+}
+
+namespace
+{
+
+const uint32_t hold_max_bytes = 1000;
+
+const std::string ok_reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const std::string long_body(5000, 'x');
+const std::string long_reply =
+	"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + long_body;
+
+struct server_case {
+	const char *name;
+	std::vector<struct script_reply> script;
+	enum http_method method;
+	bool idempotent;
+	bool hold_server_error;
+	uint32_t requests; /* one after the other; the last is checked */
+	enum evidence_kind kind;
+	bool request_sent;
+	bool head_given;
+	uint32_t status;
+	const char *parts; /* H head, C chunk, E end, B broken */
+	uint32_t reads;
+};
+
+const struct server_case server_cases[] = {
+	{ "whole answer",
+	  { { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HCE",
+	  1 },
+	{ "whole answer in chunks",
+	  { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "2\r\nok\r\n0\r\n\r\n",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HCE",
+	  1 },
+	{ "no body",
+	  { { "HTTP/1.1 204 No Content\r\n\r\n", AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  204,
+	  "HE",
+	  1 },
+	{ "answer to HEAD has a length and no body",
+	  { { "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n", AFTER_KEEP, 0,
+	      "" } },
+	  METHOD_HEAD,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HE",
+	  1 },
+	{ "interim answer first",
+	  { { "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok_reply,
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HCE",
+	  1 },
+	{ "long answer is streamed",
+	  { { long_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HC*E",
+	  1 },
+	{ "client's error is an answer",
+	  { { "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", AFTER_KEEP,
+	      0, "" } },
+	  METHOD_GET,
+	  true,
+	  true,
+	  1,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  404,
+	  "HE",
+	  1 },
+	{ "server error goes on unless it is held",
+	  { { "HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nno", AFTER_KEEP, 0,
+	      "" } },
+	  METHOD_POST,
+	  false,
+	  false,
+	  1,
+	  EVIDENCE_SERVER_ERROR,
+	  true,
+	  true,
+	  500,
+	  "HCE",
+	  1 },
+	{ "held server error goes to the decisions",
+	  { { "HTTP/1.1 500 Oh\r\nContent-Length: 2\r\n\r\nno", AFTER_KEEP, 0,
+	      "" } },
+	  METHOD_GET,
+	  true,
+	  true,
+	  1,
+	  EVIDENCE_SERVER_ERROR,
+	  true,
+	  false,
+	  500,
+	  "held",
+	  1 },
+	{ "shed answer",
+	  { { "HTTP/1.1 503 Full\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_POST,
+	  false,
+	  true,
+	  1,
+	  EVIDENCE_SHED,
+	  true,
+	  false,
+	  503,
+	  "",
+	  1 },
+	{ "shed marker without 503 is no shed",
+	  { { "HTTP/1.1 500 Oh\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_POST,
+	  false,
+	  false,
+	  1,
+	  EVIDENCE_SERVER_ERROR,
+	  true,
+	  true,
+	  500,
+	  "HE",
+	  1 },
+	{ "503 without the marker is no shed",
+	  { { "HTTP/1.1 503 Oh\r\nContent-Length: 0\r\n\r\n", AFTER_KEEP, 0,
+	      "" } },
+	  METHOD_POST,
+	  false,
+	  true,
+	  1,
+	  EVIDENCE_SERVER_ERROR,
+	  true,
+	  false,
+	  503,
+	  "held",
+	  1 },
+	{ "no answer in time",
+	  { { "", AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TIMEOUT,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "stall in the head",
+	  { { "HTTP/1.1 200 OK\r\nContent-", AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TIMEOUT,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "stall in a held body",
+	  { { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok", AFTER_STALL, 0,
+	      "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TIMEOUT,
+	  true,
+	  false,
+	  200,
+	  "",
+	  1 },
+	{ "stall in a streamed body",
+	  { { long_reply.substr(0, 3000), AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TIMEOUT,
+	  true,
+	  true,
+	  200,
+	  "HC*B",
+	  1 },
+	{ "closed without an answer",
+	  { { "", AFTER_CLOSE, 0, "" } },
+	  METHOD_POST,
+	  false,
+	  false,
+	  1,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "reset without an answer",
+	  { { "", AFTER_RESET, 0, "" } },
+	  METHOD_POST,
+	  false,
+	  false,
+	  1,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "closed in the head",
+	  { { "HTTP/1.1 200 OK\r\nX-A: b\r\n", AFTER_CLOSE, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "closed in a held body",
+	  { { "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nok", AFTER_CLOSE, 0,
+	      "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TRUNCATED,
+	  true,
+	  false,
+	  200,
+	  "",
+	  1 },
+	{ "closed in a chunked body",
+	  { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	      "2\r\nok\r\n",
+	      AFTER_CLOSE, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TRUNCATED,
+	  true,
+	  false,
+	  200,
+	  "",
+	  1 },
+	{ "closed in a streamed body",
+	  { { long_reply.substr(0, 3000), AFTER_CLOSE, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TRUNCATED,
+	  true,
+	  true,
+	  200,
+	  "HC*B",
+	  1 },
+	{ "end not proved",
+	  { { "HTTP/1.1 200 OK\r\n\r\nok", AFTER_CLOSE, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  200,
+	  "",
+	  1 },
+	{ "no HTTP",
+	  { { "SSH-2.0-hello\r\n", AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "two framings",
+	  { { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "two lengths",
+	  { { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+	      "Content-Length: 3\r\n\r\nok",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "switched protocol",
+	  { { "HTTP/1.1 101 Go\r\nUpgrade: x\r\n\r\n", AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "head above its bound",
+	  { { "HTTP/1.1 200 OK\r\nX-A: " + std::string(20000, 'a') +
+		      "\r\nContent-Length: 0\r\n\r\n",
+	      AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_BAD_ANSWER,
+	  true,
+	  false,
+	  0,
+	  "",
+	  1 },
+	{ "broken chunk",
+	  { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	      AFTER_STALL, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  1,
+	  EVIDENCE_TRUNCATED,
+	  true,
+	  false,
+	  200,
+	  "",
+	  1 },
+	{ "kept connection closed after the next request was read",
+	  { { ok_reply, AFTER_KEEP, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" },
+	    { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  2,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  2 },
+	{ "kept connection reset after the next request was read",
+	  { { ok_reply, AFTER_KEEP, 0, "" },
+	    { "", AFTER_RESET, 0, "" },
+	    { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  2,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  2 },
+	{ "non-idempotent request on a server that closes after reading",
+	  { { ok_reply, AFTER_KEEP, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" },
+	    { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_POST,
+	  false,
+	  false,
+	  2,
+	  EVIDENCE_RESET,
+	  true,
+	  false,
+	  0,
+	  "",
+	  2 },
+	{ "bytes after an answer do not become the next answer",
+	  { { ok_reply + "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged",
+	      AFTER_KEEP, 0, "" },
+	    { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  2,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HCE",
+	  2 },
+	{ "late bytes after an answer do not become the next answer",
+	  { { ok_reply, AFTER_KEEP, 0,
+	      "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nforged" },
+	    { ok_reply, AFTER_KEEP, 0, "" } },
+	  METHOD_GET,
+	  true,
+	  false,
+	  2,
+	  EVIDENCE_OK,
+	  true,
+	  true,
+	  200,
+	  "HCE",
+	  2 },
+};
+
+/* An exchange duty and the ring that stands for the dispatch duty. */
+class ExchangeDuty : public ::testing::Test {
+    protected:
+	void SetUp() override
+	{
+		addr_ip_parse("127.0.0.1", &settings_.peer_listen.ip);
+		settings_.worker_threads = 4;
+		settings_.head_max_bytes = 16384;
+		settings_.hold_max_bytes = hold_max_bytes;
+		dispatch_ = ring_new(sizeof(struct message), 64, 16);
+		duty_ = exchange_start(&settings_, dispatch_, nullptr);
+		ASSERT_NE(duty_, nullptr);
+	}
+	void TearDown() override
+	{
+		struct message message;
+
+		exchange_stop(duty_);
+		while (ring_pop(dispatch_, &message, 0) == RING_OK)
+			command_clear(&message.command);
+		ring_free(dispatch_);
+	}
+	struct grant_event grant(uint16_t port, struct request *request,
+				 bool idempotent, uint32_t deadline_ms)
+	{
+		struct grant_event grant = {};
+
+		grant.exchange.index = next_index_++;
+		grant.request = request_ref(request);
+		addr_ip_parse("127.0.0.1", &grant.backend.ip);
+		grant.backend.port = port;
+		grant.deadline_us = clock_now_us() + deadline_ms * US_PER_MS;
+		grant.send_before_us = grant.deadline_us;
+		grant.idempotent = idempotent;
+		grant.connections_max = 4;
+		strcpy(grant.shed.header, "X-Shed");
+		strcpy(grant.shed.value, "1");
+		strcpy(grant.drain.header, "X-Draining");
+		strcpy(grant.drain.value, "1");
+		return grant;
+	}
+	void order(const struct grant_event &grant)
+	{
+		struct exchange_order order = {};
+
+		order.kind = ORDER_GRANT;
+		order.grant = grant;
+		ASSERT_EQ(exchange_send(duty_, &order), RING_OK);
+	}
+	bool take_finish(struct finish_command *finish, uint32_t wait_ms = 3000)
+	{
+		struct message message;
+
+		if (ring_pop(dispatch_, &message,
+			     clock_now_us() + wait_ms * US_PER_MS) != RING_OK)
+			return false;
+		EXPECT_EQ(message.command.kind, COMMAND_FINISH);
+		*finish = message.command.finish;
+		return true;
+	}
+
+	struct settings settings_ = {};
+	struct ring *dispatch_ = nullptr;
+	struct exchange_duty *duty_ = nullptr;
+	uint32_t next_index_ = 0;
+};
+
+struct request *make_request(enum http_method method)
+{
+	struct request *request = request_new();
+
+	request->method = method;
+	request->target = g_strdup("/a?b=c");
+	request->headers[0].name = g_strdup("Host");
+	request->headers[0].value = g_strdup("a.example");
+	request->header_count = 1;
+	if (method == METHOD_POST)
+		request->body = g_bytes_new("paid", 4);
+	return request;
+}
+
+/* Letters of the parts so far; several chunks are written "C*" or "C". */
+std::string take_parts(struct request *request, std::string *body)
+{
+	struct answer_part part;
+	std::string letters;
+	const char *data;
+	gsize length;
+
+	while (ring_pop(request->answer, &part, 0) == RING_OK) {
+		switch (part.kind) {
+		case PART_HEAD:
+			letters += "H";
+			break;
+		case PART_CHUNK:
+			letters += "C";
+			data = (const char *)g_bytes_get_data(part.chunk,
+							      &length);
+			body->append(data, length);
+			break;
+		case PART_END:
+			letters += "E";
+			break;
+		case PART_BROKEN:
+			letters += "B";
+			break;
+		case PART_REFUSED:
+			letters += "R";
+			break;
+		}
+		answer_part_clear(&part);
+	}
+	return letters;
+}
+
+/* "HC*E" stands for one chunk or more. */
+bool parts_match(const std::string &parts, const std::string &pattern)
+{
+	size_t star = pattern.find('*');
+	size_t i = 1;
+
+	if (star == std::string::npos)
+		return parts == pattern;
+	if (parts.substr(0, 2) != "HC")
+		return false;
+	while (parts[i] == 'C')
+		i++;
+	return parts.substr(i) == pattern.substr(star + 1);
+}
+
+TEST_F(ExchangeDuty, ServerBehaviours)
+{
+	for (const auto &c : server_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server(c.script);
+		struct finish_command finish = {};
+		std::string parts;
+		std::string body;
+
+		for (uint32_t i = 0; i < c.requests; i++) {
+			struct request *request = make_request(c.method);
+			struct grant_event ordered = grant(
+				server.port(), request, c.idempotent, 300);
+
+			ordered.hold_server_error = c.hold_server_error;
+			order(ordered);
+			ASSERT_TRUE(take_finish(&finish));
+			EXPECT_EQ(finish.exchange.index, next_index_ - 1);
+			body.clear();
+			parts = take_parts(request, &body);
+			request_unref(request);
+			if (i + 1 < c.requests) {
+				EXPECT_EQ(finish.evidence.kind, EVIDENCE_OK);
+				/* Lets late bytes arrive. */
+				g_usleep(40000);
+			}
+		}
+		EXPECT_EQ(finish.evidence.kind, c.kind);
+		EXPECT_EQ(finish.evidence.request_sent, c.request_sent);
+		EXPECT_EQ(finish.evidence.head_given, c.head_given);
+		EXPECT_EQ(finish.evidence.status, c.status);
+		EXPECT_EQ(server.reads(), c.reads);
+		EXPECT_EQ(body.find("forged"), std::string::npos);
+		if (strcmp(c.parts, "held") == 0) {
+			ASSERT_NE(finish.held, nullptr);
+			EXPECT_EQ(finish.held->head->status, c.status);
+			EXPECT_EQ(parts, "");
+		} else {
+			EXPECT_EQ(finish.held, nullptr);
+			EXPECT_TRUE(parts_match(parts, c.parts)) << parts;
+		}
+		answer_held_free(finish.held);
+	}
+}
+
+struct reuse_case {
+	const char *name;
+	std::string reply;
+	enum http_method method;
+	bool idempotent;
+	uint32_t connections; /* for three requests, one after the other */
+};
+
+const struct reuse_case reuse_cases[] = {
+	{ "idempotent requests share one", ok_reply, METHOD_GET, true, 1 },
+	{ "also after chunks",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	  "2\r\nok\r\n0\r\n\r\n",
+	  METHOD_GET, true, 1 },
+	{ "also after interim answers",
+	  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok_reply, METHOD_GET,
+	  true, 1 },
+	{ "also after long answers", long_reply, METHOD_GET, true, 1 },
+	{ "each non-idempotent request has its own", ok_reply, METHOD_POST,
+	  false, 3 },
+};
+
+TEST_F(ExchangeDuty, KeptConnections)
+{
+	for (const auto &c : reuse_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({ { c.reply, AFTER_KEEP, 0, "" } });
+		struct finish_command finish = {};
+
+		for (uint32_t i = 0; i < 3; i++) {
+			struct request *request = make_request(c.method);
+
+			order(grant(server.port(), request, c.idempotent, 300));
+			ASSERT_TRUE(take_finish(&finish));
+			EXPECT_EQ(finish.evidence.kind, EVIDENCE_OK);
+			EXPECT_EQ(finish.evidence.reused,
+				  i > 0 && c.connections == 1);
+			request_unref(request);
+		}
+		EXPECT_EQ(server.connections(), c.connections);
+	}
+}
+
+enum unsent_kind {
+	UNSENT_SLOT_EXPIRED,
+	UNSENT_DEADLINE,
+	UNSENT_CALLER_GONE,
+	UNSENT_REFUSED
+};
+
+struct unsent_case {
+	const char *name;
+	enum unsent_kind kind;
+	enum evidence_kind evidence;
+};
+
+const struct unsent_case unsent_cases[] = {
+	{ "slot is not ours any more", UNSENT_SLOT_EXPIRED,
+	  EVIDENCE_CANCELLED },
+	{ "deadline is past", UNSENT_DEADLINE, EVIDENCE_CANCELLED },
+	{ "caller is gone", UNSENT_CALLER_GONE, EVIDENCE_CANCELLED },
+	{ "connection refused", UNSENT_REFUSED, EVIDENCE_CONNECT },
+};
+
+TEST_F(ExchangeDuty, NothingIsSentTooLate)
+{
+	for (const auto &c : unsent_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({ { ok_reply, AFTER_KEEP, 0, "" } });
+		struct request *request = make_request(METHOD_POST);
+		struct grant_event ordered =
+			grant(server.port(), request, false, 300);
+		struct finish_command finish = {};
+
+		switch (c.kind) {
+		case UNSENT_SLOT_EXPIRED:
+			ordered.send_before_us = clock_now_us();
+			break;
+		case UNSENT_DEADLINE:
+			ordered.deadline_us = clock_now_us();
+			break;
+		case UNSENT_CALLER_GONE:
+			g_atomic_int_set(&request->caller_gone, 1);
+			break;
+		case UNSENT_REFUSED:
+			ordered.backend.port = 1;
+			break;
+		}
+		order(ordered);
+		ASSERT_TRUE(take_finish(&finish));
+		EXPECT_EQ(finish.evidence.kind, c.evidence);
+		EXPECT_FALSE(finish.evidence.request_sent);
+		EXPECT_FALSE(finish.evidence.head_given);
+		EXPECT_EQ(server.reads(), 0U);
+		request_unref(request);
+	}
+}
+
+TEST_F(ExchangeDuty, CancelClosesTheConnection)
+{
+	ScriptServer server({ { "", AFTER_STALL, 0, "" } });
+	struct request *request = make_request(METHOD_POST);
+	struct grant_event ordered = grant(server.port(), request, false, 2000);
+	struct exchange_order cancel = {};
+	struct finish_command finish = {};
+	uint64_t begun_us = clock_now_us();
+
+	order(ordered);
+	while (server.reads() == 0 && clock_now_us() < begun_us + US_PER_S)
+		g_usleep(1000);
+	cancel.kind = ORDER_CANCEL;
+	cancel.cancel.exchange = ordered.exchange;
+	ASSERT_EQ(exchange_send(duty_, &cancel), RING_OK);
+	ASSERT_TRUE(take_finish(&finish));
+	EXPECT_EQ(finish.evidence.kind, EVIDENCE_CANCELLED);
+	EXPECT_TRUE(finish.evidence.request_sent);
+	EXPECT_LT(clock_now_us(), begun_us + US_PER_S);
+	request_unref(request);
+}
+
+TEST_F(ExchangeDuty, SlowReaderPausesALongAnswer)
+{
+	const size_t length = 2000000;
+	std::string bytes(length, 0);
+
+	for (size_t i = 0; i < length; i++)
+		bytes[i] = (char)('a' + i % 23);
+	ScriptServer server(
+		{ { "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n" + bytes,
+		    AFTER_KEEP, 0, "" } });
+	struct request *request = make_request(METHOD_GET);
+	struct exchange_order resume = {};
+	struct finish_command finish = {};
+	std::string parts;
+	std::string body;
+
+	order(grant(server.port(), request, true, 3000));
+	g_usleep(50000);
+	EXPECT_LE(ring_length(request->answer), (uint32_t)ANSWER_RING_PARTS);
+	resume.kind = ORDER_RESUME;
+	while (parts.empty() || (parts.back() != 'E' && parts.back() != 'B')) {
+		ASSERT_LT(parts.size(), length);
+		parts += take_parts(request, &body);
+		if (g_atomic_int_compare_and_exchange(&request->answer_paused,
+						      1, 0)) {
+			resume.resume = request_ref(request);
+			ASSERT_EQ(exchange_send(duty_, &resume), RING_OK);
+		}
+		g_usleep(100);
+	}
+	ASSERT_TRUE(take_finish(&finish));
+	EXPECT_EQ(finish.evidence.kind, EVIDENCE_OK);
+	EXPECT_EQ(parts.back(), 'E');
+	EXPECT_TRUE(body == bytes);
+	request_unref(request);
+}
+
+TEST_F(ExchangeDuty, ConnectionsStayUnderTheirBound)
+{
+	ScriptServer server({ { ok_reply, AFTER_KEEP, 20, "" } });
+	struct finish_command finish = {};
+
+	for (uint32_t i = 0; i < 6; i++) {
+		struct request *request =
+			make_request(i % 2 ? METHOD_POST : METHOD_GET);
+		struct grant_event ordered =
+			grant(server.port(), request, i % 2 == 0, 1000);
+
+		ordered.connections_max = 1;
+		order(ordered);
+		request_unref(request);
+	}
+	for (uint32_t i = 0; i < 6; i++) {
+		ASSERT_TRUE(take_finish(&finish));
+		EXPECT_EQ(finish.evidence.kind, EVIDENCE_OK);
+	}
+	EXPECT_EQ(server.reads(), 6U);
+	EXPECT_LE(server.connections(), 3U);
+}
+
+TEST_F(ExchangeDuty, SilentKeptConnectionIsNotTriedTwice)
+{
+	ScriptServer server({ { ok_reply, AFTER_KEEP, 0, "" },
+			      { "", AFTER_STALL, 0, "" },
+			      { ok_reply, AFTER_KEEP, 0, "" } });
+	const enum evidence_kind kinds[] = { EVIDENCE_OK, EVIDENCE_TIMEOUT,
+					     EVIDENCE_OK };
+	const bool reused[] = { false, true, false };
+	struct finish_command finish = {};
+
+	for (uint32_t i = 0; i < 3; i++) {
+		struct request *request = make_request(METHOD_GET);
+
+		order(grant(server.port(), request, true, 200));
+		ASSERT_TRUE(take_finish(&finish));
+		EXPECT_EQ(finish.evidence.kind, kinds[i]);
+		EXPECT_EQ(finish.evidence.reused, reused[i]);
+		request_unref(request);
+	}
+}
+
+TEST_F(ExchangeDuty, RequestAsTheBackendServerSeesIt)
+{
+	ScriptServer server({ { ok_reply, AFTER_KEEP, 0, "" } });
+	struct request *request = make_request(METHOD_POST);
+	struct finish_command finish = {};
+	std::string seen;
+
+	request->headers[1].name = g_strdup("X-Empty");
+	request->headers[1].value = g_strdup("");
+	request->header_count = 2;
+	order(grant(server.port(), request, false, 300));
+	ASSERT_TRUE(take_finish(&finish));
+	seen = server.last_request();
+	EXPECT_EQ(seen.find("POST /a?b=c HTTP/1.1\r\nHost: a.example\r\n"), 0U)
+		<< seen;
+	EXPECT_NE(seen.find("\r\nX-Empty:\r\n"), std::string::npos) << seen;
+	EXPECT_NE(seen.find("\r\nContent-Length: 4\r\n"), std::string::npos);
+	EXPECT_NE(seen.find("\r\nNutmegcrank-Deadline-Unix-Ms: 1"),
+		  std::string::npos);
+	EXPECT_NE(seen.find("\r\n\r\npaid"), std::string::npos);
+	for (const char *added :
+	     { "Accept", "User-Agent", "Content-Type", "Expect" })
+		EXPECT_EQ(seen.find(added), std::string::npos) << added;
+	request_unref(request);
+}
+
+} // namespace
