Add the front duty on CivetWeb, with a watch over callers

Cause: CivetWeb's workers block while they read, wait and write, and its connections' sockets are hidden. Change: requests are checked, their bodies read whole and bounded before admission; answers go out whole or in chunks, a broken one without its closing chunk. A watch thread finds a caller's socket by its two addresses, sees it close while a worker waits (cancel), and cuts off slow bodies and readers. CivetWeb drops fields above 64 without a word, so 64 are refused; it mends folded lines and a space before the colon, which the newly written request makes harmless. Conclusion: a caller's end of connection is seen while waiting; one that only stops reading is seen at its write deadline.

--- /dev/null
+++ b/test/unit/front_test.cc
@@ -0,0 +1,465 @@
+/* The front duty: hostile callers, answers of all kinds, callers that go. */
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <thread>
+
+extern "C" {
+#include "core/clock.h"
+#include "duty/front.h"
+}
+
+namespace
+{
+
+const uint32_t body_max_bytes = 1000;
+const uint32_t head_max_bytes = 4096;
+
+struct answer_part refused(enum refusal_cause cause, enum outcome outcome)
+{
+	struct answer_part part = {};
+
+	part.kind = PART_REFUSED;
+	part.refusal = { cause, outcome, 0 };
+	return part;
+}
+
+struct answer_part head_part(uint32_t status, uint64_t body_bytes)
+{
+	struct answer_part part = {};
+
+	part.kind = PART_HEAD;
+	part.head = g_new0(struct answer_head, 1);
+	part.head->status = status;
+	part.head->body_bytes = body_bytes;
+	part.head->headers[0].name = g_strdup("X-Own");
+	part.head->headers[0].value = g_strdup("1");
+	part.head->header_count = 1;
+	return part;
+}
+
+struct answer_part chunk_part(const char *text)
+{
+	struct answer_part part = {};
+
+	part.kind = PART_CHUNK;
+	part.chunk = g_bytes_new(text, strlen(text));
+	return part;
+}
+
+struct answer_part last_part(enum answer_part_kind kind)
+{
+	struct answer_part part = {};
+
+	part.kind = kind;
+	return part;
+}
+
+/* What the stand-in for the dispatch duty answers, by path. */
+std::vector<struct answer_part> parts_for(const std::string &path)
+{
+	if (path == "/whole")
+		return { head_part(200, 5), chunk_part("whole"),
+			 last_part(PART_END) };
+	if (path == "/empty")
+		return { head_part(204, UINT64_MAX), last_part(PART_END) };
+	if (path == "/head")
+		return { head_part(200, 7), last_part(PART_END) };
+	if (path == "/chunked")
+		return { head_part(200, UINT64_MAX), chunk_part("one"),
+			 chunk_part("two"), last_part(PART_END) };
+	if (path == "/broken")
+		return { head_part(200, 10), chunk_part("half"),
+			 last_part(PART_BROKEN) };
+	if (path == "/queue")
+		return { refused(REFUSAL_QUEUE_FULL, OUTCOME_NOT_RUN) };
+	if (path == "/unknown")
+		return { refused(REFUSAL_BACKEND_TIMEOUT, OUTCOME_UNKNOWN) };
+	return {};
+}
+
+class FrontDuty : public ::testing::Test {
+    protected:
+	void SetUp() override
+	{
+		addr_ip_parse("127.0.0.1", &settings_.caller_listen.ip);
+		settings_.peer_listen.ip = settings_.caller_listen.ip;
+		settings_.caller_listen.port = free_port();
+		settings_.worker_threads = 8;
+		settings_.head_max_bytes = head_max_bytes;
+		settings_.body_max_bytes = body_max_bytes;
+		settings_.hold_max_bytes = 1000;
+		dispatch_ = ring_new(sizeof(struct message), 64, 16);
+		exchange_ = exchange_start(&settings_, dispatch_, nullptr);
+		front_ = front_start(&settings_, dispatch_, exchange_, nullptr);
+		ASSERT_NE(front_, nullptr);
+		thread_ = std::thread([this] { answer_all(); });
+	}
+	void TearDown() override
+	{
+		front_stop(front_);
+		exchange_stop(exchange_);
+		ring_close(dispatch_);
+		thread_.join();
+		ring_free(dispatch_);
+	}
+	static uint16_t free_port()
+	{
+		struct sockaddr_in addr = {};
+		socklen_t length = sizeof(addr);
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(fd, (struct sockaddr *)&addr, sizeof(addr)), 0);
+		getsockname(fd, (struct sockaddr *)&addr, &length);
+		close(fd);
+		return ntohs(addr.sin_port);
+	}
+	void answer_all()
+	{
+		struct message message;
+
+		while (ring_pop(dispatch_, &message, DEADLINE_NONE_US) ==
+		       RING_OK) {
+			if (message.kind == MESSAGE_QUERY)
+				answer_query(&message.query);
+			else
+				answer_command(&message.command);
+		}
+	}
+	static void answer_query(struct query *query)
+	{
+		struct query_reply reply = {};
+
+		reply.kind = query->kind;
+		reply.entries.known = strcmp(query->service.text, "roll") == 0;
+		reply.entries.entry_count = 1;
+		addr_parse("127.0.0.7:80", &reply.entries.entries[0].caller);
+		name_set(&reply.entries.entries[0].domain, "a");
+		EXPECT_EQ(ring_push(query->reply->ring, &reply), RING_OK);
+		query_port_unref(query->reply);
+	}
+	void answer_command(struct command *command)
+	{
+		struct request *request;
+
+		if (command->kind == COMMAND_CANCEL)
+			cancels_++;
+		if (command->kind == COMMAND_ADMIT) {
+			admits_++;
+			request = command->admit.request;
+			for (auto &part : parts_for(command->admit.facts.path))
+				EXPECT_EQ(ring_push_reserved(request->answer,
+							     &part),
+					  RING_OK);
+		}
+		command_clear(command);
+	}
+	int connect_caller() const
+	{
+		struct sockaddr_in addr = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		addr.sin_port = htons(settings_.caller_listen.port);
+		EXPECT_EQ(connect(fd, (struct sockaddr *)&addr, sizeof(addr)),
+			  0);
+		return fd;
+	}
+	static void send_text(int fd, const std::string &text)
+	{
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+	}
+	/* Reads until the peer closes or is silent for @wait_ms. */
+	static std::string read_all(int fd, int wait_ms, bool *closed)
+	{
+		struct pollfd poll_fd = { fd, POLLIN, 0 };
+		std::string text;
+		char bytes[4096];
+		ssize_t n;
+
+		*closed = false;
+		while (poll(&poll_fd, 1, wait_ms) > 0) {
+			n = recv(fd, bytes, sizeof(bytes), 0);
+			if (n <= 0) {
+				*closed = true;
+				break;
+			}
+			text.append(bytes, (size_t)n);
+		}
+		return text;
+	}
+
+	struct settings settings_ = {};
+	struct ring *dispatch_ = nullptr;
+	struct exchange_duty *exchange_ = nullptr;
+	struct front_duty *front_ = nullptr;
+	std::thread thread_;
+	std::atomic<uint32_t> admits_{ 0 };
+	std::atomic<uint32_t> cancels_{ 0 };
+};
+
+struct raw_case {
+	const char *name;
+	std::string request;
+	const char *status; /* of the first answer; empty for none */
+	const char *outcome;
+	uint32_t admits;
+	bool closed;
+};
+
+const std::string get_line = "GET /whole HTTP/1.1\r\nHost: h\r\n";
+const std::string post_line = "POST /whole HTTP/1.1\r\nHost: h\r\n";
+const std::string smuggled = "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n";
+
+const struct raw_case raw_cases[] = {
+	{ "plain", get_line + "\r\n", "200", "complete", 1, false },
+	{ "two in a row", get_line + "\r\n" + get_line + "\r\n", "200",
+	  "complete", 2, false },
+	{ "body", post_line + "Content-Length: 4\r\n\r\npaid", "200",
+	  "complete", 1, false },
+	{ "body in chunks",
+	  post_line +
+		  "Transfer-Encoding: chunked\r\n\r\n4\r\npaid\r\n0\r\n\r\n",
+	  "200", "complete", 1, false },
+	{ "caller closes", get_line + "Connection: close\r\n\r\n", "200",
+	  "complete", 1, true },
+	{ "both framings",
+	  post_line +
+		  "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "0\r\n\r\n" +
+		  smuggled,
+	  "400", "not-run", 0, true },
+	{ "two lengths",
+	  post_line + "Content-Length: 0\r\nContent-Length: 40\r\n\r\n" +
+		  smuggled,
+	  "400", "not-run", 0, true },
+	{ "list of lengths",
+	  post_line + "Content-Length: 0, 40\r\n\r\n" + smuggled, "400",
+	  "not-run", 0, true },
+	{ "signed length", post_line + "Content-Length: +4\r\n\r\npaid", "400",
+	  "not-run", 0, true },
+	{ "length with a tail", post_line + "Content-Length: 4x\r\n\r\npaid",
+	  "400", "not-run", 0, true },
+	{ "unknown coding",
+	  post_line + "Transfer-Encoding: xchunked\r\n\r\n" + smuggled, "400",
+	  "not-run", 0, true },
+	{ "coding as a list",
+	  post_line + "Transfer-Encoding: identity, chunked\r\n\r\n0\r\n\r\n" +
+		  smuggled,
+	  "400", "not-run", 0, true },
+	/* CivetWeb mends these two; what goes on is written anew. */
+	{ "space before the colon",
+	  post_line + "Content-Length : 4\r\n\r\npaid", "200", "complete", 1,
+	  false },
+	{ "folded field",
+	  post_line + "X: a\r\n Transfer-Encoding: chunked\r\n\r\n", "200",
+	  "complete", 1, false },
+	{ "broken chunk",
+	  post_line + "Transfer-Encoding: chunked\r\n\r\nzz\r\npaid\r\n", "400",
+	  "not-run", 0, true },
+	{ "body above its bound", post_line + "Content-Length: 1001\r\n\r\n",
+	  "413", "not-run", 0, true },
+	{ "chunks above the bound",
+	  post_line + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+		  std::string(1001, 'x') + "\r\n0\r\n\r\n",
+	  "413", "not-run", 0, true },
+	{ "head above its bound",
+	  get_line + "X: " + std::string(head_max_bytes, 'x') + "\r\n\r\n",
+	  "400", "not-run", 0, true },
+	{ "too many fields",
+	  get_line +
+		  [] {
+			  std::string fields;
+			  for (int i = 0; i < 70; i++)
+				  fields += "X: 1\r\n";
+			  return fields;
+		  }() +
+		  "\r\n",
+	  "413", "not-run", 0, true },
+	{ "no host", "GET /whole HTTP/1.1\r\n\r\n", "400", "not-run", 0, true },
+	{ "two hosts", get_line + "Host: i\r\n\r\n", "400", "not-run", 0,
+	  true },
+	{ "old version", "GET /whole HTTP/1.0\r\nHost: h\r\n\r\n", "400",
+	  "not-run", 0, true },
+	{ "dot segments", "POST /a/../whole HTTP/1.1\r\nHost: h\r\n\r\n", "400",
+	  "not-run", 0, true },
+	{ "coded dot segments",
+	  "POST /a/%2e%2e/whole HTTP/1.1\r\nHost: h\r\n\r\n", "400", "not-run",
+	  0, true },
+	{ "unknown method", "TRACE /whole HTTP/1.1\r\nHost: h\r\n\r\n", "400",
+	  "not-run", 0, true },
+	{ "no HTTP at all", "hello\r\n\r\n", "400", "not-run", 0, true },
+	{ "whole answer without a body",
+	  "GET /empty HTTP/1.1\r\nHost: h\r\n\r\n", "204", "complete", 1,
+	  false },
+	{ "HEAD", "HEAD /head HTTP/1.1\r\nHost: h\r\n\r\n", "200", "complete",
+	  1, false },
+	{ "refused", "GET /queue HTTP/1.1\r\nHost: h\r\n\r\n", "503", "not-run",
+	  1, false },
+	{ "not known", "GET /unknown HTTP/1.1\r\nHost: h\r\n\r\n", "504",
+	  "unknown", 1, false },
+	{ "broken before it went out",
+	  "GET /broken HTTP/1.1\r\nHost: h\r\n\r\n", "502", "unknown", 1,
+	  true },
+	{ "entries",
+	  "GET /.nutmegcrank/entries?service=roll HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "200", "complete", 0, false },
+	{ "entries of no service",
+	  "GET /.nutmegcrank/entries?service=none HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "404", "not-run", 0, false },
+	{ "entries badly asked",
+	  "GET /.nutmegcrank/entries?service=../x HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "400", "not-run", 0, false },
+	{ "other path of our own",
+	  "POST /.nutmegcrank/x HTTP/1.1\r\nHost: h\r\n\r\n", "400", "not-run",
+	  0, false },
+};
+
+TEST_F(FrontDuty, RawRequests)
+{
+	for (const auto &c : raw_cases) {
+		SCOPED_TRACE(c.name);
+		int fd = connect_caller();
+		std::string answer;
+		bool closed;
+
+		admits_ = 0;
+		send_text(fd, c.request);
+		answer = read_all(fd, 150, &closed);
+		EXPECT_EQ(answer.substr(0, 12),
+			  std::string("HTTP/1.1 ") + c.status);
+		EXPECT_NE(answer.find(std::string("Nutmegcrank-Outcome: ") +
+				      c.outcome + "\r\n"),
+			  std::string::npos)
+			<< answer;
+		EXPECT_EQ(admits_, c.admits);
+		EXPECT_EQ(closed, c.closed) << answer;
+		close(fd);
+	}
+}
+
+struct text_case {
+	const char *name;
+	const char *request;
+	const char *answer;
+};
+
+const struct text_case text_cases[] = {
+	{ "whole", "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
+	  "Content-Length: 5\r\nConnection: keep-alive\r\n\r\nwhole" },
+	{ "chunked", "GET /chunked HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
+	  "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n\r\n"
+	  "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n" },
+	{ "HEAD", "HEAD /head HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
+	  "Content-Length: 7\r\nConnection: keep-alive\r\n\r\n" },
+	{ "HEAD of a refusal", "HEAD /queue HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "HTTP/1.1 503 Service Unavailable\r\n"
+	  "Content-Type: application/json\r\nCache-Control: no-store\r\n"
+	  "Content-Length: 42\r\nNutmegcrank-Outcome: not-run\r\n"
+	  "Connection: keep-alive\r\n\r\n" },
+	{ "refusal", "GET /queue HTTP/1.1\r\nHost: h\r\n\r\n",
+	  "HTTP/1.1 503 Service Unavailable\r\n"
+	  "Content-Type: application/json\r\nCache-Control: no-store\r\n"
+	  "Content-Length: 42\r\nNutmegcrank-Outcome: not-run\r\n"
+	  "Connection: keep-alive\r\n\r\n"
+	  "{\"error\":\"queue_full\",\"outcome\":\"not-run\"}" },
+};
+
+TEST_F(FrontDuty, AnswersByteForByte)
+{
+	for (const auto &c : text_cases) {
+		SCOPED_TRACE(c.name);
+		int fd = connect_caller();
+		bool closed;
+
+		send_text(fd, c.request);
+		EXPECT_EQ(read_all(fd, 150, &closed), c.answer);
+		close(fd);
+	}
+}
+
+TEST_F(FrontDuty, CallerThatGoesIsCancelled)
+{
+	int fd = connect_caller();
+	uint64_t gone_us;
+
+	send_text(fd, "GET /never HTTP/1.1\r\nHost: h\r\n\r\n");
+	while (admits_ == 0)
+		g_usleep(1000);
+	g_usleep(20000);
+	close(fd);
+	gone_us = clock_now_us();
+	while (cancels_ == 0 && clock_now_us() < gone_us + US_PER_S)
+		g_usleep(1000);
+	EXPECT_EQ(cancels_, 1U);
+	EXPECT_LT(clock_now_us(), gone_us + 500 * US_PER_MS);
+}
+
+TEST_F(FrontDuty, SlowBodyIsCutOff)
+{
+	int fd = connect_caller();
+	uint64_t begun_us = clock_now_us();
+	bool closed = false;
+	std::string answer;
+
+	send_text(fd, post_line + "Content-Length: 900\r\n\r\n");
+	while (!closed && clock_now_us() < begun_us + 10 * US_PER_S) {
+		if (send(fd, "x", 1, MSG_NOSIGNAL) < 0)
+			break;
+		answer += read_all(fd, 100, &closed);
+	}
+	EXPECT_LT(clock_now_us(), begun_us + 5 * US_PER_S);
+	EXPECT_EQ(admits_, 0U);
+	close(fd);
+}
+
+TEST_F(FrontDuty, ExpectedContinueIsSent)
+{
+	int fd = connect_caller();
+	std::string answer;
+	bool closed;
+
+	send_text(fd, post_line + "Content-Length: 4\r\n"
+				  "Expect: 100-continue\r\n\r\n");
+	EXPECT_EQ(read_all(fd, 150, &closed), "HTTP/1.1 100 Continue\r\n\r\n");
+	send_text(fd, "paid");
+	answer = read_all(fd, 150, &closed);
+	EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(admits_, 1U);
+	close(fd);
+}
+
+TEST_F(FrontDuty, AnswerThatNeverComesEndsAfterTheDeadline)
+{
+	int fd = connect_caller();
+	uint64_t begun_us = clock_now_us();
+	std::string answer;
+	bool closed;
+
+	send_text(fd, get_line.substr(0, 4) + "/never HTTP/1.1\r\nHost: h\r\n" +
+			      "Nutmegcrank-Deadline-Unix-Ms: " +
+			      std::to_string(clock_now().unix_ms + 200) +
+			      "\r\n\r\n");
+	answer = read_all(fd, 2000, &closed);
+	EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 504");
+	EXPECT_NE(answer.find("Nutmegcrank-Outcome: unknown"),
+		  std::string::npos);
+	EXPECT_GE(clock_now_us(), begun_us + 200 * US_PER_MS);
+	EXPECT_LT(clock_now_us(), begun_us + 1500 * US_PER_MS);
+	EXPECT_EQ(cancels_, 1U);
+	close(fd);
+}
+
+} // namespace
