Run an instance: hand over from main to the duties

Cause: all duties are in, main did not start them; the operators' test did not know the query for instances; a home set's record said a member's status. Change: main hands over to run; the test names the query; home sets have audit figures of their own.

--- a/src/codec/report_text.c
+++ b/src/codec/report_text.c
@@ -15,6 +15,7 @@
 		       const struct audit_config *config);
 static void add_member(struct json_object *out,
 		       const struct audit_member *member);
+static void add_homes(struct json_object *out, const struct audit_homes *homes);
 static void add_queue(struct json_object *out, const struct audit_queue *queue);
 static const char *health_text(enum health_state state);
 static const char *status_text(enum member_status status);
@@ -208,6 +209,9 @@
 	case FIGURES_MEMBER:
 		add_member(out, &record->member);
 		break;
+	case FIGURES_HOMES:
+		add_homes(out, &record->homes);
+		break;
 	case FIGURES_QUEUE:
 		add_queue(out, &record->queue);
 		break;
@@ -241,7 +245,13 @@
 {
 	add_text(out, "status", status_text(member->status));
 	add_number(out, "incarnation", member->incarnation);
-	add_number(out, "home_count", member->home_count);
+}
+
+static void add_homes(struct json_object *out, const struct audit_homes *homes)
+{
+	json_object_object_add(out, "home",
+			       json_object_new_boolean(homes->home));
+	add_number(out, "home_count", homes->home_count);
 }
 
 static void add_queue(struct json_object *out, const struct audit_queue *queue)
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -102,15 +102,15 @@
 	struct audit_record record = {
 		.kind = AUDIT_HOME_SET,
 		.cause = CAUSE_LIST,
-		.figures_kind = FIGURES_MEMBER,
+		.figures_kind = FIGURES_HOMES,
 	};
 	bool first = service->home_count == 0;
 
 	if (replace_homes(state, service)) {
 		record.service = service->doc->service;
 		record.subject = state->membership.self.peer;
-		record.member.status = service->self_home < service->home_count;
-		record.member.home_count = service->home_count;
+		record.homes.home = service->self_home < service->home_count;
+		record.homes.home_count = service->home_count;
 		state_audit(state, &record, now, out);
 	}
 	refresh_shares(state, service, first, now);
--- a/src/core/audit.h
+++ b/src/core/audit.h
@@ -102,14 +102,22 @@
 };
 
 /**
- * struct audit_member - figures behind a change of membership or home set
+ * struct audit_member - figures behind a change of membership
  * @status: enum member_status
  * @incarnation: its incarnation
- * @home_count: homes of the service after the change
  */
 struct audit_member {
 	uint32_t status;
 	uint32_t incarnation;
+};
+
+/**
+ * struct audit_homes - figures behind a change of a home set
+ * @home: this instance is a home
+ * @home_count: homes of the service after the change
+ */
+struct audit_homes {
+	bool home;
 	uint32_t home_count;
 };
 
@@ -130,6 +138,7 @@
 	FIGURES_EVIDENCE,
 	FIGURES_CONFIG,
 	FIGURES_MEMBER,
+	FIGURES_HOMES,
 	FIGURES_QUEUE,
 };
 
@@ -145,6 +154,7 @@
  * @evidence: with FIGURES_EVIDENCE
  * @config: with FIGURES_CONFIG
  * @member: with FIGURES_MEMBER
+ * @homes: with FIGURES_HOMES
  * @queue: with FIGURES_QUEUE
  */
 struct audit_record {
@@ -159,6 +169,7 @@
 		struct audit_evidence evidence;
 		struct audit_config config;
 		struct audit_member member;
+		struct audit_homes homes;
 		struct audit_queue queue;
 	};
 };
--- a/src/main.c
+++ b/src/main.c
@@ -7,6 +7,7 @@
 #include "cli/entries.h"
 #include "cli/log.h"
 #include "cli/parse.h"
+#include "cli/run.h"
 #include "cli/status.h"
 #include "codec/document_json.h"
 
@@ -59,6 +60,5 @@
 		settings.random_seed = g_random_int();
 	log_setup(&settings);
 	g_message("settings accepted, random seed %u", settings.random_seed);
-	fputs("nutmegcrank: run: its duties are not in yet\n", stderr);
-	return EXIT_FAILURE;
+	return run_main(&settings);
 }
--- a/test/unit/operator_duty_test.cc
+++ b/test/unit/operator_duty_test.cc
@@ -86,6 +86,7 @@
 			break;
 		case QUERY_ENTRIES:
 		case QUERY_DOCUMENT:
+		case QUERY_INSTANCES:
 		case QUERY_OFFERS:
 			ADD_FAILURE();
 			break;
--- a/test/unit/report_text_test.cc
+++ b/test/unit/report_text_test.cc
@@ -75,11 +75,23 @@
 		  r->cause = CAUSE_PROBE;
 		  r->subject = { 0x7f000002, 8081 };
 		  r->figures_kind = FIGURES_MEMBER;
-		  r->member = { MEMBER_SUSPECT, 2, 0 };
+		  r->member = { MEMBER_SUSPECT, 2 };
 	  },
 	  R"({"sequence":7,"time":"2026-05-04T10:03:00.250Z",)"
 	  R"("kind":"member","cause":"probe","subject":"127.0.0.2:8081",)"
-	  R"("status":"suspect","incarnation":2,"home_count":0})" },
+	  R"("status":"suspect","incarnation":2})" },
+	{ "homes",
+	  [](struct audit_record *r) {
+		  r->kind = AUDIT_HOME_SET;
+		  r->cause = CAUSE_LIST;
+		  r->service = make_name("gallery");
+		  r->subject = { 0x7f000002, 8081 };
+		  r->figures_kind = FIGURES_HOMES;
+		  r->homes = { true, 3 };
+	  },
+	  R"({"sequence":7,"time":"2026-05-04T10:03:00.250Z",)"
+	  R"("kind":"home_set","cause":"list","service":"gallery",)"
+	  R"("subject":"127.0.0.2:8081","home":true,"home_count":3})" },
 	{ "queue",
 	  [](struct audit_record *r) {
 		  r->kind = AUDIT_OVERLOAD_ENDED;
