--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,16 @@
 	$(MAKE) -s -j$$(nproc) all
 	sh test/demo.sh $(BUILD)
 
+install: $(BIN)
+	install -d $(DESTDIR)$(PREFIX)/sbin $(DESTDIR)$(PREFIX)/share/man/man8 \
+		$(DESTDIR)$(PREFIX)/share/doc/nutmegcrank/examples
+	install -m 755 $(BIN) $(DESTDIR)$(PREFIX)/sbin/nutmegcrank
+	install -m 644 nutmegcrank.8 $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 644 README.md docs/SETTINGS.md docs/OPERATIONS.md \
+		docs/METRICS.md $(DESTDIR)$(PREFIX)/share/doc/nutmegcrank
+	install -m 644 examples/*.json \
+		$(DESTDIR)$(PREFIX)/share/doc/nutmegcrank/examples
+
 clean:
 	rm -rf build
 
@@ -91,4 +101,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all deps check demo clean format lint
+.PHONY: all install deps check demo clean format lint
--- a/test/unit/listing_test.cc
+++ b/test/unit/listing_test.cc
@@ -187,4 +187,106 @@
 	state_free(state);
 }
 
+struct cause_case {
+	const char *name;
+	std::vector<struct audit_record> records;
+	enum audit_cause cause;
+};
+
+struct audit_record make_record(enum audit_kind kind, enum audit_cause cause,
+				const char *service, uint16_t port)
+{
+	struct audit_record record = {};
+
+	record.kind = kind;
+	record.cause = cause;
+	EXPECT_TRUE(name_set(&record.service, service));
+	record.subject = { 0x7f000001, port };
+	return record;
+}
+
+TEST(ListingTest, StatusNamesTheCauseOfTheLatestChange)
+{
+	const struct cause_case cases[] = {
+		{ "no record", {}, CAUSE_NONE },
+		{ "one",
+		  { make_record(AUDIT_EJECTED, CAUSE_SLOWNESS, "a", 9001) },
+		  CAUSE_SLOWNESS },
+		{ "the latest of two",
+		  { make_record(AUDIT_EJECTED, CAUSE_SLOWNESS, "a", 9001),
+		    make_record(AUDIT_TRICKLE, CAUSE_BACKOFF_OVER, "a", 9001) },
+		  CAUSE_BACKOFF_OVER },
+		{ "another backend server",
+		  { make_record(AUDIT_EJECTED, CAUSE_SLOWNESS, "a", 9002) },
+		  CAUSE_NONE },
+		{ "another service",
+		  { make_record(AUDIT_EJECTED, CAUSE_SLOWNESS, "b", 9001) },
+		  CAUSE_NONE },
+		{ "a kind that changes no state",
+		  { make_record(AUDIT_EJECTED, CAUSE_SLOWNESS, "a", 9001),
+		    make_record(AUDIT_EJECTION_WITHHELD, CAUSE_FLOOR, "a",
+				9001) },
+		  CAUSE_SLOWNESS },
+		{ "a drain",
+		  { make_record(AUDIT_DRAIN_BEGUN, CAUSE_DOCUMENT, "a", 9001) },
+		  CAUSE_DOCUMENT },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct settings settings = make_settings();
+		struct state *state =
+			state_with(&settings, { { "a", 1, "1" } });
+		struct event_list events;
+		struct name all = {};
+
+		event_list_init(&events);
+		for (struct audit_record record : c.records)
+			state_audit(state, &record, { 1, 1 }, &events);
+		event_list_clear(&events);
+		struct status_report *report =
+			list_status(state, &all, { 1, 1 });
+		ASSERT_EQ(report->service_count, 1U);
+		ASSERT_EQ(report->services[0].backend_count, 1U);
+		EXPECT_EQ(report->services[0].backends[0].state_cause, c.cause);
+		EXPECT_EQ(report->services[0].backends[0].capacity_slots, 6U);
+		EXPECT_EQ(report->services[0].floor_slots, 1U);
+		status_report_free(report);
+		state_free(state);
+	}
+}
+
+struct status_case {
+	const char *service;
+	std::vector<std::string> shown;
+};
+
+const struct status_case status_cases[] = {
+	{ "", { "a", "b", "c" } },
+	{ "b", { "b" } },
+	{ "absent", {} },
+};
+
+TEST(ListingTest, StatusShowsAllServicesOrOne)
+{
+	struct settings settings = make_settings();
+	struct state *state = state_with(&settings, { { "c", 3, "1" },
+						      { "a", 1, "1" },
+						      { "b", 2, "1" } });
+
+	for (const auto &c : status_cases) {
+		SCOPED_TRACE(c.service);
+		struct name name = {};
+
+		EXPECT_EQ(name_set(&name, c.service), *c.service != '\0');
+		struct status_report *report =
+			list_status(state, &name, { 1, 1 });
+		ASSERT_EQ(report->service_count, c.shown.size());
+		for (uint32_t i = 0; i < report->service_count; i++)
+			EXPECT_EQ(c.shown[i], report->services[i].service.text);
+		status_report_free(report);
+	}
+	state_free(state);
+}
+
 } // namespace
