Name the policy in the settings; bind to where the peers' sockets are

Cause: the ways of sharing slots and the baseline must be measured side by side with one binary; and connections to backend servers came from the peers' published address, which may be a mapped one. Change: settings field "policy" (leased, fixed, open, baseline; leased when absent), set into struct policy by state_new(); exchange and probe bind to peer_bind. Tests: unit tests of settings, exchange, probe and front pass.

--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -25,6 +25,13 @@
 	{ "debug", LOG_MASK_DEBUG },
 };
 
+static const struct field_choice policies[] = {
+	{ "leased", POLICY_LEASED },
+	{ "fixed", POLICY_FIXED },
+	{ "open", POLICY_OPEN },
+	{ "baseline", POLICY_BASELINE },
+};
+
 static const struct json_field log_fields[] = {
 	{ "format", FIELD_CHOICE, false, AT(log_format),
 	  .choices = { log_formats, G_N_ELEMENTS(log_formats), LOG_TEXT } },
@@ -55,6 +62,8 @@
 	  .table = { log_fields, G_N_ELEMENTS(log_fields) } },
 	{ "random_seed", FIELD_U32, false, AT(random_seed),
 	  .range = { 0, UINT32_MAX, 0 } },
+	{ "policy", FIELD_CHOICE, false, AT(policy),
+	  .choices = { policies, G_N_ELEMENTS(policies), POLICY_LEASED } },
 };
 
 static const struct field_table settings_table = {
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -162,6 +162,20 @@
  */
 enum log_format { LOG_TEXT, LOG_JSON };
 
+/**
+ * enum policy_choice - ways of deciding that are measured side by side
+ * @POLICY_LEASED: shares of slots, unused ones are lent
+ * @POLICY_FIXED: shares of slots
+ * @POLICY_OPEN: every home sees all slots, the backend servers shed
+ * @POLICY_BASELINE: as open, round robin, one queue, no ejection
+ */
+enum policy_choice {
+	POLICY_LEASED,
+	POLICY_FIXED,
+	POLICY_OPEN,
+	POLICY_BASELINE,
+};
+
 /**
  * struct settings - one instance's settings file
  * @caller_listen: where callers connect
@@ -180,6 +194,7 @@
  * @log_format: text or JSON
  * @log_level: GLib log level mask that is shown
  * @random_seed: seed of the decisions' random numbers; 0 takes one and logs it
+ * @policy: enum policy_choice, for measurements
  */
 struct settings {
 	struct net_addr caller_listen;
@@ -197,6 +212,7 @@
 	enum log_format log_format;
 	uint32_t log_level;
 	uint32_t random_seed;
+	uint32_t policy;
 };
 
 /**
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -4,6 +4,7 @@
 
 #define RETRY_BUDGET_START_PERMILLE 5000
 
+static struct policy policy_of(enum policy_choice choice);
 static void backend_init(struct backend *backend,
 			 const struct backend_doc *doc);
 
@@ -13,8 +14,7 @@
 	uint32_t i;
 
 	state->settings = settings;
-	state->policy.sharing = SHARING_LEASED;
-	state->policy.ejecting = true;
+	state->policy = policy_of((enum policy_choice)settings->policy);
 	state->rand = g_rand_new_with_seed(settings->random_seed);
 	state->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 						service_free);
@@ -124,6 +124,29 @@
 	event_list_add(out, &event);
 }
 
+static struct policy policy_of(enum policy_choice choice)
+{
+	struct policy policy = { .sharing = SHARING_LEASED, .ejecting = true };
+
+	switch (choice) {
+	case POLICY_LEASED:
+		break;
+	case POLICY_FIXED:
+		policy.sharing = SHARING_FIXED;
+		break;
+	case POLICY_OPEN:
+		policy.sharing = SHARING_NONE;
+		break;
+	case POLICY_BASELINE:
+		policy.sharing = SHARING_NONE;
+		policy.picking = PICKING_ROUND_ROBIN;
+		policy.queueing = QUEUEING_FIFO;
+		policy.ejecting = false;
+		break;
+	}
+	return policy;
+}
+
 static void backend_init(struct backend *backend, const struct backend_doc *doc)
 {
 	backend->addr = doc->addr;
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -793,7 +793,7 @@
 
 	(void)purpose;
 	(void)addr;
-	fd = backend_socket(duty->settings->peer_listen.ip);
+	fd = backend_socket(duty->settings->peer_bind.ip);
 	if (fd < 0)
 		return CURL_SOCKET_BAD;
 	exchange->fd = fd;
--- a/test/unit/document_json_test.cc
+++ b/test/unit/document_json_test.cc
@@ -418,6 +418,7 @@
 	EXPECT_TRUE(s.log_level & G_LOG_LEVEL_WARNING);
 	EXPECT_FALSE(s.log_level & G_LOG_LEVEL_INFO);
 	EXPECT_EQ(s.random_seed, 7U);
+	EXPECT_EQ(s.policy, (uint32_t)POLICY_LEASED);
 }
 
 struct bind_case {
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -480,7 +480,7 @@
     protected:
 	void SetUp() override
 	{
-		addr_ip_parse("127.0.0.1", &settings_.peer_listen.ip);
+		addr_ip_parse("127.0.0.1", &settings_.peer_bind.ip);
 		settings_.worker_threads = 4;
 		settings_.head_max_bytes = 16384;
 		settings_.hold_max_bytes = hold_max_bytes;
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -88,7 +88,7 @@
 	void SetUp() override
 	{
 		addr_ip_parse("127.0.0.1", &settings_.caller_listen.ip);
-		settings_.peer_listen.ip = settings_.caller_listen.ip;
+		settings_.peer_bind.ip = settings_.caller_listen.ip;
 		settings_.caller_listen.port = free_port();
 		settings_.worker_threads = 8;
 		settings_.head_max_bytes = head_max_bytes;
--- a/test/unit/probe_test.cc
+++ b/test/unit/probe_test.cc
@@ -137,7 +137,7 @@
     protected:
 	void SetUp() override
 	{
-		addr_ip_parse("127.0.0.1", &settings_.peer_listen.ip);
+		addr_ip_parse("127.0.0.1", &settings_.peer_bind.ip);
 		settings_.random_seed = 7;
 		dispatch_ = ring_new(sizeof(struct message), 256, 16);
 		duty_ = probe_start(&settings_, dispatch_, nullptr);
