Let a request wait again that was too late to send on its slot

Cause: the exchange duty reported a lease that was over, or a pause, as a cancelled caller, and the decisions refused the request as caller_gone although its own deadline was not past. A grant that found no room counted the same way and would have been granted again without end. Change: EVIDENCE_LATE tells the two apart; unsent, the request waits again without cost to the retry budget; sent, it is refused as deadline, unknown. A grant without room is as good as shed. Conclusion: caller_gone now means what it says.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -14,6 +14,8 @@
 static void conclude(struct state *state, uint32_t index,
 		     struct finish_command *command, struct instant now,
 		     struct event_list *out);
+static void send_anew(struct state *state, uint32_t index, struct instant now,
+		      struct event_list *out);
 static void complete(struct state *state, uint32_t index,
 		     struct finish_command *command, struct event_list *out);
 static bool may_retry(const struct ticket *ticket,
@@ -112,6 +114,11 @@
 		ticket_free(state, index);
 		return;
 	}
+	if (evidence->kind == EVIDENCE_LATE && !ticket->cancelled &&
+	    !evidence->request_sent) {
+		send_anew(state, index, now, out);
+		return;
+	}
 	if (may_retry(ticket, evidence, now)) {
 		if (take_budget(ticket->service)) {
 			retry(state, index, command->backend, evidence, now);
@@ -128,6 +135,22 @@
 	ticket_refuse(state, index, refusal, out);
 }
 
+/* It was too late to send, as after a pause; the slot's lease may be over. */
+static void send_anew(struct state *state, uint32_t index, struct instant now,
+		      struct event_list *out)
+{
+	struct ticket *ticket = &state->tickets[index];
+	struct refusal refusal = {
+		.cause = REFUSAL_DEADLINE,
+		.outcome = ticket->outcome,
+	};
+
+	if (now.mono_us < ticket->deadline_us)
+		ticket_enqueue(state, index, now);
+	else
+		ticket_refuse(state, index, refusal, out);
+}
+
 /* The backend server's own error goes to the caller as it came. */
 static void complete(struct state *state, uint32_t index,
 		     struct finish_command *command, struct event_list *out)
@@ -148,7 +171,8 @@
 static bool may_retry(const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now)
 {
-	if (ticket->cancelled || evidence->kind == EVIDENCE_CANCELLED)
+	if (ticket->cancelled || evidence->kind == EVIDENCE_CANCELLED ||
+	    evidence->kind == EVIDENCE_LATE)
 		return false;
 	if (!ticket->idempotent && !evidence_not_run(evidence))
 		return false;
@@ -199,6 +223,8 @@
 		return REFUSAL_BAD_ANSWER;
 	case EVIDENCE_CANCELLED:
 		return REFUSAL_CALLER_GONE;
+	case EVIDENCE_LATE:
+		return REFUSAL_DEADLINE;
 	case EVIDENCE_OK:
 	case EVIDENCE_SERVER_ERROR:
 	case EVIDENCE_RESET:
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -58,6 +58,7 @@
 		return WORK_OK;
 	case EVIDENCE_SHED:
 	case EVIDENCE_CANCELLED:
+	case EVIDENCE_LATE:
 		return WORK_NOTHING;
 	case EVIDENCE_TIMEOUT:
 		if (evidence->reused)
--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -11,6 +11,7 @@
 	case EVIDENCE_OK:
 	case EVIDENCE_SHED:
 	case EVIDENCE_CANCELLED:
+	case EVIDENCE_LATE:
 		return false;
 	case EVIDENCE_SERVER_ERROR:
 	case EVIDENCE_CONNECT:
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -21,6 +21,8 @@
  * @EVIDENCE_TRUNCATED: the connection ended in the body
  * @EVIDENCE_BAD_ANSWER: not a valid HTTP answer, or above a bound
  * @EVIDENCE_CANCELLED: stopped because the caller is gone
+ * @EVIDENCE_LATE: its time was over through no fault of the backend server,
+ *	as when it was too late to send or the process was paused
  */
 enum evidence_kind {
 	EVIDENCE_OK,
@@ -32,6 +34,7 @@
 	EVIDENCE_TRUNCATED,
 	EVIDENCE_BAD_ANSWER,
 	EVIDENCE_CANCELLED,
+	EVIDENCE_LATE,
 };
 
 /**
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -183,7 +183,7 @@
 	}
 }
 
-/* A grant that cannot be handed on has not run. */
+/* A grant that cannot be handed on has not run: as good as shed. */
 static void hand_exchange(struct dispatch_duty *duty, struct event *event)
 {
 	struct exchange_order order = { .kind = ORDER_CANCEL };
@@ -202,7 +202,7 @@
 		return;
 	command.finish.exchange = event->grant.exchange;
 	command.finish.backend = event->grant.backend;
-	command.finish.evidence.kind = EVIDENCE_CANCELLED;
+	command.finish.evidence.kind = EVIDENCE_SHED;
 	event_clear(event);
 	apply(duty, &command);
 }
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -137,6 +137,7 @@
 static void give_handle(struct exchange_duty *duty, CURL *easy);
 static bool grant_expired(const struct grant_event *grant, uint64_t now_us);
 static bool grant_too_late(const struct grant_event *grant, uint64_t now_us);
+static enum evidence_kind unsent_kind(const struct grant_event *grant);
 static void start_waiting(struct exchange_duty *duty);
 static void finish_unsent(struct exchange_duty *duty, struct grant_event *grant,
 			  enum evidence_kind kind);
@@ -364,7 +365,7 @@
 	enum connection_choice choice;
 
 	if (grant_expired(grant, clock_now_us())) {
-		finish_unsent(duty, &late, EVIDENCE_CANCELLED);
+		finish_unsent(duty, &late, unsent_kind(grant));
 		return true;
 	}
 	host = connections_host(duty->connections, grant->backend);
@@ -495,6 +496,14 @@
 	return now_us >= grant->send_before_us || now_us >= grant->deadline_us;
 }
 
+/* Whose fault it is that an exchange was not sent in time. */
+static enum evidence_kind unsent_kind(const struct grant_event *grant)
+{
+	if (g_atomic_int_get(&grant->request->caller_gone) != 0)
+		return EVIDENCE_CANCELLED;
+	return EVIDENCE_LATE;
+}
+
 /* Begins exchanges that waited for a connection, ends those that are late. */
 static void start_waiting(struct exchange_duty *duty)
 {
@@ -621,6 +630,7 @@
 	case EVIDENCE_TRUNCATED:
 	case EVIDENCE_BAD_ANSWER:
 	case EVIDENCE_CANCELLED:
+	case EVIDENCE_LATE:
 		if (exchange->streaming)
 			push_last(request, PART_BROKEN);
 		return NULL;
@@ -658,8 +668,9 @@
 		return EVIDENCE_RESET;
 	case STOP_BAD_ANSWER:
 		return EVIDENCE_BAD_ANSWER;
-	case STOP_NONE:
 	case STOP_LATE:
+		return unsent_kind(&exchange->grant);
+	case STOP_NONE:
 	case STOP_STALE:
 	case STOP_CALLER:
 		break;
@@ -686,10 +697,10 @@
 {
 	/* Time that the process was paused speaks against nobody. */
 	if (exchange->overslept)
-		return EVIDENCE_CANCELLED;
+		return EVIDENCE_LATE;
 	if (exchange->sent)
 		return EVIDENCE_TIMEOUT;
-	return exchange->connect_cut ? EVIDENCE_CANCELLED : EVIDENCE_CONNECT;
+	return exchange->connect_cut ? EVIDENCE_LATE : EVIDENCE_CONNECT;
 }
 
 static enum evidence_kind judge_cut(const struct exchange *exchange)
