Test each part of the planned stop and the workers' shares by class

Cause: with each mechanism switched off in turn, two were not missed by any test: accepting on until answers to entries expire, and the lower classes' share of the front's workers.

--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -266,4 +266,51 @@
 		  std::vector<enum refusal_cause>(4, REFUSAL_LONG_SHARE));
 }
 
+struct worker_case {
+	const char *name;
+	uint32_t low;
+	uint32_t first;
+	uint32_t waiting;
+	std::vector<enum refusal_cause> refused;
+};
+
+/* Of 16 workers the lower class fills 12 at most; one request runs. */
+const struct worker_case worker_cases[] = {
+	{ "the lower class leaves a quarter of the workers",
+	  14,
+	  0,
+	  11,
+	  { REFUSAL_QUEUE_FULL, REFUSAL_QUEUE_FULL } },
+	{ "the first class fills what is left", 12, 4, 15, {} },
+	{ "then it puts out the lower class",
+	  12,
+	  6,
+	  15,
+	  { REFUSAL_OVERLOAD, REFUSAL_OVERLOAD } },
+	{ "and is refused only when nothing lower waits",
+	  0,
+	  17,
+	  15,
+	  { REFUSAL_QUEUE_FULL } },
+};
+
+TEST(AdmitTest, LowerClassLeavesWorkersOfTheFront)
+{
+	for (const auto &c : worker_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		world.settings.worker_threads = 16;
+		world.list(1);
+		world.accept(make_doc({ 1, 1, 0, 64, 60000 }));
+
+		for (uint32_t i = 0; i < c.low; i++)
+			world.request("/s/low");
+		for (uint32_t i = 0; i < c.first; i++)
+			world.request("/s/short");
+
+		EXPECT_EQ(world.service()->waiting_requests, c.waiting);
+		EXPECT_EQ(refusals(world), c.refused);
+	}
+}
+
 } // namespace
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -288,33 +288,67 @@
 	}
 }
 
-TEST(LeaveTest, WaitsForAnswersGivenAndForWorkInProgress)
+struct leave_case {
+	const char *name;
+	bool busy;
+	bool hurry;
+	/* A request that comes then is still served; 0 for none. */
+	uint64_t late_request_ms;
+	uint64_t work_ends_ms;
+	uint64_t not_left_ms;
+	uint64_t left_ms;
+};
+
+const struct leave_case leave_cases[] = {
+	{ "answers to entries name it for 5 s, and a margin", false, false, 0,
+	  0, 5000, 6000 },
+	{ "work in progress ends first", true, false, 5000, 9000, 9000, 9200 },
+	{ "in a hurry no answer is waited for", false, true, 0, 0, 0, 200 },
+	{ "in a hurry work in progress still ends", true, true, 0, 3000, 3000,
+	  3200 },
+	{ "the longest stop ends it", true, false, 0, 60000, 29900, 30200 },
+};
+
+void run_leave(const struct leave_case &c)
 {
 	World world;
 	world.list(1);
 	world.accept(make_doc(doc_shape()));
 	world.pass_ms(100);
-	struct grant_event grant =
-		world.about(world.request("/s/short", 1,
-					  world.now.mono_us + 20 * US_PER_S))
-			->grant;
+	struct grant_event grant = {};
+	uint64_t deadline_us = world.now.mono_us + 60 * US_PER_S;
+	if (c.busy)
+		grant = world.about(world.request("/s/short", 1, deadline_us))
+				->grant;
 	struct command command = {};
 	command.kind = COMMAND_LEAVE;
+	command.leave.hurry = c.hurry;
 
 	world.apply(command);
-	world.pass_ms(5000);
-	/* A caller may still hold an answer that names this instance. */
-	uint32_t late = world.request("/s/short");
-	ASSERT_NE(world.about(late), nullptr);
-	EXPECT_EQ(world.about(late)->kind, EVENT_GRANT);
-	struct grant_event late_grant = world.about(late)->grant;
-	world.finish(late_grant, ended(EVIDENCE_OK));
-	world.pass_ms(3000);
-	EXPECT_EQ(world.count(EVENT_LEFT), 0u);
-	world.finish(grant, ended(EVIDENCE_OK));
-	world.pass_ms(100);
+	for (uint64_t ms = 0; ms <= c.left_ms; ms += 100) {
+		if (c.late_request_ms && ms == c.late_request_ms) {
+			uint32_t late = world.request("/s/short");
+			ASSERT_NE(world.about(late), nullptr);
+			ASSERT_EQ(world.about(late)->kind, EVENT_GRANT);
+			struct grant_event given = world.about(late)->grant;
+			world.finish(given, ended(EVIDENCE_OK));
+		}
+		if (c.busy && ms == c.work_ends_ms)
+			world.finish(grant, ended(EVIDENCE_OK));
+		EXPECT_TRUE(ms > c.not_left_ms || world.count(EVENT_LEFT) == 0)
+			<< ms;
+		world.pass_ms(100);
+	}
 	EXPECT_EQ(world.count(EVENT_LEFT), 1u);
 	EXPECT_EQ(world.count_audit(AUDIT_LEAVING), 1u);
 }
 
+TEST(LeaveTest, WaitsForAnswersGivenAndForWorkInProgress)
+{
+	for (const auto &c : leave_cases) {
+		SCOPED_TRACE(c.name);
+		run_leave(c);
+	}
+}
+
 } // namespace
