--- /dev/null
+++ b/test/unit/configure_test.cc
@@ -0,0 +1,311 @@
+/* Acceptance of documents, and the change of one while work goes on. */
+#include "world.h"
+
+extern "C" {
+#include "command/member.h"
+#include "query/listing.h"
+}
+
+namespace
+{
+
+/* What is offered, and what must come of it. */
+enum offer_kind { ACCEPT, ACCEPT_FROM_PEER, REFUSE };
+
+struct offer_step {
+	enum offer_kind kind;
+	uint64_t version;
+	uint64_t hash;
+	uint64_t in_force;
+	uint32_t accepted;
+	uint32_t refused;
+	enum audit_cause cause;
+};
+
+struct offer_case {
+	const char *name;
+	std::vector<struct offer_step> steps;
+};
+
+const std::vector<struct offer_case> offer_cases = {
+	{ "first document",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM } } },
+	{ "a peer relays it",
+	  { { ACCEPT_FROM_PEER, 3, 3, 3, 1, 0, CAUSE_PEER } } },
+	{ "version rises",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM },
+	    { ACCEPT, 4, 4, 4, 1, 0, CAUSE_PLATFORM },
+	    { ACCEPT_FROM_PEER, 9, 9, 9, 1, 0, CAUSE_PEER } } },
+	{ "older is refused and told once",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM },
+	    { ACCEPT, 2, 2, 3, 0, 1, CAUSE_OLDER_VERSION },
+	    { ACCEPT, 2, 2, 3, 0, 0, CAUSE_NONE },
+	    { ACCEPT, 1, 1, 3, 0, 1, CAUSE_OLDER_VERSION } } },
+	{ "the same again says nothing",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM },
+	    { ACCEPT_FROM_PEER, 3, 3, 3, 0, 0, CAUSE_NONE } } },
+	{ "same version, other content",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM },
+	    { ACCEPT, 3, 7, 3, 0, 1, CAUSE_SAME_VERSION_OTHER_CONTENT },
+	    { ACCEPT_FROM_PEER, 3, 7, 3, 0, 0, CAUSE_NONE },
+	    { ACCEPT, 3, 8, 3, 0, 1, CAUSE_SAME_VERSION_OTHER_CONTENT } } },
+	{ "malformed keeps what is in force",
+	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM },
+	    { REFUSE, 4, 4, 3, 0, 1, CAUSE_MALFORMED },
+	    { REFUSE, 4, 4, 3, 0, 0, CAUSE_NONE },
+	    { ACCEPT, 5, 5, 5, 1, 0, CAUSE_PLATFORM } } },
+	{ "malformed before any is in force",
+	  { { REFUSE, 1, 1, 0, 0, 1, CAUSE_MALFORMED },
+	    { ACCEPT, 2, 2, 2, 1, 0, CAUSE_PLATFORM } } },
+	{ "a version refused for another text may come with its own",
+	  { { REFUSE, 4, 6, 0, 0, 1, CAUSE_MALFORMED },
+	    { ACCEPT, 4, 4, 4, 1, 0, CAUSE_PLATFORM } } },
+};
+
+void offer(World &world, const struct offer_step &step)
+{
+	struct command command = {};
+
+	if (step.kind == REFUSE) {
+		command.kind = COMMAND_REFUSE_CONFIG;
+		name_set(&command.refuse_config.key, "s");
+		command.refuse_config.version = step.version;
+		command.refuse_config.hash = step.hash;
+	} else {
+		command.kind = COMMAND_ACCEPT_CONFIG;
+		command.accept_config.doc = make_doc({}, step.version);
+		command.accept_config.doc->hash = step.hash;
+		command.accept_config.from_peer = step.kind == ACCEPT_FROM_PEER;
+	}
+	world.apply(command);
+}
+
+enum audit_cause last_cause(const World &world)
+{
+	enum audit_cause cause = CAUSE_NONE;
+
+	for (const struct event &event : world.events) {
+		if (event.kind == EVENT_AUDIT &&
+		    (event.audit.kind == AUDIT_CONFIG_ACCEPTED ||
+		     event.audit.kind == AUDIT_CONFIG_REFUSED))
+			cause = event.audit.cause;
+	}
+	return cause;
+}
+
+TEST(ConfigureTest, VersionOnlyRises)
+{
+	for (const struct offer_case &c : offer_cases) {
+		World world;
+		uint32_t number = 0;
+
+		world.list(3);
+		for (const struct offer_step &step : c.steps) {
+			SCOPED_TRACE(std::string(c.name) + " step " +
+				     std::to_string(number++));
+			world.forget();
+			offer(world, step);
+			EXPECT_EQ(world.count_audit(AUDIT_CONFIG_ACCEPTED),
+				  step.accepted);
+			EXPECT_EQ(world.count_audit(AUDIT_CONFIG_REFUSED),
+				  step.refused);
+			EXPECT_EQ(last_cause(world), step.cause);
+			EXPECT_EQ(world.service() ?
+					  world.service()->doc->version :
+					  0,
+				  step.in_force);
+		}
+	}
+}
+
+TEST(ConfigureTest, RefusalIsToldAgainAfterAMinute)
+{
+	World world;
+	struct offer_step old = { ACCEPT, 2, 2, 3, 0, 1, CAUSE_OLDER_VERSION };
+
+	offer(world, { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM });
+	offer(world, old);
+	world.forget();
+	world.pass_ms(59000);
+	offer(world, old);
+	EXPECT_EQ(world.count_audit(AUDIT_CONFIG_REFUSED), 0u);
+	world.pass_ms(2000);
+	offer(world, old);
+	EXPECT_EQ(world.count_audit(AUDIT_CONFIG_REFUSED), 1u);
+}
+
+/* A document over some of the backend servers 0..9, in this order. */
+struct service_doc *doc_over(const std::vector<uint32_t> &hosts,
+			     uint64_t version)
+{
+	struct doc_shape shape;
+	struct service_doc *doc;
+
+	shape.backends = (uint32_t)hosts.size();
+	doc = make_doc(shape, version);
+	for (size_t i = 0; i < hosts.size(); i++)
+		doc->backends[i].addr = addr_of(200 + hosts[i], 9000);
+	return doc;
+}
+
+struct change_case {
+	const char *name;
+	std::vector<uint32_t> before;
+	std::vector<uint32_t> after;
+	/* Backend servers in the table after the change, retired ones last. */
+	uint32_t busy_hidden;
+};
+
+/* All slots are in use when the document changes. */
+const std::vector<struct change_case> change_cases = {
+	{ "nothing changes", { 0, 1, 2 }, { 0, 1, 2 }, 0 },
+	{ "order changes", { 0, 1, 2 }, { 2, 0, 1 }, 0 },
+	{ "one is gained", { 0, 1 }, { 5, 0, 1 }, 0 },
+	{ "one is lost", { 0, 1, 2 }, { 0, 2 }, 1 },
+	{ "all are replaced", { 0, 1 }, { 2, 3 }, 2 },
+	{ "all are gone", { 0, 1 }, {}, 2 },
+};
+
+std::vector<struct grant_event> grants_of(World &world)
+{
+	std::vector<struct grant_event> grants;
+
+	for (const struct event &event : world.events) {
+		if (event.kind == EVENT_GRANT)
+			grants.push_back(event.grant);
+	}
+	return grants;
+}
+
+uint32_t slots_in_use(const struct service *service)
+{
+	uint32_t slots = 0;
+
+	for (uint32_t i = 0; i < service->backend_count; i++)
+		slots += service->backends[i].in_use_slots;
+	return slots;
+}
+
+TEST(ConfigureTest, WorkGoesOnAcrossAChange)
+{
+	for (const struct change_case &c : change_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.list(1);
+		world.accept(doc_over(c.before, 1));
+		world.pass_ms(3000);
+		world.forget();
+		for (uint32_t i = 0; i < 12 * c.before.size(); i++)
+			world.request("/s/short", i);
+		std::vector<struct grant_event> grants = grants_of(world);
+		uint32_t running = world.service()->running_requests;
+
+		ASSERT_GT(grants.size(), 0u);
+		ASSERT_EQ(grants.size(), running);
+		ASSERT_EQ(slots_in_use(world.service()), running);
+		world.accept(doc_over(c.after, 2));
+		struct service *service = world.service();
+
+		EXPECT_EQ(service->doc->version, 2u);
+		EXPECT_EQ(service->backend_count,
+			  c.after.size() + c.busy_hidden);
+		EXPECT_EQ(slots_in_use(service), running);
+		for (uint32_t i = 0; i < TICKETS_MAX; i++) {
+			const struct ticket *ticket = &world.state->tickets[i];
+
+			if (ticket->state != TICKET_RUNNING)
+				continue;
+			ASSERT_LT(ticket->backend_index,
+				  service->backend_count);
+		}
+		for (uint32_t i = c.after.size(); i < service->backend_count;
+		     i++) {
+			EXPECT_EQ(service->backends[i].own_slots, 0u);
+			EXPECT_TRUE(service->backends[i].drain_document);
+		}
+		/* Each request ends at the backend server that it began at. */
+		world.forget();
+		for (const struct grant_event &grant : grants)
+			world.finish(grant, ended(EVIDENCE_OK));
+		for (const struct grant_event &grant : grants_of(world)) {
+			bool in_doc = false;
+
+			for (uint32_t host : c.after)
+				in_doc |= addr_equal(grant.backend,
+						     addr_of(200 + host, 9000));
+			EXPECT_TRUE(in_doc) << "new work on one that is gone";
+		}
+		world.accept(doc_over(c.after, 3));
+		EXPECT_EQ(world.service()->backend_count, c.after.size());
+	}
+}
+
+TEST(ConfigureTest, QueuesAndCountersFollowTheirClass)
+{
+	World world;
+
+	world.list(1);
+	world.accept(doc_over({ 0 }, 1));
+	world.pass_ms(3000);
+	for (uint32_t i = 0; i < 20; i++)
+		world.request("/s/low", i);
+	uint32_t waiting = world.service()->waiting_requests;
+	uint64_t admitted =
+		world.service()->counters.classes[1].admitted_requests;
+
+	ASSERT_GT(waiting, 0u);
+	ASSERT_GT(admitted, 0u);
+	struct service_doc *doc = doc_over({ 0 }, 2);
+	std::swap(doc->classes[0], doc->classes[1]);
+	world.accept(doc);
+	struct service *service = world.service();
+
+	EXPECT_EQ(service->waiting_requests, waiting);
+	EXPECT_EQ(service->queues[0].short_tickets->len, waiting);
+	EXPECT_EQ(service->queues[1].short_tickets->len, 0u);
+	EXPECT_EQ(service->counters.classes[0].admitted_requests, admitted);
+}
+
+TEST(ConfigureTest, HostOfTwoDocumentsBelongsToTheFirstByName)
+{
+	for (bool reverse : { false, true }) {
+		World world;
+		struct service_doc *docs[2] = { make_doc({}), make_doc({}) };
+
+		name_set(&docs[0]->service, "alpha");
+		name_set(&docs[1]->service, "beta");
+		for (struct service_doc *doc : docs) {
+			name_set(&doc->hosts[0], "shared.example");
+			doc->host_count = 1;
+		}
+		world.accept(docs[reverse ? 1 : 0]);
+		world.accept(docs[reverse ? 0 : 1]);
+		const struct service *service =
+			(const struct service *)g_hash_table_lookup(
+				world.state->by_host, "shared.example");
+
+		ASSERT_NE(service, nullptr);
+		EXPECT_STREQ(service->doc->service.text, "alpha");
+	}
+}
+
+TEST(ConfigureTest, OffersHeldGiveOneDigest)
+{
+	World one;
+	World two(1);
+
+	EXPECT_EQ(one.state->membership.config_digest,
+		  two.state->membership.config_digest);
+	one.accept(make_doc({}, 4));
+	EXPECT_NE(one.state->membership.config_digest,
+		  two.state->membership.config_digest);
+	two.accept(make_doc({}, 3));
+	EXPECT_NE(one.state->membership.config_digest,
+		  two.state->membership.config_digest);
+	two.accept(make_doc({}, 4));
+	EXPECT_EQ(one.state->membership.config_digest,
+		  two.state->membership.config_digest);
+}
+
+}
