Split membership into small modules, with tests of fleets in memory

Change: list, belief, probe, spread and offer are modules of their own. What was carried least goes first; an alive word that ends no doubt is not passed on; a planned stop is told to all, three times within 300 ms, because the instance outlasts its answers to entries by only 500 ms; the dead are tried from a random one on, and more often while many are dead.

--- a/src/command/member.h
+++ b/src/command/member.h
@@ -52,7 +52,7 @@
 		 struct peer_message *message, struct event_list *out);
 
 /**
- * member_announce_leaving() - tell the others of the planned stop
+ * member_announce_leaving() - tell all others of the planned stop, some times
  * @state: the state
  * @now: the time
  * @out: gets datagrams
--- /dev/null
+++ b/src/command/member_belief.c
@@ -0,0 +1,158 @@
+#include "command/member_belief.h"
+
+#include <string.h>
+
+#include "command/member_probe.h"
+#include "command/member_spread.h"
+
+#define SUSPECT_PERIODS 4
+
+static bool belief_newer(const struct member *member, uint32_t incarnation,
+			 enum member_status status);
+static uint32_t status_rank(enum member_status status);
+static void refute(struct state *state, const struct rumour *rumour);
+
+void member_end_suspicions(struct state *state, struct instant now,
+			   struct event_list *out)
+{
+	GArray *members = state->membership.members;
+	struct member *member;
+	guint i;
+
+	for (i = 0; i < members->len; i++) {
+		member = &g_array_index(members, struct member, i);
+		if (member->suspect_until_us == 0)
+			continue;
+		if (now.mono_us <= member->suspect_until_us)
+			continue;
+		member_set_status(state, member, MEMBER_DEAD, CAUSE_PROBE, now,
+				  out);
+	}
+}
+
+void member_believe(struct state *state, struct member *member,
+		    uint32_t incarnation, enum member_status status,
+		    enum audit_cause cause, struct instant now,
+		    struct event_list *out)
+{
+	bool newer = belief_newer(member, incarnation, status);
+
+	if (!newer)
+		return;
+	member->incarnation = incarnation;
+	/* Leaving wins over live for as long as the list says so. */
+	if (member->in_list && member->listed.status == INSTANCE_LEAVING &&
+	    (status == MEMBER_ALIVE || status == MEMBER_SUSPECT))
+		return;
+	if (status == member->status)
+		return;
+	member_set_status(state, member, status, cause, now, out);
+}
+
+void member_set_status(struct state *state, struct member *member,
+		       enum member_status status, enum audit_cause cause,
+		       struct instant now, struct event_list *out)
+{
+	enum member_status before = member->status;
+
+	member->status = status;
+	member->suspect_until_us = 0;
+	if (status == MEMBER_SUSPECT)
+		member->suspect_until_us = member_suspicion_end_us(state, now);
+	if (before == MEMBER_DEAD)
+		member_join_round(state, member->listed.peer);
+	if (before != MEMBER_SUSPECT || status != MEMBER_ALIVE)
+		state->homes_dirty |= status != MEMBER_SUSPECT;
+	member_spread_rumour(state, member->listed.peer);
+	member_audit(state, member, cause, now, out);
+}
+
+void member_audit(struct state *state, const struct member *member,
+		  enum audit_cause cause, struct instant now,
+		  struct event_list *out)
+{
+	struct audit_record record = {
+		.kind = AUDIT_MEMBER,
+		.cause = cause,
+		.subject = member->listed.peer,
+		.figures_kind = FIGURES_MEMBER,
+		.member.status = member->status,
+		.member.incarnation = member->incarnation,
+	};
+
+	state_audit(state, &record, now, out);
+}
+
+uint64_t member_suspicion_end_us(const struct state *state, struct instant now)
+{
+	return now.mono_us + (SUSPECT_PERIODS + member_spread_rounds(state)) *
+				     PROBE_PERIOD_US;
+}
+
+void member_hear_rumours(struct state *state,
+			 const struct peer_message *message, struct instant now,
+			 struct event_list *out)
+{
+	struct membership *membership = &state->membership;
+	const struct rumour *rumour;
+	struct member *member;
+	bool believed;
+	uint32_t i;
+
+	member = membership_find(membership, message->sender);
+	believed = member && member->status != MEMBER_DEAD;
+	for (i = 0; i < message->rumour_count; i++) {
+		rumour = &message->rumours[i];
+		if (addr_equal(rumour->peer, membership->self.peer)) {
+			refute(state, rumour);
+			continue;
+		}
+		/* One believed dead may be cut off; its word is old. */
+		if (!believed)
+			continue;
+		member = membership_find(membership, rumour->peer);
+		if (!member)
+			continue;
+		member_believe(state, member, rumour->incarnation,
+			       rumour->status, CAUSE_PEER, now, out);
+	}
+}
+
+static bool belief_newer(const struct member *member, uint32_t incarnation,
+			 enum member_status status)
+{
+	if (incarnation != member->incarnation)
+		return incarnation > member->incarnation;
+	return status_rank(status) > status_rank(member->status);
+}
+
+static uint32_t status_rank(enum member_status status)
+{
+	switch (status) {
+	case MEMBER_ALIVE:
+		return 0;
+	case MEMBER_SUSPECT:
+		return 1;
+	case MEMBER_LEAVING:
+		return 2;
+	case MEMBER_DEAD:
+		return 3;
+	}
+	return 0;
+}
+
+static void refute(struct state *state, const struct rumour *rumour)
+{
+	struct membership *membership = &state->membership;
+	enum member_status own = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+
+	if (rumour->incarnation < membership->incarnation)
+		return;
+	if (rumour->incarnation == membership->incarnation &&
+	    status_rank(rumour->status) <= status_rank(own))
+		return;
+	if (rumour->incarnation == UINT32_MAX)
+		return;
+	membership->incarnation = rumour->incarnation + 1;
+	member_spread_rumour(state, membership->self.peer);
+}
--- /dev/null
+++ b/src/command/member_spread.c
@@ -0,0 +1,251 @@
+#include "command/member_spread.h"
+
+#include <string.h>
+
+#include "command/member.h"
+
+#define RUMOUR_SENDS_FACTOR 3
+#define ANNOUNCES 3
+#define ANNOUNCE_EVERY_US (150 * US_PER_MS)
+
+static uint32_t rumour_sends(const struct state *state);
+static uint32_t log2_ceil(uint32_t value);
+static bool rumour_about(const struct state *state, struct net_addr peer,
+			 struct rumour *out);
+static void add_rumour(const struct state *state, struct peer_message *message,
+		       struct net_addr peer);
+static void add_rumours(struct state *state, struct peer_message *message);
+static void add_offers(struct state *state, struct peer_message *message);
+static uint32_t least_carried_rumour(const GArray *rumours);
+static uint32_t least_carried_offer(const GArray *offers);
+
+void member_send(struct state *state, struct net_addr to,
+		 struct peer_message *message, struct event_list *out)
+{
+	const struct membership *membership = &state->membership;
+	struct event event = { .kind = EVENT_PEER_SEND };
+
+	message->sender = membership->self.peer;
+	message->incarnation = membership->incarnation;
+	message->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+	message->config_digest = membership->config_digest;
+	message->rumour_count = 0;
+	message->offer_count = 0;
+	add_rumour(state, message, to);
+	if (message->kind == PEER_ACK || message->kind == PEER_PING_REQUEST)
+		add_rumour(state, message, message->ping.target);
+	add_rumours(state, message);
+	add_offers(state, message);
+	event.peer_send.to = to;
+	event.peer_send.message = message;
+	event_list_add(out, &event);
+}
+
+/*
+ * All are told, for whoever is not goes on naming this instance to callers.
+ * An answer that nobody asked for is not answered.
+ */
+void member_announce_leaving(struct state *state, struct instant now,
+			     struct event_list *out)
+{
+	struct membership *membership = &state->membership;
+
+	member_spread_rumour(state, membership->self.peer);
+	membership->announces_left = ANNOUNCES;
+	membership->announce_due_us = now.mono_us;
+	member_announce_tick(state, now, out);
+}
+
+void member_announce_tick(struct state *state, struct instant now,
+			  struct event_list *out)
+{
+	struct membership *membership = &state->membership;
+	const struct member *member;
+	struct peer_message *message;
+	guint i;
+
+	if (membership->announces_left == 0 ||
+	    now.mono_us < membership->announce_due_us)
+		return;
+	membership->announces_left--;
+	membership->announce_due_us = now.mono_us + ANNOUNCE_EVERY_US;
+	for (i = 0; i < membership->members->len; i++) {
+		member = &g_array_index(membership->members, struct member, i);
+		message = g_new0(struct peer_message, 1);
+		message->kind = PEER_ACK;
+		message->ping.target = membership->self.peer;
+		member_send(state, member->listed.peer, message, out);
+	}
+}
+
+uint32_t member_spread_rounds(const struct state *state)
+{
+	return log2_ceil(state->membership.members->len + 1);
+}
+
+void member_spread_rumour(struct state *state, struct net_addr peer)
+{
+	struct rumour_task task = {
+		.peer = peer,
+		.sends_left = rumour_sends(state),
+	};
+	GArray *rumours = state->membership.rumours;
+	struct rumour_task *known;
+	guint i;
+
+	for (i = 0; i < rumours->len; i++) {
+		known = &g_array_index(rumours, struct rumour_task, i);
+		if (!addr_equal(known->peer, peer))
+			continue;
+		known->sends_left = task.sends_left;
+		return;
+	}
+	g_array_append_val(rumours, task);
+}
+
+void member_spread_offer(struct state *state, const struct name *key)
+{
+	struct offer_task task = {
+		.key = *key,
+		.sends_left = rumour_sends(state),
+	};
+	GArray *offers = state->membership.offers;
+	struct offer_task *known;
+	guint i;
+
+	for (i = 0; i < offers->len; i++) {
+		known = &g_array_index(offers, struct offer_task, i);
+		if (!name_equal(&known->key, key))
+			continue;
+		known->sends_left = task.sends_left;
+		return;
+	}
+	g_array_append_val(offers, task);
+}
+
+static uint32_t rumour_sends(const struct state *state)
+{
+	return RUMOUR_SENDS_FACTOR * (member_spread_rounds(state) + 1);
+}
+
+static uint32_t log2_ceil(uint32_t value)
+{
+	uint32_t bits = 0;
+
+	while (bits < 31 && (UINT32_C(1) << bits) < value)
+		bits++;
+	return bits;
+}
+
+static bool rumour_about(const struct state *state, struct net_addr peer,
+			 struct rumour *out)
+{
+	const struct membership *membership = &state->membership;
+	const struct member *member;
+
+	out->peer = peer;
+	if (addr_equal(peer, membership->self.peer)) {
+		out->incarnation = membership->incarnation;
+		out->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+		return true;
+	}
+	member = membership_find(membership, peer);
+	if (!member)
+		return false;
+	out->incarnation = member->incarnation;
+	out->status = member->status;
+	return true;
+}
+
+/* One who is doubted hears of it with the next datagram and can refute. */
+static void add_rumour(const struct state *state, struct peer_message *message,
+		       struct net_addr peer)
+{
+	struct rumour rumour;
+	uint32_t i;
+
+	if (message->rumour_count == PEER_RUMOURS_MAX)
+		return;
+	if (addr_equal(peer, state->membership.self.peer))
+		return;
+	for (i = 0; i < message->rumour_count; i++) {
+		if (addr_equal(message->rumours[i].peer, peer))
+			return;
+	}
+	if (!rumour_about(state, peer, &rumour))
+		return;
+	if (rumour.status == MEMBER_ALIVE && message->kind != PEER_ACK)
+		return;
+	message->rumours[message->rumour_count++] = rumour;
+}
+
+static void add_rumours(struct state *state, struct peer_message *message)
+{
+	GArray *rumours = state->membership.rumours;
+	uint32_t tries = MIN(rumours->len, PEER_RUMOURS_MAX);
+	struct rumour_task task;
+	uint32_t first;
+
+	while (tries-- > 0 && message->rumour_count < PEER_RUMOURS_MAX) {
+		first = least_carried_rumour(rumours);
+		task = g_array_index(rumours, struct rumour_task, first);
+		g_array_remove_index(rumours, first);
+		if (!rumour_about(state, task.peer,
+				  &message->rumours[message->rumour_count]))
+			continue;
+		message->rumour_count++;
+		if (--task.sends_left > 0)
+			g_array_append_val(rumours, task);
+	}
+}
+
+static void add_offers(struct state *state, struct peer_message *message)
+{
+	GArray *offers = state->membership.offers;
+	uint32_t tries = MIN(offers->len, PEER_OFFERS_MAX);
+	const struct service *service;
+	struct config_offer *offer;
+	struct offer_task task;
+	uint32_t first;
+
+	while (tries-- > 0) {
+		first = least_carried_offer(offers);
+		task = g_array_index(offers, struct offer_task, first);
+		g_array_remove_index(offers, first);
+		service = service_lookup(state, &task.key);
+		if (!service)
+			continue;
+		offer = &message->offers[message->offer_count++];
+		offer->key = task.key;
+		offer->version = service->doc->version;
+		offer->hash = service->doc->hash;
+		if (--task.sends_left > 0)
+			g_array_append_val(offers, task);
+	}
+}
+
+static uint32_t least_carried_rumour(const GArray *rumours)
+{
+	uint32_t first = 0;
+	guint i;
+
+	for (i = 1; i < rumours->len; i++) {
+		if (g_array_index(rumours, struct rumour_task, i).sends_left >
+		    g_array_index(rumours, struct rumour_task, first).sends_left)
+			first = i;
+	}
+	return first;
+}
+
+static uint32_t least_carried_offer(const GArray *offers)
+{
+	uint32_t first = 0;
+	guint i;
+
+	for (i = 1; i < offers->len; i++) {
+		if (g_array_index(offers, struct offer_task, i).sends_left >
+		    g_array_index(offers, struct offer_task, first).sends_left)
+			first = i;
+	}
+	return first;
+}
--- /dev/null
+++ b/src/command/member_spread.h
@@ -0,0 +1,38 @@
+#ifndef COMMAND_MEMBER_SPREAD_H
+#define COMMAND_MEMBER_SPREAD_H
+
+/**
+ * DOC: rumours and offers that ride on datagrams
+ *
+ * Each is carried a number of times that grows with the logarithm of the
+ * fleet; what was carried least goes first, so that news do not wait behind
+ * what is known by now.
+ */
+
+#include "core/state.h"
+
+/**
+ * member_spread_rounds() - rounds in which a rumour doubled over the fleet
+ * @state: only read
+ *
+ * Return: the logarithm of the number of instances, rounded up.
+ */
+uint32_t member_spread_rounds(const struct state *state);
+
+/**
+ * member_spread_rumour() - let the next datagrams carry what is believed
+ * @state: the state
+ * @peer: of whom; this instance itself, too
+ */
+void member_spread_rumour(struct state *state, struct net_addr peer);
+
+/**
+ * member_announce_tick() - repeat the announcement of a planned stop
+ * @state: the state
+ * @now: the time
+ * @out: gets datagrams
+ */
+void member_announce_tick(struct state *state, struct instant now,
+			  struct event_list *out);
+
+#endif
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -111,7 +111,6 @@
  * @probe_order: array of struct net_addr, the shuffled round
  * @probe_next: next of @probe_order
  * @probe_periods: periods begun
- * @dead_next: where the search for the next dead member to probe begins
  * @sequence: last name given to a probe
  * @relays: probes made for others
  * @rumours: array of struct rumour_task, a queue
@@ -120,6 +119,8 @@
  * @config_digest: hash over all documents held
  * @list_pulls: pulls of whole lists in a row that ended no difference
  * @list_pull_due_us: no pull of a whole list before this
+ * @announces_left: how often the planned stop is still announced
+ * @announce_due_us: when it is announced next
  */
 struct membership {
 	struct instance_doc self;
@@ -134,7 +135,6 @@
 	GArray *probe_order;
 	uint32_t probe_next;
 	uint64_t probe_periods;
-	uint32_t dead_next;
 	uint64_t sequence;
 	struct probe_relay relays[MEMBER_RELAYS_MAX];
 	GArray *rumours;
@@ -143,6 +143,8 @@
 	uint64_t config_digest;
 	uint32_t list_pulls;
 	uint64_t list_pull_due_us;
+	uint32_t announces_left;
+	uint64_t announce_due_us;
 };
 
 /**
--- a/src/duty/peer_send.c
+++ b/src/duty/peer_send.c
@@ -5,10 +5,12 @@
 #include <unistd.h>
 
 #include "codec/peer_rpc.h"
+#include "core/member.h"
 #include "duty/peer_socket.h"
 #include "ring/ring.h"
 
-#define RING_ORDERS 1024
+/* A planned stop is announced to all members at once. */
+#define RING_ORDERS (MEMBERS_MAX + 1024)
 
 struct peer_send_duty {
 	struct ring *ring;
--- a/test/unit/configure_test.cc
+++ b/test/unit/configure_test.cc
@@ -28,8 +28,7 @@
 };
 
 const std::vector<struct offer_case> offer_cases = {
-	{ "first document",
-	  { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM } } },
+	{ "first document", { { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM } } },
 	{ "a peer relays it",
 	  { { ACCEPT_FROM_PEER, 3, 3, 3, 1, 0, CAUSE_PEER } } },
 	{ "version rises",
@@ -308,4 +307,4 @@
 		  two.state->membership.config_digest);
 }
 
-}
+} // namespace
--- /dev/null
+++ b/test/unit/fleet_sim.h
@@ -0,0 +1,271 @@
+#ifndef TEST_UNIT_FLEET_SIM_H
+#define TEST_UNIT_FLEET_SIM_H
+
+/*
+ * Instances that exchange their datagrams and pulls in memory, with links that
+ * can be cut in one direction, processes that pause, and a seeded loss.
+ */
+
+#include "world.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <set>
+
+#define SIM_STEP_MS 10
+#define SIM_TICK_MS 50
+#define SIM_INBOX_MAX 512
+
+class FleetSim {
+    public:
+	std::vector<std::unique_ptr<World>> worlds;
+	std::set<std::pair<uint32_t, uint32_t>> cuts;
+	std::vector<bool> paused;
+	uint32_t loss_percent = 0;
+	uint64_t datagrams = 0;
+	/* Records with the instance that made each. */
+	std::vector<std::pair<uint32_t, struct audit_record>> audit;
+
+	FleetSim(uint32_t count, uint32_t seed)
+	    : rand(g_rand_new_with_seed(seed))
+	{
+		paused.assign(count, false);
+		inboxes.resize(count);
+		for (uint32_t i = 0; i < count; i++)
+			worlds.push_back(start_one(i, seed));
+		for (auto &world : worlds)
+			world->list(count);
+	}
+
+	~FleetSim()
+	{
+		for (auto &inbox : inboxes) {
+			for (struct peer_message *message : inbox)
+				g_free(message);
+		}
+		g_rand_free(rand);
+	}
+
+	FleetSim(const FleetSim &) = delete;
+	FleetSim &operator=(const FleetSim &) = delete;
+
+	uint32_t size() const
+	{
+		return (uint32_t)worlds.size();
+	}
+
+	/* A new process at the same address, which knows only the list. */
+	void restart(uint32_t i)
+	{
+		struct instant now = worlds[i]->now;
+
+		worlds[i] = start_one(i, 1000 + i);
+		worlds[i]->now = now;
+		worlds[i]->list(size());
+	}
+
+	void cut(uint32_t from, uint32_t to)
+	{
+		cuts.insert({ from, to });
+	}
+
+	/* The lower part of the fleet and the rest do not hear each other. */
+	void partition(uint32_t lower)
+	{
+		for (uint32_t i = 0; i < lower; i++) {
+			for (uint32_t j = lower; j < size(); j++) {
+				cut(i, j);
+				cut(j, i);
+			}
+		}
+	}
+
+	void pass_ms(uint64_t ms)
+	{
+		for (uint64_t passed = 0; passed < ms; passed += SIM_STEP_MS)
+			step();
+	}
+
+	/* Return: milliseconds until it held, or @limit_ms + 1. */
+	uint64_t until(uint64_t limit_ms, const std::function<bool()> &holds)
+	{
+		for (uint64_t passed = 0; passed <= limit_ms;
+		     passed += SIM_STEP_MS) {
+			if (holds())
+				return passed;
+			step();
+		}
+		return limit_ms + 1;
+	}
+
+	enum member_status seen(uint32_t by, uint32_t who) const
+	{
+		const struct member *member =
+			membership_find(&worlds[by]->state->membership,
+					instance_of(who, 3).peer);
+
+		return member ? member->status : MEMBER_DEAD;
+	}
+
+	/* Whether all others, paused ones aside, believe this of one. */
+	bool all_see(uint32_t who, enum member_status status) const
+	{
+		for (uint32_t i = 0; i < size(); i++) {
+			if (i != who && !paused[i] && seen(i, who) != status)
+				return false;
+		}
+		return true;
+	}
+
+	bool all_alive() const
+	{
+		for (uint32_t i = 0; i < size(); i++) {
+			if (!all_see(i, MEMBER_ALIVE))
+				return false;
+		}
+		return true;
+	}
+
+	/* Beliefs in a death, of anybody by anybody. */
+	uint32_t deaths() const
+	{
+		uint32_t count = 0;
+
+		for (const auto &entry : audit)
+			count += is_death(entry.second);
+		return count;
+	}
+
+	/* Those that one instance had no part in. */
+	uint32_t deaths_among_others(uint32_t one) const
+	{
+		struct net_addr peer = instance_of(one, 3).peer;
+		uint32_t count = 0;
+
+		for (const auto &entry : audit)
+			count += is_death(entry.second) && entry.first != one &&
+				 !addr_equal(entry.second.subject, peer);
+		return count;
+	}
+
+	/* Instances that have at least this version in force. */
+	uint32_t holders(uint64_t version) const
+	{
+		uint32_t count = 0;
+
+		for (const auto &world : worlds) {
+			const struct service *service = world->service();
+
+			count += service && service->doc->version >= version;
+		}
+		return count;
+	}
+
+    private:
+	GRand *rand;
+	std::vector<std::deque<struct peer_message *>> inboxes;
+	uint64_t time_ms = 0;
+
+	std::unique_ptr<World> start_one(uint32_t i, uint32_t seed)
+	{
+		auto world = std::make_unique<World>(i);
+
+		g_rand_set_seed(world->state->rand, seed * 1000 + i);
+		return world;
+	}
+
+	void step()
+	{
+		std::vector<std::deque<struct peer_message *>> due(size());
+
+		time_ms += SIM_STEP_MS;
+		for (uint32_t i = 0; i < size(); i++) {
+			worlds[i]->now.mono_us += SIM_STEP_MS * US_PER_MS;
+			worlds[i]->now.unix_ms += SIM_STEP_MS;
+			if (!paused[i])
+				due[i].swap(inboxes[i]);
+		}
+		for (uint32_t i = 0; i < size(); i++) {
+			for (struct peer_message *message : due[i])
+				take(i, message);
+			if (!paused[i] &&
+			    (time_ms + i * SIM_STEP_MS) % SIM_TICK_MS == 0)
+				worlds[i]->tick();
+			collect(i);
+		}
+	}
+
+	void take(uint32_t i, struct peer_message *message)
+	{
+		struct command command = {};
+
+		command.kind = COMMAND_PEER_MESSAGE;
+		command.peer_message = message;
+		worlds[i]->apply(command);
+	}
+
+	void collect(uint32_t i)
+	{
+		std::vector<struct event> events;
+
+		events.swap(worlds[i]->events);
+		for (struct event &event : events) {
+			if (event.kind == EVENT_AUDIT)
+				audit.push_back({ i, event.audit });
+			if (event.kind == EVENT_CONFIG_PULL)
+				pull(i, event.config_pull);
+			if (event.kind == EVENT_PEER_SEND)
+				send(i, event);
+			event_clear(&event);
+		}
+	}
+
+	void send(uint32_t from, struct event &event)
+	{
+		uint32_t to = index_of(event.peer_send.to);
+
+		datagrams++;
+		if (to >= size() || cuts.count({ from, to }) ||
+		    inboxes[to].size() >= SIM_INBOX_MAX ||
+		    (uint32_t)g_rand_int_range(rand, 0, 100) < loss_percent)
+			return;
+		inboxes[to].push_back(event.peer_send.message);
+		event.peer_send.message = NULL;
+	}
+
+	/* TCP needs both directions. */
+	void pull(uint32_t by, const struct config_pull_event &order)
+	{
+		uint32_t from = index_of(order.from);
+		const struct service *theirs;
+
+		if (from >= size() || paused[from] ||
+		    cuts.count({ by, from }) || cuts.count({ from, by }))
+			return;
+		if (order.instances)
+			worlds[by]->list(size());
+		theirs = worlds[from]->service();
+		if (!theirs)
+			return;
+		struct command command = {};
+
+		command.kind = COMMAND_ACCEPT_CONFIG;
+		command.accept_config.doc = service_doc_ref(theirs->doc);
+		command.accept_config.from_peer = true;
+		worlds[by]->apply(command);
+	}
+
+	static bool is_death(const struct audit_record &record)
+	{
+		return record.kind == AUDIT_MEMBER &&
+		       record.member.status == MEMBER_DEAD;
+	}
+
+	uint32_t index_of(struct net_addr peer) const
+	{
+		return peer.ip - addr_of(256, 0).ip;
+	}
+};
+
+#endif
--- /dev/null
+++ b/test/unit/member_test.cc
@@ -0,0 +1,313 @@
+/*
+ * Membership and the spread of documents, in fleets in memory. Bounds: a
+ * stopped instance is known everywhere within 15 s, a leaving one within the
+ * 500 ms by which it outlasts answers to entries, a healed fleet is whole
+ * within 15 s, a document is in force within 5 s.
+ */
+#include "fleet_sim.h"
+
+namespace
+{
+
+const uint32_t SEEDS[] = { 1, 2, 3 };
+
+#define DEAD_KNOWN_MS 15000
+#define LEAVING_KNOWN_MS 500
+#define HEALED_MS 15000
+#define IN_FORCE_MS 5000
+
+/* Faults that are in force while time passes. */
+struct cut_link {
+	int32_t from; /* -1 for all */
+	int32_t to;
+};
+
+struct fault_case {
+	const char *name;
+	uint32_t instances;
+	std::vector<struct cut_link> cuts;
+	int32_t paused; /* -1 for none */
+	uint32_t loss_percent;
+	uint64_t lasts_ms;
+	/* What the others believe of instance 0 at its end. */
+	enum member_status seen;
+};
+
+const struct fault_case fault_cases[] = {
+	{ "three in peace", 3, {}, -1, 0, 60000, MEMBER_ALIVE },
+	{ "twelve in peace", 12, {}, -1, 0, 60000, MEMBER_ALIVE },
+	{ "forty in peace", 40, {}, -1, 0, 60000, MEMBER_ALIVE },
+	{ "two percent are lost", 12, {}, -1, 2, 60000, MEMBER_ALIVE },
+	{ "one link is cut one way",
+	  6,
+	  { { 0, 1 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_ALIVE },
+	{ "one link is cut the other way",
+	  6,
+	  { { 1, 0 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_ALIVE },
+	{ "one link is cut both ways",
+	  6,
+	  { { 1, 0 }, { 0, 1 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_ALIVE },
+	{ "instance 0 hears nobody",
+	  6,
+	  { { -1, 0 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_DEAD },
+	{ "nobody hears instance 0",
+	  6,
+	  { { 0, -1 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_DEAD },
+	{ "instance 0 is cut off",
+	  6,
+	  { { 0, -1 }, { -1, 0 } },
+	  -1,
+	  0,
+	  30000,
+	  MEMBER_DEAD },
+	{ "instance 0 stands still for a moment",
+	  6,
+	  {},
+	  0,
+	  0,
+	  1500,
+	  MEMBER_ALIVE },
+	{ "instance 0 stands still for long", 6, {}, 0, 0, 30000, MEMBER_DEAD },
+};
+
+void begin(FleetSim &fleet, const struct fault_case &c)
+{
+	for (const struct cut_link &link : c.cuts) {
+		for (uint32_t i = 0; i < fleet.size(); i++) {
+			for (uint32_t j = 0; j < fleet.size(); j++) {
+				if (i != j &&
+				    (link.from < 0 ||
+				     (uint32_t)link.from == i) &&
+				    (link.to < 0 || (uint32_t)link.to == j))
+					fleet.cut(i, j);
+			}
+		}
+	}
+	if (c.paused >= 0)
+		fleet.paused[c.paused] = true;
+	fleet.loss_percent = c.loss_percent;
+}
+
+TEST(MemberTest, FaultIsSeenAndHeals)
+{
+	for (const struct fault_case &c : fault_cases) {
+		for (uint32_t seed : SEEDS) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			FleetSim fleet(c.instances, seed);
+
+			fleet.pass_ms(5000);
+			ASSERT_TRUE(fleet.all_alive());
+			begin(fleet, c);
+			fleet.pass_ms(c.lasts_ms);
+			for (uint32_t i = 1; i < fleet.size(); i++) {
+				enum member_status seen = fleet.seen(i, 0);
+
+				/* A doubt may be open, a belief in death may not. */
+				if (c.seen == MEMBER_ALIVE) {
+					EXPECT_NE(seen, MEMBER_DEAD)
+						<< "by " << i;
+				} else {
+					EXPECT_EQ(seen, c.seen) << "by " << i;
+				}
+			}
+			EXPECT_EQ(fleet.deaths_among_others(0), 0u);
+			if (c.seen == MEMBER_ALIVE) {
+				EXPECT_EQ(fleet.deaths(), 0u);
+			}
+			fleet.cuts.clear();
+			fleet.loss_percent = 0;
+			fleet.paused.assign(c.instances, false);
+			EXPECT_LE(
+				fleet.until(HEALED_MS,
+					    [&] { return fleet.all_alive(); }),
+				(uint64_t)HEALED_MS);
+		}
+	}
+}
+
+TEST(MemberTest, OneThatStopsIsKnownEverywhere)
+{
+	for (uint32_t instances : { 3u, 12u, 40u }) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(instances, seed);
+
+			SCOPED_TRACE("instances " + std::to_string(instances) +
+				     ", seed " + std::to_string(seed));
+			fleet.pass_ms(5000);
+			fleet.paused[0] = true;
+			EXPECT_LE(fleet.until(DEAD_KNOWN_MS,
+					      [&] {
+						      return fleet.all_see(
+							      0, MEMBER_DEAD);
+					      }),
+				  (uint64_t)DEAD_KNOWN_MS);
+			for (uint32_t i = 2; i < instances; i++)
+				EXPECT_NE(fleet.seen(1, i), MEMBER_DEAD);
+			fleet.paused[0] = false;
+			fleet.restart(0);
+			EXPECT_LE(
+				fleet.until(HEALED_MS,
+					    [&] { return fleet.all_alive(); }),
+				(uint64_t)HEALED_MS);
+		}
+	}
+}
+
+TEST(MemberTest, PartitionHeals)
+{
+	for (uint32_t instances : { 6u, 40u }) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(instances, seed);
+			uint32_t lower = instances / 3;
+
+			SCOPED_TRACE("instances " + std::to_string(instances) +
+				     ", seed " + std::to_string(seed));
+			fleet.pass_ms(5000);
+			fleet.partition(lower);
+			fleet.pass_ms(60000);
+			for (uint32_t i = 1; i < lower; i++)
+				EXPECT_EQ(fleet.seen(0, i), MEMBER_ALIVE);
+			for (uint32_t i = lower; i < instances; i++)
+				EXPECT_EQ(fleet.seen(0, i), MEMBER_DEAD);
+			fleet.cuts.clear();
+			EXPECT_LE(
+				fleet.until(HEALED_MS,
+					    [&] { return fleet.all_alive(); }),
+				(uint64_t)HEALED_MS);
+		}
+	}
+}
+
+TEST(MemberTest, LeavingIsKnownEverywhereAndWinsOverTheList)
+{
+	for (uint32_t instances : { 3u, 12u, 40u }) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(instances, seed);
+			struct command leave = {};
+
+			SCOPED_TRACE("instances " + std::to_string(instances) +
+				     ", seed " + std::to_string(seed));
+			leave.kind = COMMAND_LEAVE;
+			fleet.pass_ms(5000);
+			fleet.worlds[0]->apply(leave);
+			EXPECT_LE(fleet.until(LEAVING_KNOWN_MS,
+					      [&] {
+						      return fleet.all_see(
+							      0,
+							      MEMBER_LEAVING);
+					      }),
+				  (uint64_t)LEAVING_KNOWN_MS);
+			/* The list lags and still has it as live. */
+			for (auto &world : fleet.worlds)
+				world->list(instances);
+			fleet.pass_ms(3000);
+			EXPECT_TRUE(fleet.all_see(0, MEMBER_LEAVING));
+		}
+	}
+}
+
+struct spread_case {
+	const char *name;
+	uint32_t instances;
+	uint32_t loss_percent;
+	/* These instances lose nothing to and from instance 0 but the link. */
+	bool cut_from_zero;
+};
+
+const struct spread_case spread_cases[] = {
+	{ "three", 3, 0, false },
+	{ "forty", 40, 0, false },
+	{ "forty, five percent lost", 40, 5, false },
+	{ "six, link from 0 to 1 cut", 6, 0, true },
+};
+
+TEST(MemberTest, DocumentIsInForceEverywhere)
+{
+	for (const struct spread_case &c : spread_cases) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(c.instances, seed);
+
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			fleet.loss_percent = c.loss_percent;
+			if (c.cut_from_zero)
+				fleet.cut(0, 1);
+			fleet.pass_ms(5000);
+			for (uint64_t version = 1; version <= 2; version++) {
+				fleet.worlds[0]->accept(make_doc({}, version));
+				EXPECT_LE(
+					fleet.until(
+						IN_FORCE_MS,
+						[&] {
+							return fleet.holders(
+								       version) ==
+							       c.instances;
+						}),
+					(uint64_t)IN_FORCE_MS);
+			}
+		}
+	}
+}
+
+TEST(MemberTest, NewcomerLearnsWithoutThePlatform)
+{
+	for (uint32_t seed : SEEDS) {
+		FleetSim fleet(6, seed);
+
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		fleet.worlds[1]->accept(make_doc({}, 7));
+		fleet.pass_ms(5000);
+		ASSERT_EQ(fleet.holders(7), 6u);
+		/* It has read no list; the others have its address in theirs. */
+		struct instant now = fleet.worlds[0]->now;
+
+		fleet.worlds[0] = std::make_unique<World>(0);
+		fleet.worlds[0]->now = now;
+		EXPECT_LE(fleet.until(IN_FORCE_MS,
+				      [&] { return fleet.holders(7) == 6; }),
+			  (uint64_t)IN_FORCE_MS);
+		EXPECT_TRUE(fleet.worlds[0]->state->membership.list_known);
+	}
+}
+
+/* An instance's cost must not grow with the fleet. */
+TEST(MemberTest, DatagramsPerInstanceAreConstant)
+{
+	for (uint32_t instances : { 3u, 12u, 40u, 160u }) {
+		FleetSim fleet(instances, 1);
+
+		fleet.pass_ms(5000);
+		uint64_t before = fleet.datagrams;
+
+		fleet.pass_ms(20000);
+		double per_s =
+			(double)(fleet.datagrams - before) / 20 / instances;
+
+		/* A probe and its answer each half second. */
+		EXPECT_LE(per_s, 5.0) << instances << " instances";
+		EXPECT_GE(per_s, 3.0) << instances << " instances";
+	}
+}
+
+} // namespace
