--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -310,4 +310,39 @@
 	}
 }
 
+/* Hearing neither platform nor peers, an instance leaves callers to others. */
+TEST(MemberTest, SilenceStepsBackAndInAgain)
+{
+	struct silence_case {
+		const char *name;
+		bool platform;
+		bool deaf;
+		bool stepped_back;
+	};
+	const struct silence_case cases[] = {
+		{ "hears both", true, false, false },
+		{ "hears peers only", false, false, false },
+		{ "hears the platform only", true, true, false },
+		{ "hears nobody", false, true, true },
+	};
+
+	for (const struct silence_case &c : cases) {
+		FleetSim fleet(4, 1);
+		struct command command = {};
+
+		SCOPED_TRACE(c.name);
+		command.kind = COMMAND_PLATFORM_STATE;
+		command.platform_state.reachable = c.platform;
+		fleet.worlds[0]->apply(command);
+		fleet.pass_ms(5000);
+		for (uint32_t i = 1; c.deaf && i < fleet.size(); i++)
+			fleet.cut(i, 0);
+		fleet.pass_ms(12000);
+		EXPECT_EQ(fleet.worlds[0]->state->stepped_back, c.stepped_back);
+		fleet.cuts.clear();
+		fleet.pass_ms(5000);
+		EXPECT_FALSE(fleet.worlds[0]->state->stepped_back);
+	}
+}
+
 } // namespace
