Show why a backend server got no work; figures for the end of a trial

Cause: a record of a relapse had figures of 0, so the audit trail alone did not say why. The page on settings lacked the field policy, and only the fields of the examples were checked. Conclusion: the trail answers the question with figures.

--- a/src/command/health.c
+++ b/src/command/health.c
@@ -159,6 +159,9 @@
 {
 	struct health *health = &change->backend->health;
 
+	/* For the figures of what is audited. */
+	change->verdict = health_verdict(change->state, change->service,
+					 change->backend, change->now);
 	switch (end) {
 	case WORK_NOTHING:
 		return;
--- a/test/unit/docs_test.cc
+++ b/test/unit/docs_test.cc
@@ -48,6 +48,29 @@
 	return keys;
 }
 
+/* Keys of the field tables, as the sources have them. */
+std::set<std::string> table_keys()
+{
+	const std::regex key("(?:\\{|\\.key =)\\s*\"([a-z_]+)\",\\s*"
+			     "(?:\\.kind = )?FIELD_");
+	std::set<std::string> keys;
+	const char *const sources[] = {
+		"src/codec/settings_json.c",
+		"src/codec/document_json.c",
+		"src/codec/platform_json.c",
+	};
+
+	for (const char *path : sources) {
+		std::string text = read_file(path);
+		std::sregex_iterator at(text.begin(), text.end(), key);
+
+		EXPECT_NE(at, std::sregex_iterator()) << path;
+		for (; at != std::sregex_iterator(); at++)
+			keys.insert((*at)[1]);
+	}
+	return keys;
+}
+
 std::set<std::string> metric_names()
 {
 	const std::regex name("# TYPE nutmegcrank_([a-z_]+) ");
@@ -83,6 +106,7 @@
 {
 	const struct page_case cases[] = {
 		{ "docs/SETTINGS.md", example_keys() },
+		{ "docs/SETTINGS.md", table_keys() },
 		{ "docs/METRICS.md", metric_names() },
 		{ "docs/METRICS.md", words(REFUSAL_COUNT,
 					   [](uint32_t i) {
