Run the fault matrix over real processes behind the fault proxy

Cause: the promises must hold under every fault at every step. Conclusion: the whole matrix is still to be run.

--- a/Makefile
+++ b/Makefile
@@ -72,6 +72,10 @@
 	$(MAKE) -s -j$$(nproc) all
 	sh test/check.sh $(BUILD)
 
+faults: deps
+	$(MAKE) -s -j$$(nproc) all
+	sh test/faults.sh $(BUILD)
+
 demo: deps
 	$(MAKE) -s -j$$(nproc) all
 	sh test/demo.sh $(BUILD)
@@ -101,4 +105,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all install deps check demo clean format lint
+.PHONY: all install deps check demo faults clean format lint
