Add open-loop load and the benches of crest, blocking and latency

Cause: the crest, head-of-line blocking and added latency were not measured. Change: bench_tool starts stand-ins and instances, draws arrivals from a seed, lets callers with addresses of their own ask for entries and keep them until they expire, checks that each answer is the caller's own, and counts latency from the scheduled start. make bench runs all three.

--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,13 @@
 	install -m 644 examples/*.json \
 		$(DESTDIR)$(PREFIX)/share/doc/nutmegcrank/examples
 
+# Bounded, on loopback; each prints a table and JSON lines.
+bench: deps
+	$(MAKE) -s -j4 all
+	$(BENCH) --seed 1 crest
+	$(BENCH) --seed 1 blocking
+	$(BENCH) --seed 1 latency
+
 clean:
 	rm -rf build
 
@@ -105,4 +112,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all install deps check demo faults clean format lint
+.PHONY: all install deps check demo faults bench clean format lint
--- /dev/null
+++ b/bench/fleet.c
@@ -0,0 +1,217 @@
+#include "fleet.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "process.h"
+
+#define OWN_IP UINT32_C(0x7f000001) /* 127.0.0.1 */
+#define INSTANCE_IP_FIRST UINT32_C(0x7f000101) /* 127.0.1.1 */
+#define WORKER_THREADS UINT32_C(512)
+#define READY_MAX_MS 10000
+#define SETTLE_US 2000000
+
+static void start_platform(struct fleet *fleet, uint16_t port);
+static void start_backends(struct fleet *fleet, const struct fleet_plan *plan,
+			   uint16_t first, uint16_t admin);
+static void publish(const struct fleet *fleet, const struct fleet_plan *plan,
+		    uint16_t platform, uint16_t peer_port);
+static void start_instance(struct fleet *fleet, const struct fleet_plan *plan,
+			   uint32_t index, uint16_t platform,
+			   uint16_t peer_port);
+static void order(const char *url, const char *text);
+static char domain_of(uint32_t index, const struct fleet_plan *plan);
+
+struct fleet *fleet_start(const struct fleet_plan *plan)
+{
+	struct fleet *fleet = g_new0(struct fleet, 1);
+	uint16_t platform = ports_find(plan->backends + 4 + plan->instances);
+	uint16_t first_backend = (uint16_t)(platform + 4);
+	char url[64];
+	uint32_t i;
+
+	g_assert(plan->instances <= FLEET_INSTANCES_MAX &&
+		 plan->backends <= FLEET_BACKENDS_MAX);
+	fleet->operator_port = (uint16_t)(first_backend + plan->backends);
+	start_platform(fleet, platform);
+	start_backends(fleet, plan, first_backend, (uint16_t)(platform + 1));
+	fleet->instance_count = plan->instances;
+	for (i = 0; i < plan->instances; i++) {
+		fleet->instances[i].ip = INSTANCE_IP_FIRST + i;
+		fleet->instances[i].port = (uint16_t)(platform + 2);
+	}
+	publish(fleet, plan, platform, (uint16_t)(platform + 3));
+	for (i = 0; i < plan->instances; i++)
+		start_instance(fleet, plan, i, platform,
+			       (uint16_t)(platform + 3));
+	for (i = 0; i < plan->instances; i++) {
+		snprintf(url, sizeof(url), "http://127.0.0.1:%u/ready",
+			 fleet->operator_port + i);
+		if (!http_wait_ok(url, READY_MAX_MS))
+			g_error("fleet: instance %u is not ready", i);
+		unlink(fleet->settings[i]);
+		g_free(fleet->settings[i]);
+	}
+	/* Peers find each other and the first probes come in. */
+	g_usleep(SETTLE_US);
+	return fleet;
+}
+
+void fleet_stop(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->instance_count; i++)
+		process_stop(fleet->instance_ids[i]);
+	process_stop(fleet->backend_id);
+	process_stop(fleet->platform_id);
+	g_free(fleet);
+}
+
+uint64_t fleet_cpu_us(const struct fleet *fleet)
+{
+	uint64_t sum_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < fleet->instance_count; i++)
+		sum_us += process_cpu_us(fleet->instance_ids[i]);
+	return sum_us;
+}
+
+static void start_platform(struct fleet *fleet, uint16_t port)
+{
+	struct net_addr addr = { OWN_IP, port };
+	char listen[ADDR_TEXT_BYTES];
+	const char *args[] = { "standin", "config", "-l",
+			       addr_format(addr, listen), NULL };
+
+	fleet->platform_id = process_start(args);
+}
+
+static void start_backends(struct fleet *fleet, const struct fleet_plan *plan,
+			   uint16_t first, uint16_t admin)
+{
+	char ports[32];
+	char admin_text[8];
+	char seed[16];
+	char url[96];
+	char text[64];
+	const char *args[] = { "standin", "backend",  "-p", ports,
+			       "-a",	  admin_text, "-t", "2000",
+			       "-s",	  seed,	      NULL };
+	uint32_t i;
+
+	snprintf(ports, sizeof(ports), "%u-%u", first,
+		 first + plan->backends - 1);
+	snprintf(admin_text, sizeof(admin_text), "%u", admin);
+	snprintf(seed, sizeof(seed), "%u", plan->seed);
+	fleet->backend_id = process_start(args);
+	fleet->backend_count = plan->backends;
+	for (i = 0; i < plan->backends; i++) {
+		fleet->backends[i].ip = OWN_IP;
+		fleet->backends[i].port = (uint16_t)(first + i);
+	}
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/standin/counts", admin);
+	if (!http_wait_ok(url, READY_MAX_MS))
+		g_error("fleet: no backend servers");
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/standin/backend",
+		 admin);
+	snprintf(text, sizeof(text), "{\"slots\":%u,\"work_ms\":%u}",
+		 plan->slots, plan->work_ms);
+	order(url, text);
+}
+
+static void publish(const struct fleet *fleet, const struct fleet_plan *plan,
+		    uint16_t platform, uint16_t peer_port)
+{
+	GString *text = g_string_new(NULL);
+	char addr[ADDR_TEXT_BYTES];
+	char peer[ADDR_TEXT_BYTES];
+	struct net_addr peer_addr;
+	char url[96];
+	uint32_t i;
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/standin/reads",
+		 platform);
+	if (!http_wait_ok(url, READY_MAX_MS))
+		g_error("fleet: no platform");
+	g_string_printf(text, "{\"service\":\"%s\",\"path_prefix\":\"/\",",
+			plan->service);
+	for (i = 0; i < plan->backends; i++)
+		g_string_append_printf(text,
+				       "%s{\"ip\":\"127.0.0.1\",\"port\":%u,"
+				       "\"failure_domain\":\"%c\",\"slots\":%u,"
+				       "\"connections\":350}",
+				       i == 0 ? "\"backends\":[" : ",",
+				       fleet->backends[i].port,
+				       domain_of(i, plan), plan->slots);
+	g_string_append_printf(
+		text,
+		"],\"healthy_floor\":{\"percent\":60},"
+		"\"shed_marker\":{\"header\":\"X-Shed\",\"value\":\"1\"},"
+		"\"drain_marker\":{\"header\":\"X-Draining\",\"value\":\"1\"},"
+		"\"probe_path\":\"/health\",\"load_path\":\"/load\",%s}",
+		plan->rest);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/standin/config/%s",
+		 platform, plan->service);
+	order(url, text->str);
+	g_string_assign(text, "[");
+	for (i = 0; i < plan->instances; i++) {
+		peer_addr = fleet->instances[i];
+		peer_addr.port = peer_port;
+		g_string_append_printf(
+			text,
+			"%s{\"caller\":\"%s\",\"peer\":\"%s\","
+			"\"failure_domain\":\"%c\",\"status\":\"live\"}",
+			i == 0 ? "" : ",",
+			addr_format(fleet->instances[i], addr),
+			addr_format(peer_addr, peer), domain_of(i, plan));
+	}
+	g_string_append(text, "]");
+	snprintf(url, sizeof(url), "http://127.0.0.1:%u/standin/instances",
+		 platform);
+	order(url, text->str);
+	g_string_free(text, TRUE);
+}
+
+static void start_instance(struct fleet *fleet, const struct fleet_plan *plan,
+			   uint32_t index, uint16_t platform,
+			   uint16_t peer_port)
+{
+	struct net_addr peer = { fleet->instances[index].ip, peer_port };
+	char caller_text[ADDR_TEXT_BYTES];
+	char peer_text[ADDR_TEXT_BYTES];
+	char *path = NULL;
+	char *text;
+	int fd = g_file_open_tmp("nutmegcrank-bench-XXXXXX", &path, NULL);
+	const char *args[] = { "nutmegcrank", "run", "-c", path, NULL };
+
+	text = g_strdup_printf(
+		"{\"callers\":\"%s\",\"peers\":\"%s\","
+		"\"operators\":\"127.0.0.1:%u\",\"failure_domain\":\"%c\","
+		"\"platform\":\"127.0.0.1:%u\",\"worker_threads\":%u,"
+		"\"random_seed\":%u,\"policy\":\"%s\","
+		"\"log\":{\"level\":\"warning\"}}",
+		addr_format(fleet->instances[index], caller_text),
+		addr_format(peer, peer_text), fleet->operator_port + index,
+		domain_of(index, plan), platform, WORKER_THREADS,
+		plan->seed + index, plan->policy);
+	if (fd < 0 || !g_file_set_contents(path, text, -1, NULL))
+		g_error("fleet: no settings file");
+	close(fd);
+	fleet->instance_ids[index] = process_start(args);
+	g_free(text);
+	fleet->settings[index] = path;
+}
+
+static void order(const char *url, const char *text)
+{
+	if (!http_put_text(url, text))
+		g_error("fleet: order refused by %s", url);
+}
+
+static char domain_of(uint32_t index, const struct fleet_plan *plan)
+{
+	return (char)('a' + index % plan->domains);
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,93 @@
+#include <argp.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench.h"
+
+static error_t parse_option(int key, char *arg, struct argp_state *state);
+static enum bench_kind parse_kind(const char *text);
+static uint32_t parse_seed(const char *text, struct argp_state *state);
+static int hand_over(const struct bench_order *order);
+
+static const struct argp_option options[] = {
+	{ "seed", 's', "N", 0, "seed of all random numbers, 1 unless given",
+	  0 },
+	{ 0 },
+};
+
+static const struct argp bench_argp = {
+	.options = options,
+	.parser = parse_option,
+	.args_doc = "crest|blocking|latency",
+	.doc = "Measure nutmegcrank; prints a table and one JSON line.",
+};
+
+int main(int argc, char **argv)
+{
+	struct bench_order order = { .kind = BENCH_NONE, .seed = 1 };
+	error_t error = argp_parse(&bench_argp, argc, argv, 0, NULL, &order);
+
+	if (error != 0)
+		return EXIT_FAILURE;
+	return hand_over(&order);
+}
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct bench_order *order = state->input;
+
+	switch (key) {
+	case 's':
+		order->seed = parse_seed(arg, state);
+		return 0;
+	case ARGP_KEY_ARG:
+		order->kind = parse_kind(arg);
+		if (state->arg_num > 0 || order->kind == BENCH_NONE)
+			argp_usage(state);
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static enum bench_kind parse_kind(const char *text)
+{
+	if (strcmp(text, "crest") == 0)
+		return BENCH_CREST;
+	if (strcmp(text, "blocking") == 0)
+		return BENCH_BLOCKING;
+	if (strcmp(text, "latency") == 0)
+		return BENCH_LATENCY;
+	return BENCH_NONE;
+}
+
+static uint32_t parse_seed(const char *text, struct argp_state *state)
+{
+	unsigned long seed;
+	char *end;
+
+	errno = 0;
+	seed = strtoul(text, &end, 10);
+	if (errno != 0 || end == text || *end != '\0' || seed > UINT32_MAX)
+		argp_error(state, "seed is a number up to %u", UINT32_MAX);
+	return (uint32_t)seed;
+}
+
+static int hand_over(const struct bench_order *order)
+{
+	switch (order->kind) {
+	case BENCH_CREST:
+		return bench_crest(order);
+	case BENCH_BLOCKING:
+		return bench_blocking(order);
+	case BENCH_LATENCY:
+		return bench_latency(order);
+	case BENCH_NONE:
+		break;
+	}
+	return EXIT_FAILURE;
+}
