--- a/src/query/homes.c
+++ b/src/query/homes.c
@@ -67,12 +67,12 @@
 		     uint32_t *long_slots)
 {
 	uint32_t short_only = (backend->capacity_slots + 2) / 3;
-	uint32_t owners[HOMES_MAX];
+	uint32_t owners[HOMES_MAX] = { 0 };
 	uint32_t slots = 0;
 	uint32_t slot;
 
 	*long_slots = 0;
-	if (home >= service->home_count)
+	if (service->home_count == 0 || home >= service->home_count)
 		return 0;
 	find_owners(service, backend->addr, owners);
 	for (slot = 0; slot < backend->capacity_slots; slot++) {
@@ -89,7 +89,7 @@
 static void find_owners(const struct service *service, struct net_addr backend,
 			uint32_t owners[HOMES_MAX])
 {
-	uint32_t by_rank[HOMES_MAX];
+	uint32_t by_rank[HOMES_MAX] = { 0 };
 	uint32_t rank;
 	uint32_t next;
 	uint32_t i;
