--- /dev/null
+++ b/test/unit/config_watch_test.cc
@@ -0,0 +1,202 @@
+/* When the platform is read, and what is still to be fetched. */
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "duty/config_fetch.h"
+#include "duty/config_watch.h"
+}
+
+namespace
+{
+
+const uint64_t NOW_US = 100 * US_PER_S;
+
+struct watch_case {
+	const char *name;
+	enum watch_kind kind;
+	bool reader;
+	bool known;
+	uint64_t after;
+	uint64_t version;
+	uint32_t wait_ms;
+	/* The next read begins within these, counted from now. */
+	uint64_t due_min_us;
+	uint64_t due_max_us;
+};
+
+const struct watch_case watch_cases[] = {
+	{ "reader, first read", WATCH_INDEX, true, false, 0, 7, 0, 0, 0 },
+	{ "reader, nothing new", WATCH_INDEX, true, true, 7, 7, 10000, 0, 0 },
+	{ "reader, something new", WATCH_INSTANCES, true, true, 7, 8, 10000, 0,
+	  0 },
+	{ "other, index", WATCH_INDEX, false, true, 7, 8, 0, 15 * US_PER_S,
+	  30 * US_PER_S },
+	{ "other, instances", WATCH_INSTANCES, false, true, 7, 7, 0,
+	  2500 * US_PER_MS, 5 * US_PER_S },
+};
+
+TEST(ConfigWatchTest, NextReadFollowsTheRole)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+
+	for (const struct watch_case &c : watch_cases) {
+		SCOPED_TRACE(c.name);
+		struct watch watch = {};
+
+		watch.kind = c.kind;
+		watch.known = c.known;
+		watch.after = c.after;
+		watch.running = true;
+		watch.failures = 2;
+		watch.began_us = NOW_US - 10 * US_PER_S;
+		EXPECT_EQ(watch_wait_ms(&watch, c.reader), c.wait_ms);
+		watch_answered(&watch, c.version, c.reader, rand, NOW_US);
+		EXPECT_FALSE(watch.running);
+		EXPECT_EQ(watch.after, c.version);
+		EXPECT_EQ(watch.failures, 0u);
+		EXPECT_GE(watch.due_us, NOW_US + c.due_min_us);
+		EXPECT_LE(watch.due_us, NOW_US + c.due_max_us);
+	}
+	g_rand_free(rand);
+}
+
+/* A platform that answers long polls at once is not asked in a loop. */
+TEST(ConfigWatchTest, PlatformThatDoesNotWaitIsNotFlooded)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	struct watch watch = {};
+	uint64_t now_us = NOW_US;
+
+	for (uint64_t version : { 5, 5, 5, 6 }) {
+		watch.began_us = now_us;
+		watch_answered(&watch, version, true, rand, now_us + 1000);
+		EXPECT_GE(watch.due_us, now_us + 100 * US_PER_MS);
+		now_us = watch.due_us;
+	}
+	EXPECT_GE(now_us, NOW_US + 2 * US_PER_S);
+	g_rand_free(rand);
+}
+
+TEST(ConfigWatchTest, OutageBacksOffWithJitterUpToABound)
+{
+	GRand *rand = g_rand_new_with_seed(1);
+	struct watch watch = {};
+	uint64_t span_us = 500 * US_PER_MS;
+
+	for (uint32_t i = 0; i < 40; i++) {
+		watch_failed(&watch, rand, NOW_US);
+		EXPECT_GE(watch.due_us, NOW_US + span_us / 2);
+		EXPECT_LE(watch.due_us, NOW_US + span_us);
+		span_us = MIN(span_us * 2, 16 * US_PER_S);
+	}
+	EXPECT_TRUE(watch_tried(&watch));
+	g_rand_free(rand);
+}
+
+enum fetch_action { WANT, BEGIN, DONE, DROP, HELD, HASTEN };
+
+struct fetch_step {
+	enum fetch_action action;
+	uint64_t value; /* WANT: version; DONE and HELD: version */
+	/* Afterwards: is one due now, and is any waiting? */
+	bool due;
+	bool waiting;
+};
+
+struct fetch_case {
+	const char *name;
+	uint64_t wait_us;
+	std::vector<struct fetch_step> steps;
+};
+
+const std::vector<struct fetch_case> fetch_cases = {
+	{ "fetched once for each version",
+	  0,
+	  { { WANT, 3, true, true },
+	    { BEGIN, 0, false, false },
+	    { DONE, 3, false, false },
+	    { WANT, 3, false, false },
+	    { WANT, 4, true, true } } },
+	{ "an index that goes back is looked at once",
+	  0,
+	  { { WANT, 3, true, true },
+	    { BEGIN, 0, false, false },
+	    { DONE, 3, false, false },
+	    { WANT, 2, true, true },
+	    { BEGIN, 0, false, false },
+	    { DONE, 2, false, false },
+	    { WANT, 2, false, false } } },
+	{ "peers have time to bring it",
+	  US_PER_S,
+	  { { WANT, 3, false, true }, { HASTEN, 0, true, true } } },
+	{ "a relayed one is dropped",
+	  0,
+	  { { WANT, 3, true, true },
+	    { HELD, 2, true, true },
+	    { HELD, 3, false, false },
+	    { WANT, 3, false, false } } },
+	{ "one that the platform lost is asked for again",
+	  0,
+	  { { WANT, 3, true, true },
+	    { BEGIN, 0, false, false },
+	    { DROP, 0, false, false },
+	    { WANT, 3, true, true } } },
+};
+
+void take_step(struct fetch_list *list, const struct fetch_case &c,
+	       const struct fetch_step &step)
+{
+	GArray *held = g_array_new(FALSE, TRUE, sizeof(struct config_offer));
+	struct config_offer offer = {};
+	struct name key;
+
+	name_set(&key, "s");
+	offer.key = key;
+	offer.version = step.value;
+	g_array_append_val(held, offer);
+	switch (step.action) {
+	case WANT:
+		fetch_list_want(list, &key, step.value, NOW_US + c.wait_us);
+		break;
+	case BEGIN:
+		fetch_list_began(list, fetch_list_next(list, NOW_US));
+		break;
+	case DONE:
+		fetch_list_done(list, fetch_list_ended(list, &key), step.value);
+		break;
+	case DROP:
+		fetch_list_drop(list, fetch_list_ended(list, &key));
+		break;
+	case HELD:
+		fetch_list_drop_held(list, held, NOW_US);
+		break;
+	case HASTEN:
+		fetch_list_hasten(list);
+		break;
+	}
+	g_array_unref(held);
+}
+
+TEST(ConfigWatchTest, DocumentsAreFetchedOnce)
+{
+	for (const struct fetch_case &c : fetch_cases) {
+		struct fetch_list list;
+		uint32_t number = 0;
+
+		fetch_list_init(&list);
+		for (const struct fetch_step &step : c.steps) {
+			SCOPED_TRACE(std::string(c.name) + " step " +
+				     std::to_string(number++));
+			take_step(&list, c, step);
+			EXPECT_EQ(fetch_list_next(&list, NOW_US) != NULL,
+				  step.due);
+			EXPECT_EQ(fetch_list_due_us(&list) != DEADLINE_NONE_US,
+				  step.waiting);
+		}
+		fetch_list_clear(&list);
+	}
+}
+
+} // namespace
