Watch the platform with shorter polls, so that a silent one ends in time

Cause: a watch whose connection went silent held an instance for 13 s, beyond the 10 s within which a version has to be in force everywhere. Change: a poll waits 4 s instead of 10 s; a reader asks the platform once in 4 s while nothing changes.

--- a/src/duty/config_watch.c
+++ b/src/duty/config_watch.c
@@ -1,6 +1,6 @@
 #include "duty/config_watch.h"
 
-#define LONG_POLL_MS 10000
+#define LONG_POLL_MS 4000
 #define INDEX_EVERY_US (30 * US_PER_S)
 #define INSTANCES_EVERY_US (5 * US_PER_S)
 #define SAME_VERSION_US US_PER_S
