Confirm a suspicion by work that begins after it

Change: the first late or failed request starts a new sample at every home that hears of it; the verdict is made on that sample alone. A cut path is judged against the other homes, so a home that is cut from all finds out. Evidence from one failure domain alone waits until the others had time to answer. Conclusion: evidence that is not clean is worth less than a second of waiting.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -12,6 +12,7 @@
 	BENCH_CREST,
 	BENCH_BLOCKING,
 	BENCH_LATENCY,
+	BENCH_DETECTION,
 };
 
 /**
@@ -48,4 +49,12 @@
  */
 int bench_latency(const struct bench_order *order);
 
+/**
+ * bench_detection() - time to detection and mistaken ejections, in memory
+ * @order: the order
+ *
+ * Return: an exit status.
+ */
+int bench_detection(const struct bench_order *order);
+
 #endif
--- /dev/null
+++ b/bench/detection.c
@@ -0,0 +1,240 @@
+#include "bench.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "model/fleet_model.h"
+
+#define RUNS 10
+#define ONSET_US (20 * US_PER_S)
+#define WATCHED_US (20 * US_PER_S)
+#define HEALTHY_US (600 * US_PER_S)
+#define SICK_BACKEND 4
+
+/**
+ * struct size - the sizes of one user's service
+ */
+struct size {
+	const char *name;
+	uint32_t homes;
+	uint32_t domains;
+	uint32_t backends;
+	uint32_t slots;
+};
+
+/**
+ * struct sick_row - one gray fault; probes stay green
+ */
+struct sick_row {
+	const char *name;
+	enum model_fault_kind kind;
+	uint32_t amount;
+};
+
+/**
+ * struct times - times to detection over all runs, at the last home
+ * @ms: sorted
+ * @count: of @ms; runs in which some home never lost it are left out
+ * @missed: those runs
+ * @wrong: ejections of others
+ */
+struct times {
+	uint64_t ms[RUNS];
+	uint32_t count;
+	uint32_t missed;
+	uint32_t wrong;
+};
+
+/**
+ * struct report - the table goes out row by row, the JSON line at the end
+ * @json: rows so far
+ */
+struct report {
+	GString *json;
+};
+
+static const struct size sizes[] = {
+	{ "gallery", 3, 3, 10, 6 },
+	{ "roster", 4, 4, 15, 3 },
+};
+
+static const struct sick_row sick_rows[] = {
+	{ "fails 10 %", MODEL_FAIL, 100 },   { "fails 30 %", MODEL_FAIL, 300 },
+	{ "fails 100 %", MODEL_FAIL, 1000 }, { "3x slow", MODEL_SLOW, 3 },
+	{ "10x slow", MODEL_SLOW, 10 },	     { "hangs 30 %", MODEL_HANG, 300 },
+	{ "hangs 100 %", MODEL_HANG, 1000 },
+};
+
+static const char *const ejector_names[] = { "none", "consecutive",
+					     "nutmegcrank" };
+
+static void config_fill(struct model_config *config, const struct size *size,
+			enum model_ejector ejector, uint32_t seed);
+static void measure_sick(struct report *report, const struct size *size,
+			 const struct sick_row *row, enum model_ejector ejector,
+			 uint32_t seed);
+static void note_run(struct times *times, const struct model_config *config,
+		     const struct model_result *result);
+static void measure_healthy(struct report *report, const struct size *size,
+			    enum model_ejector ejector, uint32_t seed);
+static void add_fault(struct model_config *config, enum model_fault_kind kind,
+		      uint32_t backend, uint32_t amount);
+static int compare_ms(const void *a, const void *b);
+
+int bench_detection(const struct bench_order *order)
+{
+	struct report report = { .json = g_string_new(NULL) };
+	enum model_ejector ejector;
+	uint32_t i;
+	uint32_t j;
+
+	printf("detection, seed %u, %u runs a row, green probes,\n"
+	       "20 requests/s for each backend server, mean 50 ms\n\n"
+	       "%-8s %-12s %-12s %9s %8s %7s %6s %8s\n",
+	       order->seed, RUNS, "service", "fault", "ejector", "median ms",
+	       "worst ms", "missed", "wrong", "failed %");
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		for (j = 0; j < G_N_ELEMENTS(sick_rows); j++) {
+			for (ejector = MODEL_NOTHING; ejector <= MODEL_VERDICT;
+			     ejector++)
+				measure_sick(&report, &sizes[i], &sick_rows[j],
+					     ejector, order->seed);
+		}
+	}
+	printf("\n10 minutes, nothing sick: 2 %% stragglers of 30x, 0.1 %% "
+	       "errors, one sheds 30 %%\n\n%-8s %-12s %9s %20s %9s %9s\n",
+	       "service", "ejector", "ejections", "per backend and hour",
+	       "digests/s", "entries/s");
+	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		for (ejector = MODEL_NOTHING; ejector <= MODEL_VERDICT;
+		     ejector++)
+			measure_healthy(&report, &sizes[i], ejector,
+					order->seed);
+	}
+	printf("\n{\"bench\":\"detection\",\"seed\":%u,\"rows\":[%s]}\n",
+	       order->seed, report.json->str);
+	g_string_free(report.json, TRUE);
+	return EXIT_SUCCESS;
+}
+
+static void config_fill(struct model_config *config, const struct size *size,
+			enum model_ejector ejector, uint32_t seed)
+{
+	memset(config, 0, sizeof(*config));
+	config->seed = seed;
+	config->ejector = ejector;
+	config->homes = size->homes;
+	config->domains = size->domains;
+	config->backends = size->backends;
+	config->slots = size->slots;
+	config->floor_percent = 60;
+	config->requests_per_s = 20;
+	config->typical_us = 50 * US_PER_MS;
+	config->error_permille = 1;
+	config->digest_delay_us = 5 * US_PER_MS;
+}
+
+static void measure_sick(struct report *report, const struct size *size,
+			 const struct sick_row *row, enum model_ejector ejector,
+			 uint32_t seed)
+{
+	struct times times = { 0 };
+	struct model_result result;
+	struct model_config config;
+	uint64_t requests = 0;
+	uint64_t failed = 0;
+	uint64_t worst;
+	uint64_t median;
+	uint32_t run;
+
+	for (run = 0; run < RUNS; run++) {
+		config_fill(&config, size, ejector, seed * RUNS + run);
+		config.run_us = ONSET_US + WATCHED_US;
+		add_fault(&config, row->kind, SICK_BACKEND, row->amount);
+		model_run(&config, &result);
+		note_run(&times, &config, &result);
+		requests += result.requests;
+		failed += result.failed_requests;
+	}
+	qsort(times.ms, times.count, sizeof(times.ms[0]), compare_ms);
+	median = times.count > 0 ? times.ms[times.count / 2] : 0;
+	worst = times.count > 0 ? times.ms[times.count - 1] : 0;
+	printf("%-8s %-12s %-12s %9" PRIu64 " %8" PRIu64 " %7u %6u %8.2f\n",
+	       size->name, row->name, ejector_names[ejector], median, worst,
+	       times.missed, times.wrong, 100.0 * failed / requests);
+	g_string_append_printf(
+		report->json,
+		"%s{\"service\":\"%s\",\"fault\":\"%s\",\"ejector\":\"%s\","
+		"\"median_ms\":%" PRIu64 ",\"worst_ms\":%" PRIu64
+		",\"missed\":%u,\"wrong\":%u}",
+		report->json->len > 0 ? "," : "", size->name, row->name,
+		ejector_names[ejector], median, worst, times.missed,
+		times.wrong);
+}
+
+/* Detected when the last home has stopped giving it work. */
+static void note_run(struct times *times, const struct model_config *config,
+		     const struct model_result *result)
+{
+	uint64_t last_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->homes; i++)
+		last_us = MAX(last_us, result->lost_us[i][SICK_BACKEND]);
+	for (i = 0; i < config->backends; i++)
+		times->wrong += i == SICK_BACKEND ? 0 : result->ejections[i];
+	if (last_us == MODEL_NEVER_US)
+		times->missed++;
+	else
+		times->ms[times->count++] = (last_us - ONSET_US) / US_PER_MS;
+}
+
+static void measure_healthy(struct report *report, const struct size *size,
+			    enum model_ejector ejector, uint32_t seed)
+{
+	struct model_result result;
+	struct model_config config;
+	double hours = (double)HEALTHY_US / (3600 * US_PER_S);
+	double home_s = (double)HEALTHY_US / US_PER_S * size->homes;
+	double rate;
+
+	config_fill(&config, size, ejector, seed);
+	config.run_us = HEALTHY_US;
+	config.straggler_permille = 20;
+	config.straggler_factor = 30;
+	add_fault(&config, MODEL_SHED, SICK_BACKEND, 300);
+	model_run(&config, &result);
+	rate = model_ejections(&result) / (hours * size->backends);
+	printf("%-8s %-12s %9u %20.2f %9.1f %9.1f\n", size->name,
+	       ejector_names[ejector], model_ejections(&result), rate,
+	       result.digests / home_s, result.digest_entries / home_s);
+	g_string_append_printf(
+		report->json,
+		",{\"service\":\"%s\",\"fault\":\"none\",\"ejector\":\"%s\","
+		"\"ejections\":%u,\"per_backend_hour\":%.2f}",
+		size->name, ejector_names[ejector], model_ejections(&result),
+		rate);
+}
+
+static void add_fault(struct model_config *config, enum model_fault_kind kind,
+		      uint32_t backend, uint32_t amount)
+{
+	struct model_fault *fault = &config->faults[config->fault_count++];
+
+	fault->kind = kind;
+	fault->from_us = ONSET_US;
+	fault->until_us = MODEL_NEVER_US;
+	fault->backend = backend;
+	fault->home = MODEL_ALL;
+	fault->permille = amount;
+}
+
+static int compare_ms(const void *a, const void *b)
+{
+	const uint64_t *left = a;
+	const uint64_t *right = b;
+
+	return (*left > *right) - (*left < *right);
+}
--- a/bench/main.c
+++ b/bench/main.c
@@ -19,7 +19,7 @@
 static const struct argp bench_argp = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "crest|blocking|latency",
+	.args_doc = "crest|blocking|latency|detection",
 	.doc = "Measure nutmegcrank; prints a table and one JSON line.",
 };
 
@@ -62,6 +62,8 @@
 		return BENCH_BLOCKING;
 	if (strcmp(text, "latency") == 0)
 		return BENCH_LATENCY;
+	if (strcmp(text, "detection") == 0)
+		return BENCH_DETECTION;
 	return BENCH_NONE;
 }
 
@@ -86,6 +88,8 @@
 		return bench_blocking(order);
 	case BENCH_LATENCY:
 		return bench_latency(order);
+	case BENCH_DETECTION:
+		return bench_detection(order);
 	case BENCH_NONE:
 		break;
 	}
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -52,23 +52,20 @@
 					.out = out };
 	enum work_end end;
 
-	evidence_wake(state, service, now);
+	evidence_wake(service, now);
 	if (evidence->draining)
 		observe_draining(&change, now.mono_us + DRAIN_ANSWER_US,
 				 CAUSE_DRAIN_ANSWER);
 	end = evidence_judge(service, ticket, evidence);
+	if (end == WORK_SLOW && backend_cold(backend, now))
+		end = WORK_NOTHING;
 	if (evidence->kind == EVIDENCE_OK && !backend_cold(backend, now))
 		evidence_learn_typical(service, ticket, evidence->service_us);
 	if (ticket->granted_us < backend->health.resumed_us)
 		return;
-	if (ticket->counted_overdue && end != WORK_FAILED)
-		end = WORK_NOTHING;
 	evidence_count(&backend->health, end, now);
 	if (backend->health.state == HEALTH_TRICKLE)
-		observe_trickle(&change,
-				ticket->counted_overdue && end == WORK_NOTHING ?
-					WORK_SLOW :
-					end);
+		observe_trickle(&change, end);
 }
 
 void health_observe_probe(struct state *state, struct service *service,
@@ -105,7 +102,7 @@
 	uint32_t i;
 	uint32_t j;
 
-	evidence_wake(state, service, now);
+	evidence_wake(service, now);
 	for (i = 0; i < service->backend_count; i++) {
 		change.backend = &service->backends[i];
 		for (j = 0; j < digest->entry_count; j++) {
--- a/src/command/health_change.c
+++ b/src/command/health_change.c
@@ -15,6 +15,9 @@
 #define RAMP_STEP_PERMILLE 250
 #define RAMP_STEP_US (1 * US_PER_S)
 
+/* Work of other homes that shows a failed trial to be the path's fault. */
+#define OTHERS_WORK_REQUESTS 6
+
 #define WITHHELD_AUDIT_US (30 * US_PER_S)
 
 /*
@@ -25,6 +28,7 @@
 
 static uint64_t backoff_us(struct state *state, const struct health *health);
 static void forget_evidence(struct health *health, struct instant now);
+static bool others_work_with(const struct health_change *change);
 static void tell_soon(struct health_change *change);
 
 void health_eject(struct health_change *change, enum audit_cause cause,
@@ -97,6 +101,11 @@
 {
 	struct health *health = &change->backend->health;
 
+	if (others_work_with(change)) {
+		health->path_cut = true;
+		health->out = false;
+		health_uncharge(health, change->now);
+	}
 	health->next_step_us =
 		change->now.mono_us + backoff_us(change->state, health);
 	health->relapses++;
@@ -111,6 +120,8 @@
 {
 	struct health *health = &change->backend->health;
 
+	if (cause == CAUSE_COLD_START)
+		forget_evidence(health, change->now);
 	health->state = HEALTH_RAMP;
 	health->path_cut = false;
 	health->cold_start = cause == CAUSE_COLD_START;
@@ -156,6 +167,14 @@
 	health->charge_ends_us = now.mono_us + CHARGE_LINGER_US;
 }
 
+void health_sample(struct health_change *change)
+{
+	forget_evidence(&change->backend->health, change->now);
+	change->backend->health.suspected_us = change->now.mono_us;
+
+	tell_soon(change);
+}
+
 void health_audit(struct health_change *change, enum audit_kind kind,
 		  enum audit_cause cause)
 {
@@ -184,6 +203,22 @@
 	state_audit(change->state, &record, change->now, change->out);
 }
 
+/* All other homes have it back in service, and their work goes well. */
+static bool others_work_with(const struct health_change *change)
+{
+	const struct health_view *view;
+	struct pool pool = pool_peers(change->backend, change->now);
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &change->backend->health.views[i];
+		if (view->ejected && view_fresh(view, change->now))
+			return false;
+	}
+	return pool_all(&pool) >= OTHERS_WORK_REQUESTS &&
+	       pool.ok_requests * 2 > pool_all(&pool);
+}
+
 /* Doubles with each relapse; jitter keeps the homes' trials apart. */
 static uint64_t backoff_us(struct state *state, const struct health *health)
 {
@@ -198,8 +233,11 @@
 static void forget_evidence(struct health *health, struct instant now)
 {
 	memset(health->buckets, 0, sizeof(health->buckets));
+	health->overdue_requests = 0;
 	health->resumed_us = now.mono_us;
 	health->suspected_us = 0;
+
+	health->accused_us = 0;
 	health->sick_us = 0;
 }
 
--- a/src/command/health_change.h
+++ b/src/command/health_change.h
@@ -85,6 +85,15 @@
  */
 void health_uncharge(struct health *health, struct instant now);
 
+/**
+ * health_sample() - begin to sample a suspected backend server's work anew
+ * @change: whom
+ *
+ * What raised the suspicion was the worst of many moments, so it is not
+ * counted again.
+ */
+void health_sample(struct health_change *change);
+
 /**
  * health_audit() - append an audit record with the evidence's figures
  * @change: whom
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -16,7 +16,6 @@
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
 		    struct instant now);
-static void ignore_running(struct state *state, const struct service *service);
 
 void evidence_count(struct health *health, enum work_end end,
 		    struct instant now)
@@ -57,9 +56,12 @@
 			return WORK_SLOW;
 		return WORK_OK;
 	case EVIDENCE_SHED:
-	case EVIDENCE_CANCELLED:
 	case EVIDENCE_LATE:
 		return WORK_NOTHING;
+	case EVIDENCE_CANCELLED:
+		if (evidence->service_us / OVERDUE_FACTOR > slow_after_us)
+			return WORK_SLOW;
+		return WORK_NOTHING;
 	case EVIDENCE_TIMEOUT:
 		if (evidence->reused)
 			return WORK_NOTHING;
@@ -92,33 +94,32 @@
 		*typical_us -= step_us;
 }
 
-void evidence_count_overdue(struct state *state, struct service *service,
+void evidence_count_overdue(const struct state *state, struct service *service,
 			    struct instant now)
 {
 	uint32_t left = service->running_requests;
-	struct backend *backend;
-	struct ticket *ticket;
+	const struct ticket *ticket;
+	struct health *health;
 	uint32_t i;
 
+	for (i = 0; i < service->backend_count; i++)
+		service->backends[i].health.overdue_requests = 0;
 	for (i = 0; i < TICKETS_MAX && left > 0; i++) {
 		ticket = &state->tickets[i];
 		if (ticket->service != service ||
 		    ticket->state != TICKET_RUNNING)
 			continue;
 		left--;
-		if (ticket->counted_overdue ||
-		    ticket->backend_index >= service->backend_count ||
-		    !overdue(service, ticket, now))
+		if (ticket->backend_index >= service->backend_count)
 			continue;
-		ticket->counted_overdue = true;
-		backend = &service->backends[ticket->backend_index];
-		if (ticket->granted_us >= backend->health.resumed_us)
-			evidence_count(&backend->health, WORK_SLOW, now);
+		health = &service->backends[ticket->backend_index].health;
+		if (ticket->granted_us >= health->resumed_us &&
+		    overdue(service, ticket, now))
+			health->overdue_requests++;
 	}
 }
 
-void evidence_wake(struct state *state, struct service *service,
-		   struct instant now)
+void evidence_wake(struct service *service, struct instant now)
 {
 	struct health *health;
 	uint32_t i;
@@ -136,9 +137,11 @@
 		health->resumed_us = now.mono_us;
 		health->ticked_us = now.mono_us;
 		health->suspected_us = 0;
+
+		health->accused_us = 0;
 		health->sick_us = 0;
+		health->overdue_requests = 0;
 	}
-	ignore_running(state, service);
 }
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
@@ -152,14 +155,3 @@
 	return now.mono_us - ticket->granted_us >
 	       slow_after_us * OVERDUE_FACTOR;
 }
-
-/* Work that ran through a pause looks late without fault of its server. */
-static void ignore_running(struct state *state, const struct service *service)
-{
-	uint32_t i;
-
-	for (i = 0; i < TICKETS_MAX; i++) {
-		if (state->tickets[i].service == service)
-			state->tickets[i].counted_overdue = true;
-	}
-}
--- a/src/command/health_evidence.h
+++ b/src/command/health_evidence.h
@@ -49,18 +49,16 @@
  * @service: the service
  * @now: the time
  */
-void evidence_count_overdue(struct state *state, struct service *service,
+void evidence_count_overdue(const struct state *state, struct service *service,
 			    struct instant now);
 
 /**
  * evidence_wake() - drop what was known before a pause of the process
- * @state: gives the running work
  * @service: the service
  * @now: the time
  *
  * Does nothing when the last judgement is not long ago.
  */
-void evidence_wake(struct state *state, struct service *service,
-		   struct instant now);
+void evidence_wake(struct service *service, struct instant now);
 
 #endif
--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -13,6 +13,11 @@
 /* Time for a new home set or document to reach all homes. */
 #define BASIS_SETTLES_US (3 * US_PER_S)
 
+/* A suspicion that nothing confirms ends after this. */
+#define SUSPECTED_US (1500 * US_PER_MS)
+#define SUSPECTED_MAX_US (6 * US_PER_S)
+#define CLEARING_REQUESTS 10
+
 #define PROBE_MINORITY_PART 3
 
 #define COLD_MAX_US (60 * US_PER_S)
@@ -23,6 +28,7 @@
 static void tick_cold(struct health_change *change);
 static void tick_suspicion(struct health_change *change);
 static bool probe_suspects(const struct health_change *change);
+static bool suspicion_over(const struct health_change *change);
 static void tick_cover(struct health_change *change);
 static void tick_step(struct health_change *change);
 static void act_on_verdict(struct health_change *change);
@@ -44,7 +50,7 @@
 
 	if (service->backend_count == 0)
 		return;
-	evidence_wake(state, service, now);
+	evidence_wake(service, now);
 	if (now.mono_us < service->backends[0].health.ticked_us + TICK_US)
 		return;
 	settle_basis(service, now);
@@ -132,14 +138,18 @@
 {
 	struct health *health = &change->backend->health;
 
-	if (change->verdict.kind == VERDICT_HEALTHY) {
+	if (change->verdict.kind != VERDICT_HEALTHY) {
+		if (health->suspected_us == 0)
+			health_sample(change);
+	} else if (suspicion_over(change)) {
 		health->suspected_us = 0;
+
 		health->suspected = false;
-	} else if (health->suspected_us == 0) {
-		health->suspected_us = change->now.mono_us;
-		change->service->digest_due_us = MIN(
-			change->service->digest_due_us, change->now.mono_us);
 	}
+	if (!change->verdict.accused)
+		health->accused_us = 0;
+	else if (health->accused_us == 0)
+		health->accused_us = change->now.mono_us;
 	if (probe_suspects(change))
 		health->suspected = true;
 	if (!verdict_sick(change->verdict.kind))
@@ -148,6 +158,17 @@
 		health->sick_us = change->now.mono_us;
 }
 
+/* Work that is well ends a suspicion soon, want of work ends it late. */
+static bool suspicion_over(const struct health_change *change)
+{
+	uint64_t since_us = change->backend->health.suspected_us;
+
+	if (change->now.mono_us >= since_us + SUSPECTED_MAX_US)
+		return true;
+	return change->now.mono_us >= since_us + SUSPECTED_US &&
+	       pool_all(&change->verdict.pool) >= CLEARING_REQUESTS;
+}
+
 /*
  * A probe counts only where work says nothing, and only against a few backend
  * servers; against many it is more likely the probe that misleads.
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -7,7 +7,7 @@
 
 #include "core/ids.h"
 
-#define HEALTH_BUCKETS 12
+#define HEALTH_BUCKETS 24
 #define HEALTH_BUCKET_US (250 * US_PER_MS)
 #define HOMES_MAX 16
 
@@ -31,9 +31,8 @@
  * struct health_bucket - evidence of one short span
  * @begins_us: start of the span
  * @ok_requests: whole answers in time
- * @failed_requests: failures
- * @slow_requests: whole answers, slow against the other backend servers, and
- *	running work that is already as late
+ * @failed_requests: failures, timeouts too
+ * @slow_requests: work that came late against the other backend servers
  */
 struct health_bucket {
 	uint64_t begins_us;
@@ -72,6 +71,8 @@
  * struct health - all that is known of one backend server's health
  * @state: what work it gets
  * @buckets: own evidence, a circle
+ * @overdue_requests: running work that is late already, at the last tick
+ 
  * @views: other homes' evidence
  * @next_step_us: when a back-off, a trickle without work or a ramp step ends
  * @relapses: how often in a row it was ejected, doubles the back-off
@@ -88,6 +89,9 @@
  * @cold_until_us: a cold report counts until then; 0 when there was none
  * @suspected: it gets fewer new requests
  * @suspected_us: when evidence began to speak against it, 0 for not
+ 
+ * @accused_us: since when evidence suffices but for its confirmation, 0 for
+ *	not
  * @sick_us: when the verdict became sick, 0 for not
  * @probe_bad_until_us: the last probe spoke against it
  * @drain_audited: AUDIT_DRAIN_BEGUN was given
@@ -99,6 +103,8 @@
 struct health {
 	enum health_state state;
 	struct health_bucket buckets[HEALTH_BUCKETS];
+	uint32_t overdue_requests;
+
 	struct health_view views[HOMES_MAX];
 	uint64_t next_step_us;
 	uint32_t relapses;
@@ -114,6 +120,8 @@
 	uint64_t cold_until_us;
 	bool suspected;
 	uint64_t suspected_us;
+
+	uint64_t accused_us;
 	uint64_t sick_us;
 	uint64_t probe_bad_until_us;
 	bool drain_audited;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -113,7 +113,8 @@
 				   struct instant now)
 {
 	const struct health_bucket *bucket;
-	struct health_bucket sum = { 0 };
+	struct health_bucket sum = { .slow_requests =
+					     backend->health.overdue_requests };
 	uint32_t i;
 
 	for (i = 0; i < HEALTH_BUCKETS; i++) {
--- a/src/query/health_bound.h
+++ b/src/query/health_bound.h
@@ -10,6 +10,7 @@
 
 #include "core/units.h"
 
+#define BOUND_Z_1 UINT64_C(1000)
 #define BOUND_Z_1_6 UINT64_C(2706)
 #define BOUND_Z_2 UINT64_C(4000)
 #define BOUND_Z_3 UINT64_C(9000)
--- a/src/query/health_digest.c
+++ b/src/query/health_digest.c
@@ -2,21 +2,22 @@
 
 #include <string.h>
 
+#include "query/health_bound.h"
 #include "query/health_pool.h"
-#include "query/health_verdict.h"
 
-/* Slow answers in a window that are worth telling of. */
-#define TOLD_SLOW_REQUESTS 2
+/* Late work in a window that is worth telling of. */
+#define TOLD_SLOW_REQUESTS 3
 
 /**
  * enum tell - how much an entry matters when there is room for some only
  */
 enum tell { TELL_STATE, TELL_EVIDENCE, TELL_ANSWER, TELL_NOTHING };
 
-static enum tell entry_matters(const struct backend *backend,
+static enum tell entry_matters(const struct service *service,
+			       const struct backend *backend,
 			       struct instant now);
-static bool speaks_against(uint32_t failed_requests, uint32_t slow_requests,
-			   uint32_t all_requests);
+static bool worth_telling(const struct service *service,
+			  const struct backend *backend, struct instant now);
 static bool peers_suspect(const struct backend *backend, struct instant now);
 static bool own_draining(const struct backend *backend, struct instant now);
 static bool own_cold(const struct backend *backend, struct instant now);
@@ -34,7 +35,7 @@
 	for (tell = TELL_STATE; tell < TELL_NOTHING; tell++) {
 		for (i = 0; i < service->backend_count; i++) {
 			backend = &service->backends[i];
-			if (entry_matters(backend, now) != tell)
+			if (entry_matters(service, backend, now) != tell)
 				continue;
 			if (out->entry_count == PEER_DIGEST_ENTRIES_MAX)
 				return;
@@ -44,30 +45,44 @@
 	}
 }
 
-static enum tell entry_matters(const struct backend *backend,
+static enum tell entry_matters(const struct service *service,
+			       const struct backend *backend,
 			       struct instant now)
 {
 	struct pool own = pool_own(backend, now);
-	uint32_t all = pool_all(&own);
 
 	if (backend->health.out || backend->health.charged ||
 	    own_draining(backend, now) || own_cold(backend, now))
 		return TELL_STATE;
-	if (speaks_against(own.failed_requests, own.slow_requests, all))
+	if (worth_telling(service, backend, now))
 		return TELL_EVIDENCE;
-	if (all > 0 && peers_suspect(backend, now))
+	if (pool_all(&own) > 0 && peers_suspect(backend, now))
 		return TELL_ANSWER;
 	return TELL_NOTHING;
 }
 
-/* Slowness that many requests share is told only when it is a large share. */
-static bool speaks_against(uint32_t failed_requests, uint32_t slow_requests,
-			   uint32_t all_requests)
+/* Lateness that all backend servers share, such as stragglers', is not told. */
+static bool worth_telling(const struct service *service,
+			  const struct backend *backend, struct instant now)
 {
-	return failed_requests > 0 || (slow_requests >= TOLD_SLOW_REQUESTS &&
-				       slow_requests * 5 >= all_requests);
+	struct pool own = pool_own(backend, now);
+	struct pool others;
+	uint32_t all;
+
+	if (own.failed_requests > 0)
+		return true;
+	if (backend->health.suspected_us != 0 && own.slow_requests > 0)
+		return true;
+	if (own.slow_requests < TOLD_SLOW_REQUESTS)
+		return false;
+	others = pool_others(service, backend, now);
+	all = MAX(pool_all(&others), 1);
+	return share_lower_permille(own.slow_requests, pool_all(&own),
+				    BOUND_Z_1_6) >
+	       others.slow_requests * PERMILLE_ONE / all;
 }
 
+/* A home that has nothing against a backend server answers a suspicion. */
 static bool peers_suspect(const struct backend *backend, struct instant now)
 {
 	const struct health_view *view;
@@ -76,9 +91,8 @@
 	for (i = 0; i < HOMES_MAX; i++) {
 		view = &backend->health.views[i];
 		if (view_fresh(view, now) &&
-		    speaks_against(view->failed_requests, view->slow_requests,
-				   view->ok_requests + view->failed_requests +
-					   view->slow_requests))
+		    (view->ejected || view->failed_requests > 0 ||
+		     view->slow_requests >= TOLD_SLOW_REQUESTS))
 			return true;
 	}
 	return false;
--- a/src/query/health_pool.c
+++ b/src/query/health_pool.c
@@ -4,7 +4,8 @@
 
 #include "query/health.h"
 
-static struct pool pool_view(const struct health_view *view);
+#define RECENT_US (1000 * US_PER_MS)
+
 static uint32_t domain_add(uint64_t *domains, uint32_t count, uint64_t domain);
 
 uint32_t pool_all(const struct pool *pool)
@@ -24,6 +25,22 @@
 	return pool;
 }
 
+struct pool pool_recent(const struct backend *backend, struct instant now)
+{
+	const struct health *health = &backend->health;
+	struct pool pool = { .slow_requests = health->overdue_requests };
+	uint32_t i;
+
+	for (i = 0; i < HEALTH_BUCKETS; i++) {
+		if (health->buckets[i].begins_us + RECENT_US <= now.mono_us)
+			continue;
+		pool.ok_requests += health->buckets[i].ok_requests;
+		pool.failed_requests += health->buckets[i].failed_requests;
+		pool.slow_requests += health->buckets[i].slow_requests;
+	}
+	return pool;
+}
+
 struct pool pool_peers(const struct backend *backend, struct instant now)
 {
 	const struct health_view *view;
@@ -116,7 +133,7 @@
 	return view->home.port != 0 && now.mono_us < view->fresh_until_us;
 }
 
-static struct pool pool_view(const struct health_view *view)
+struct pool pool_view(const struct health_view *view)
 {
 	struct pool pool = {
 		.ok_requests = view->ok_requests,
--- a/src/query/health_pool.h
+++ b/src/query/health_pool.h
@@ -39,6 +39,23 @@
  */
 struct pool pool_own(const struct backend *backend, struct instant now);
 
+/**
+ * pool_recent() - own evidence of the last second
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: the sums.
+ */
+struct pool pool_recent(const struct backend *backend, struct instant now);
+
+/**
+ * pool_view() - evidence of one other home
+ * @view: what it told
+ *
+ * Return: the sums, fresh or not.
+ */
+struct pool pool_view(const struct health_view *view);
+
 /**
  * pool_peers() - fresh evidence of the other homes
  * @backend: the backend server
--- a/src/query/health_verdict.c
+++ b/src/query/health_verdict.c
@@ -6,16 +6,21 @@
 #define SLOW_FACTOR 2
 #define SLOW_SLACK_US (5 * US_PER_MS)
 
-/* Least requests against a backend server before it is sick. */
-#define SICK_REQUESTS 3
+/* Least failed requests before a backend server is sick. */
+#define FAILED_REQUESTS 4
+/* The same when no request speaks for it. */
+#define FAILED_ALL_REQUESTS 3
+/* Least late ones: a few stragglers can fill a home's slots at once. */
+#define SLOW_REQUESTS 7
+/* The same when no request speaks for it. */
+#define SLOW_ALL_REQUESTS 5
 /* Least of them outside any one failure domain. */
 #define CONFIRM_REQUESTS 2
 /* Requests of the others that give a base to compare with. */
 #define BASE_REQUESTS 20
 /* Requests of other homes that can clear a backend server. */
 #define CLEAR_REQUESTS 6
-/* Own requests that speak against a path. */
-#define PATH_REQUESTS 3
+
 /* Own requests without a fault after which an ejection is not followed. */
 #define FINE_REQUESTS 20
 #define FINE_UPPER_PERMILLE 100
@@ -27,6 +32,9 @@
 
 /* Time in which the other homes answer a suspicion with their evidence. */
 #define CONFIRM_US (1200 * US_PER_MS)
+/* Time after which silence of the other homes is taken for want of work. */
+#define ALONE_US (1200 * US_PER_MS)
+#define ALONE_OTHERS_US (3 * US_PER_S)
 /* A pause of a backend server shorter than this is not slowness. */
 #define SLOW_CONFIRM_US (1000 * US_PER_MS)
 
@@ -35,17 +43,25 @@
 static enum verdict_kind judge(const struct state *state,
 			       const struct service *service,
 			       const struct backend *backend,
-			       enum fault_kind fault, struct instant now);
+			       enum fault_kind fault, struct verdict *verdict,
+			       struct instant now);
+static bool accused(const struct pool *pool, enum fault_kind fault,
+		    uint32_t threshold_permille);
 static bool confirmed(const struct state *state, const struct service *service,
 		      const struct backend *backend, enum fault_kind fault,
 		      uint32_t threshold_permille, struct instant now);
+static bool alone(const struct state *state, const struct backend *backend,
+		  const uint64_t *domains, uint32_t count, struct instant now);
 static bool answered(const struct backend *backend, struct instant now);
 static bool path_cut(const struct backend *backend, enum fault_kind fault,
 		     uint32_t threshold_permille, struct instant now);
 static bool suspicious(const struct pool *pool, enum fault_kind fault,
 		       uint32_t threshold_permille);
+static bool peer_suspects(const struct backend *backend, enum fault_kind fault,
+			  uint32_t limit, struct instant now);
 static uint32_t threshold(const struct pool *others, enum fault_kind fault);
 static uint32_t against(const struct pool *pool, enum fault_kind fault);
+static uint32_t least_requests(const struct pool *pool, enum fault_kind fault);
 static uint32_t count_observers(const struct backend *backend,
 				struct instant now);
 
@@ -67,10 +83,12 @@
 	all = pool_all(&verdict.pool);
 	if (verdict.pool.failed_requests + verdict.pool.slow_requests == 0)
 		return verdict;
-	verdict.kind = judge(state, service, backend, FAULT_FAILING, now);
+	verdict.kind =
+		judge(state, service, backend, FAULT_FAILING, &verdict, now);
 	if (!verdict_sick(verdict.kind) && verdict.kind != VERDICT_PATH &&
 	    !backend_cold(backend, now))
-		slow = judge(state, service, backend, FAULT_SLOW, now);
+		slow = judge(state, service, backend, FAULT_SLOW, &verdict,
+			     now);
 	if (slow != VERDICT_HEALTHY)
 		verdict.kind = slow;
 	verdict.observers = count_observers(backend, now);
@@ -103,28 +121,49 @@
 	return MAX(typical_us * SLOW_FACTOR, typical_us + SLOW_SLACK_US);
 }
 
+/*
+ * A suspicion is confirmed only by work begun after it, for what raised it was
+ * the worst of many moments.
+ */
 static enum verdict_kind judge(const struct state *state,
 			       const struct service *service,
 			       const struct backend *backend,
-			       enum fault_kind fault, struct instant now)
+			       enum fault_kind fault, struct verdict *verdict,
+			       struct instant now)
 {
-	struct pool own = pool_own(backend, now);
-	struct pool all = pool_add(own, pool_peers(backend, now));
+	struct pool all =
+		pool_add(pool_own(backend, now), pool_peers(backend, now));
+	struct pool recent = pool_recent(backend, now);
 	struct pool others = pool_others(service, backend, now);
 	uint32_t limit = threshold(&others, fault);
 
-	if (against(&all, fault) >= SICK_REQUESTS &&
-	    share_lower_permille(against(&all, fault), pool_all(&all),
-				 BOUND_Z_3) > limit &&
-	    confirmed(state, service, backend, fault, limit, now))
-		return fault == FAULT_SLOW ? VERDICT_SLOW : VERDICT_FAILING;
+	if (backend->health.suspected_us != 0 && accused(&all, fault, limit)) {
+		verdict->accused = true;
+		if (confirmed(state, service, backend, fault, limit, now))
+			return fault == FAULT_SLOW ? VERDICT_SLOW :
+						     VERDICT_FAILING;
+	}
+	/* A home that is cut off sees all fail alike, but must look further. */
+	if (fault == FAULT_FAILING)
+		limit = FAILED_LEAST_PERMILLE;
+
 	if (path_cut(backend, fault, limit, now))
 		return VERDICT_PATH;
-	if (suspicious(&own, fault, limit) || suspicious(&all, fault, limit))
+	if (suspicious(&recent, fault, limit) ||
+	    suspicious(&all, fault, limit) ||
+	    peer_suspects(backend, fault, limit, now))
 		return VERDICT_UNSURE;
 	return VERDICT_HEALTHY;
 }
 
+static bool accused(const struct pool *pool, enum fault_kind fault,
+		    uint32_t limit)
+{
+	return against(pool, fault) >= least_requests(pool, fault) &&
+	       share_lower_permille(against(pool, fault), pool_all(pool),
+				    BOUND_Z_3) > limit;
+}
+
 /*
  * With evidence from several failure domains, what is left without any one of
  * them must still speak against the backend server: then it is not the path
@@ -140,12 +179,12 @@
 	struct pool rest;
 	uint32_t i;
 
-	if (since_us == 0)
-		since_us = now.mono_us;
 	if (fault == FAULT_SLOW && now.mono_us < since_us + SLOW_CONFIRM_US)
 		return false;
+	if (service->home_count < 2)
+		return true;
 	if (count < 2)
-		return service->home_count < 2 || answered(backend, now);
+		return alone(state, backend, domains, count, now);
 	for (i = 0; i < count; i++) {
 		rest = pool_outside_domain(state, backend, domains[i], now);
 		if (against(&rest, fault) < CONFIRM_REQUESTS ||
@@ -156,6 +195,25 @@
 	return true;
 }
 
+/*
+ * Evidence from one failure domain counts when nothing at all went well
+ * elsewhere, later when this home has none of its own.
+ */
+static bool alone(const struct state *state, const struct backend *backend,
+		  const uint64_t *domains, uint32_t count, struct instant now)
+{
+	struct pool own = pool_own(backend, now);
+	uint64_t wait_us = ALONE_US;
+	struct pool rest = { 0 };
+
+	if (own.failed_requests + own.slow_requests == 0)
+		wait_us = ALONE_OTHERS_US;
+	if (count > 0)
+		rest = pool_outside_domain(state, backend, domains[0], now);
+	return rest.ok_requests == 0 && backend->health.accused_us != 0 &&
+	       now.mono_us >= backend->health.accused_us + wait_us;
+}
+
 /* Whether the other homes had the time to tell what they see. */
 static bool answered(const struct backend *backend, struct instant now)
 {
@@ -170,24 +228,40 @@
 	struct pool own = pool_own(backend, now);
 	struct pool peers = pool_peers(backend, now);
 	uint32_t own_lower = share_lower_permille(against(&own, fault),
-						  pool_all(&own), BOUND_Z_2);
+						  pool_all(&own), BOUND_Z_3);
 
-	if (against(&own, fault) < PATH_REQUESTS || own_lower <= limit)
+	if (against(&own, fault) < least_requests(&own, fault) ||
+	    own_lower <= limit)
 		return false;
 	if (!answered(backend, now))
 		return false;
 	if (pool_all(&peers) < CLEAR_REQUESTS)
 		return false;
 	return share_upper_permille(against(&peers, fault), pool_all(&peers),
-				    BOUND_Z_1_6) < own_lower;
+				    BOUND_Z_2) < own_lower;
 }
 
 static bool suspicious(const struct pool *pool, enum fault_kind fault,
 		       uint32_t limit)
 {
-	return against(pool, fault) >= CONFIRM_REQUESTS &&
-	       share_lower_permille(against(pool, fault), pool_all(pool),
-				    BOUND_Z_1_6) > limit;
+	return share_lower_permille(against(pool, fault), pool_all(pool),
+				    BOUND_Z_1) > limit;
+}
+
+static bool peer_suspects(const struct backend *backend, enum fault_kind fault,
+			  uint32_t limit, struct instant now)
+{
+	const struct health_view *view;
+	struct pool pool;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		pool = pool_view(view);
+		if (view_fresh(view, now) && suspicious(&pool, fault, limit))
+			return true;
+	}
+	return false;
 }
 
 /* Share from which the lower bound speaks against a backend server. */
@@ -222,6 +296,19 @@
 	return 0;
 }
 
+static uint32_t least_requests(const struct pool *pool, enum fault_kind fault)
+{
+	switch (fault) {
+	case FAULT_FAILING:
+		return pool->ok_requests > 0 ? FAILED_REQUESTS :
+					       FAILED_ALL_REQUESTS;
+	case FAULT_SLOW:
+		return pool->ok_requests > 0 ? SLOW_REQUESTS :
+					       SLOW_ALL_REQUESTS;
+	}
+	return UINT32_MAX;
+}
+
 static uint32_t count_observers(const struct backend *backend,
 				struct instant now)
 {
--- a/src/query/health_verdict.h
+++ b/src/query/health_verdict.h
@@ -32,12 +32,16 @@
  * struct verdict - a verdict and its figures
  * @kind: what the evidence says
  * @pool: evidence of all homes
+ 
+ * @accused: the evidence suffices but for its confirmation
  * @observers: homes that saw it fail or be slow
  * @sick_permille: failed and slow share
  */
 struct verdict {
 	enum verdict_kind kind;
 	struct pool pool;
+
+	bool accused;
 	uint32_t observers;
 	uint32_t sick_permille;
 };
--- a/test/model/fleet_model.c
+++ b/test/model/fleet_model.c
@@ -9,11 +9,12 @@
 #define STEP_US (5 * US_PER_MS)
 #define DIGEST_EVERY_US (500 * US_PER_MS)
 #define PROBE_EVERY_US (1 * US_PER_S)
+#define RECORD_EVERY_US (25 * US_PER_MS)
 #define TIMEOUT_US (2 * US_PER_S)
 #define CONNECT_FAILS_US (100 * US_PER_MS)
 #define ERROR_US (5 * US_PER_MS)
-#define RUNNING_MAX 256
-#define MAIL_MAX 256
+#define RUNNING_MAX 128
+#define MAIL_MAX 64
 #define CONSECUTIVE_FAILURES 5
 #define CONSECUTIVE_OUT_US (30 * US_PER_S)
 #define START_UNIX_MS UINT64_C(1700000000000)
@@ -34,18 +35,26 @@
 
 /**
  * struct mail - one digest under way
- * @due_us: when it arrives, 0 for an unused place
  * @sender: home
  * @digest: what it says
  */
 struct mail {
-	uint64_t due_us;
 	uint32_t sender;
 	struct peer_digest digest;
 };
 
 /**
  * struct model_home - one home
+ * @settings: names its address and failure domain
+ * @state: its routing state
+ * @service: the one service
+ * @running: requests at work, at the places of their tickets
+ * @mail: digests under way to it
+ * @mail_due_us: when they arrive, 0 for an unused place
+ * @next_arrival_us: when the next request comes
+ * @next_probe_us: when it probes its backend servers
+ * @failures_in_row: with MODEL_CONSECUTIVE
+ * @out_until_us: with MODEL_CONSECUTIVE
  */
 struct model_home {
 	struct settings settings;
@@ -53,6 +62,7 @@
 	struct service *service;
 	struct running running[RUNNING_MAX];
 	struct mail mail[MAIL_MAX];
+	uint64_t mail_due_us[MAIL_MAX];
 	uint64_t next_arrival_us;
 	uint64_t next_probe_us;
 	uint32_t failures_in_row[MODEL_BACKENDS_MAX];
@@ -253,7 +263,8 @@
 		probe(model, home);
 	if (model->now.mono_us >= self->service->digest_due_us)
 		send_digest(model, home);
-	record_states(model, home);
+	if (model->now.mono_us % RECORD_EVERY_US == 0)
+		record_states(model, home);
 }
 
 static void finish_work(struct model *model, uint32_t home)
@@ -466,10 +477,11 @@
 
 	event_list_init(&events);
 	for (i = 0; i < MAIL_MAX; i++) {
-		mail = &self->mail[i];
-		if (mail->due_us == 0 || model->now.mono_us < mail->due_us)
+		if (self->mail_due_us[i] == 0 ||
+		    model->now.mono_us < self->mail_due_us[i])
 			continue;
-		mail->due_us = 0;
+		mail = &self->mail[i];
+		self->mail_due_us[i] = 0;
 		health_observe_digest(self->state, self->service,
 				      home_addr(mail->sender), &mail->digest,
 				      model->now, &events);
@@ -498,17 +510,16 @@
 static void post(struct model *model, uint32_t from, uint32_t to,
 		 const struct peer_digest *digest)
 {
-	struct mail *mail;
+	struct model_home *home = &model->homes[to];
 	uint32_t i;
 
 	for (i = 0; i < MAIL_MAX; i++) {
-		mail = &model->homes[to].mail[i];
-		if (mail->due_us != 0)
+		if (home->mail_due_us[i] != 0)
 			continue;
-		mail->due_us =
+		home->mail_due_us[i] =
 			model->now.mono_us + model->config->digest_delay_us + 1;
-		mail->sender = from;
-		mail->digest = *digest;
+		home->mail[i].sender = from;
+		home->mail[i].digest = *digest;
 		return;
 	}
 }
--- /dev/null
+++ b/test/unit/health_fleet_test.cc
@@ -0,0 +1,186 @@
+/*
+ * Detection, floor and readmission over a few homes in memory with simulated
+ * time. Each row prints its seed; bounds are the stated targets.
+ */
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "model/fleet_model.h"
+}
+
+namespace
+{
+
+const uint64_t ONSET_US = 20 * US_PER_S;
+const uint64_t LOST_WITHIN_US = 3 * US_PER_S;
+const uint64_t TEN_MINUTES_US = 600 * US_PER_S;
+
+struct model_config base(uint32_t seed)
+{
+	struct model_config config = {};
+
+	config.seed = seed;
+	config.ejector = MODEL_VERDICT;
+	config.homes = 3;
+	config.domains = 3;
+	config.backends = 10;
+	config.slots = 6;
+	config.floor_percent = 60;
+	config.requests_per_s = 20;
+	config.typical_us = 50 * US_PER_MS;
+	config.digest_delay_us = 5 * US_PER_MS;
+	config.run_us = ONSET_US + 10 * US_PER_S;
+	return config;
+}
+
+struct model_fault fault(enum model_fault_kind kind, uint32_t backend,
+			 uint32_t amount)
+{
+	struct model_fault fault = {};
+
+	fault.kind = kind;
+	fault.from_us = ONSET_US;
+	fault.until_us = MODEL_NEVER_US;
+	fault.backend = backend;
+	fault.home = MODEL_ALL;
+	fault.permille = amount;
+	return fault;
+}
+
+struct model_fault home_fault(enum model_fault_kind kind, uint32_t home,
+			      uint32_t backend)
+{
+	struct model_fault made = fault(kind, backend, 0);
+
+	made.home = home;
+	return made;
+}
+
+void add(struct model_config *config, struct model_fault fault)
+{
+	config->faults[config->fault_count++] = fault;
+}
+
+/* A gray backend server loses its work at every home. */
+
+struct sick_case {
+	const char *name;
+	enum model_fault_kind kind;
+	uint32_t amount;
+	uint32_t homes;
+	uint32_t domains;
+	uint32_t backends;
+	uint32_t slots;
+};
+
+const struct sick_case sick_cases[] = {
+	{ "fails 30 %", MODEL_FAIL, 300, 3, 3, 10, 6 },
+	{ "fails all", MODEL_FAIL, 1000, 3, 3, 10, 6 },
+	{ "3x slow", MODEL_SLOW, 3, 3, 3, 10, 6 },
+	{ "10x slow", MODEL_SLOW, 10, 3, 3, 10, 6 },
+	{ "fails 30 %, one home", MODEL_FAIL, 300, 1, 1, 10, 6 },
+	{ "fails 30 %, two homes in one domain", MODEL_FAIL, 300, 2, 1, 10, 6 },
+	{ "fails 30 %, four domains", MODEL_FAIL, 300, 4, 4, 15, 3 },
+	{ "fails 30 %, six homes", MODEL_FAIL, 300, 6, 3, 20, 6 },
+};
+
+TEST(HealthFleetTest, SickLosesItsWork)
+{
+	for (const auto &c : sick_cases) {
+		for (uint32_t seed = 1; seed <= 5; seed++) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			struct model_config config = base(seed);
+			struct model_result result;
+
+			config.homes = c.homes;
+			config.domains = c.domains;
+			config.backends = c.backends;
+			config.slots = c.slots;
+			add(&config, fault(c.kind, 4, c.amount));
+			model_run(&config, &result);
+			for (uint32_t i = 0; i < c.homes; i++)
+				EXPECT_LE(result.lost_us[i][4],
+					  ONSET_US + LOST_WITHIN_US)
+					<< "home " << i;
+			EXPECT_EQ(model_ejections(&result),
+				  result.ejections[4]);
+			EXPECT_EQ(result.breach_us, 0u);
+		}
+	}
+}
+
+/* Ten minutes without an ejection of a healthy backend server. */
+
+struct healthy_case {
+	const char *name;
+	uint32_t straggler_permille;
+	uint32_t error_permille;
+	std::vector<struct model_fault> faults;
+};
+
+struct model_fault periodic(struct model_fault made, uint64_t on_us,
+			    uint64_t off_us)
+{
+	made.on_us = on_us;
+	made.off_us = off_us;
+	return made;
+}
+
+const struct healthy_case healthy_cases[] = {
+	{ "stragglers", 20, 0, {} },
+	{ "stragglers and errors of all", 20, 5, {} },
+	{ "one sheds half",
+	  20,
+	  0,
+	  { fault(MODEL_SHED, 2, 500), fault(MODEL_SHED, 3, 900) } },
+	{ "cold starts",
+	  20,
+	  0,
+	  { periodic(fault(MODEL_COLD, 1, 3), 8 * US_PER_S, 52 * US_PER_S),
+	    periodic(fault(MODEL_COLD, 6, 3), 8 * US_PER_S, 31 * US_PER_S) } },
+	{ "one home cut from one backend server",
+	  20,
+	  1,
+	  { home_fault(MODEL_CUT, 0, 4) } },
+	{ "one home cut from all, now and then",
+	  20,
+	  1,
+	  { periodic(home_fault(MODEL_CUT, 1, MODEL_ALL), 20 * US_PER_S,
+		     40 * US_PER_S) } },
+	{ "one home hears no other, now and then",
+	  20,
+	  1,
+	  { periodic(home_fault(MODEL_DEAF, 1, MODEL_ALL), 20 * US_PER_S,
+		     40 * US_PER_S) } },
+	{ "one home's process stands still",
+	  20,
+	  1,
+	  { periodic(home_fault(MODEL_PAUSE, 2, MODEL_ALL), 10 * US_PER_S,
+		     30 * US_PER_S) } },
+};
+
+TEST(HealthFleetTest, HealthyIsNotEjected)
+{
+	for (const auto &c : healthy_cases) {
+		for (uint32_t seed = 1; seed <= 1; seed++) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			struct model_config config = base(seed);
+			struct model_result result;
+
+			config.run_us = ONSET_US + TEN_MINUTES_US;
+			config.straggler_permille = c.straggler_permille;
+			config.straggler_factor = 30;
+			config.error_permille = c.error_permille;
+			for (const auto &made : c.faults)
+				add(&config, made);
+			model_run(&config, &result);
+			EXPECT_EQ(model_ejections(&result), 0u);
+		}
+	}
+}
+
+} // namespace
