--- a/bench/bench.h
+++ b/bench/bench.h
@@ -13,6 +13,7 @@
 	BENCH_BLOCKING,
 	BENCH_LATENCY,
 	BENCH_DETECTION,
+	BENCH_FAILOVER,
 };
 
 /**
@@ -57,4 +58,12 @@
  */
 int bench_detection(const struct bench_order *order);
 
+/**
+ * bench_failover() - one home dies while the platform's list still names it
+ * @order: the order
+ *
+ * Return: an exit status.
+ */
+int bench_failover(const struct bench_order *order);
+
 #endif
--- a/bench/main.c
+++ b/bench/main.c
@@ -19,7 +19,7 @@
 static const struct argp bench_argp = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "crest|blocking|latency|detection",
+	.args_doc = "crest|blocking|latency|detection|failover",
 	.doc = "Measure nutmegcrank; prints a table and one JSON line.",
 };
 
@@ -64,6 +64,8 @@
 		return BENCH_LATENCY;
 	if (strcmp(text, "detection") == 0)
 		return BENCH_DETECTION;
+	if (strcmp(text, "failover") == 0)
+		return BENCH_FAILOVER;
 	return BENCH_NONE;
 }
 
@@ -90,6 +92,8 @@
 		return bench_latency(order);
 	case BENCH_DETECTION:
 		return bench_detection(order);
+	case BENCH_FAILOVER:
+		return bench_failover(order);
 	case BENCH_NONE:
 		break;
 	}
