Test floor, readmission, drain and cut paths over the model

Change: tables over the in-memory model: the floor under six sick at once, late digests, a split fleet and drains on top; return, back-off and flapping; a drain; a cut path and a cut home.

--- a/test/unit/health_fleet_test.cc
+++ b/test/unit/health_fleet_test.cc
@@ -183,4 +183,217 @@
 	}
 }
 
+/* All homes together never eject below the floor. */
+
+struct floor_case {
+	const char *name;
+	uint32_t homes;
+	uint32_t floor_percent;
+	uint64_t digest_delay_us;
+	uint64_t longest_breach_us;
+	uint32_t least_ejected;
+	std::vector<struct model_fault> faults;
+};
+
+/* A home may first learn of a drain as late as work must have stopped. */
+const uint64_t DRAIN_KNOWN_US = 2 * US_PER_S;
+
+struct model_fault later(struct model_fault made, uint64_t after_us)
+{
+	made.from_us += after_us;
+	return made;
+}
+
+struct model_fault split(uint32_t home_mask)
+{
+	struct model_fault made = fault(MODEL_SPLIT, MODEL_ALL, 0);
+
+	made.home_mask = home_mask;
+	return made;
+}
+
+const struct floor_case floor_cases[] = {
+	{ "six sick at once, room for four",
+	  3,
+	  60,
+	  5000,
+	  0,
+	  3,
+	  { fault(MODEL_FAIL, 0, 500), fault(MODEL_FAIL, 1, 500),
+	    fault(MODEL_FAIL, 2, 500), fault(MODEL_FAIL, 3, 500),
+	    fault(MODEL_FAIL, 4, 500), fault(MODEL_FAIL, 5, 500) } },
+	{ "six sick at once, late digests",
+	  3,
+	  60,
+	  900000,
+	  0,
+	  1,
+	  { fault(MODEL_FAIL, 0, 500), fault(MODEL_FAIL, 1, 500),
+	    fault(MODEL_FAIL, 2, 500), fault(MODEL_FAIL, 3, 500),
+	    fault(MODEL_FAIL, 4, 500), fault(MODEL_FAIL, 5, 500) } },
+	{ "split fleet, other cuts on each side",
+	  4,
+	  80,
+	  5000,
+	  0,
+	  1,
+	  { split(3), home_fault(MODEL_CUT, 0, 0), home_fault(MODEL_CUT, 1, 0),
+	    home_fault(MODEL_CUT, 0, 1), home_fault(MODEL_CUT, 1, 1),
+	    home_fault(MODEL_CUT, 2, 2), home_fault(MODEL_CUT, 3, 2),
+	    home_fault(MODEL_CUT, 2, 3), home_fault(MODEL_CUT, 3, 3) } },
+	{ "split after ejections, more get sick",
+	  4,
+	  60,
+	  5000,
+	  0,
+	  2,
+	  { fault(MODEL_FAIL, 0, 500), fault(MODEL_FAIL, 1, 500),
+	    later(split(1), 10 * US_PER_S),
+	    later(fault(MODEL_FAIL, 2, 500), 15 * US_PER_S),
+	    later(fault(MODEL_FAIL, 3, 500), 15 * US_PER_S),
+	    later(fault(MODEL_FAIL, 4, 500), 15 * US_PER_S) } },
+	{ "no room at all", 3, 100, 5000, 0, 0, { fault(MODEL_FAIL, 0, 1000) } },
+	{ "drains on top of ejections",
+	  3,
+	  60,
+	  5000,
+	  DRAIN_KNOWN_US,
+	  2,
+	  { fault(MODEL_FAIL, 0, 500), fault(MODEL_FAIL, 1, 500),
+	    fault(MODEL_FAIL, 2, 500),
+	    later(fault(MODEL_DRAIN, 8, 0), 10 * US_PER_S),
+	    later(fault(MODEL_DRAIN, 9, 0), 10 * US_PER_S) } },
+};
+
+TEST(HealthFleetTest, FloorHolds)
+{
+	for (const auto &c : floor_cases) {
+		for (uint32_t seed = 1; seed <= 5; seed++) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			struct model_config config = base(seed);
+			struct model_result result;
+			uint32_t ejected = 0;
+
+			config.homes = c.homes;
+			config.floor_percent = c.floor_percent;
+			config.digest_delay_us = c.digest_delay_us;
+			config.run_us = ONSET_US + 40 * US_PER_S;
+			for (const auto &made : c.faults)
+				add(&config, made);
+			model_run(&config, &result);
+			EXPECT_LE(result.longest_breach_us,
+				  c.longest_breach_us);
+			for (uint32_t i = 0; i < MODEL_BACKENDS_MAX; i++)
+				ejected += result.ejections[i] > 0;
+			EXPECT_GE(ejected, c.least_ejected);
+		}
+	}
+}
+
+/* Back in service when well, seldom tried while it flaps. */
+
+struct return_case {
+	const char *name;
+	struct model_fault made;
+	uint64_t run_us;
+	bool whole_in_the_end;
+	uint32_t ejections_max;
+};
+
+struct model_fault until(struct model_fault made, uint64_t span_us)
+{
+	made.until_us = made.from_us + span_us;
+	return made;
+}
+
+const struct return_case return_cases[] = {
+	{ "well after ten seconds",
+	  until(fault(MODEL_FAIL, 4, 500), 10 * US_PER_S), 120 * US_PER_S, true,
+	  9 },
+	/* 5, 10, 20, 40 and 80 s of back-off at three homes. */
+	{ "sick all the time", fault(MODEL_FAIL, 4, 1000), 120 * US_PER_S,
+	  false, 15 },
+	{ "flaps every four seconds",
+	  periodic(fault(MODEL_FAIL, 4, 1000), 4 * US_PER_S, 4 * US_PER_S),
+	  120 * US_PER_S, false, 30 },
+};
+
+TEST(HealthFleetTest, ReadmittedWhenWell)
+{
+	for (const auto &c : return_cases) {
+		for (uint32_t seed = 1; seed <= 5; seed++) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			struct model_config config = base(seed);
+			struct model_result result;
+
+			config.run_us = ONSET_US + c.run_us;
+			add(&config, c.made);
+			model_run(&config, &result);
+			EXPECT_GE(result.ejections[4], 1u);
+			EXPECT_LE(result.ejections[4], c.ejections_max);
+			for (uint32_t i = 0; c.whole_in_the_end && i < 3; i++)
+				EXPECT_GT(result.last_work_us[i][4],
+					  config.run_us - 5 * US_PER_S)
+					<< "home " << i;
+		}
+	}
+}
+
+/* No new work on a draining backend server after two seconds. */
+
+TEST(HealthFleetTest, DrainingGetsNoWork)
+{
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		SCOPED_TRACE("seed " + std::to_string(seed));
+		struct model_config config = base(seed);
+		struct model_result result;
+
+		config.run_us = ONSET_US + 20 * US_PER_S;
+		add(&config, fault(MODEL_DRAIN, 4, 0));
+		model_run(&config, &result);
+		for (uint32_t i = 0; i < 3; i++)
+			EXPECT_LE(result.last_work_us[i][4],
+				  ONSET_US + 2 * US_PER_S)
+				<< "home " << i;
+	}
+}
+
+/* Who is cut: one path, or the home itself. */
+
+struct cut_case {
+	const char *name;
+	uint32_t backend;
+	bool self_cut;
+};
+
+const struct cut_case cut_cases[] = {
+	{ "from one backend server", 4, false },
+	{ "from all", MODEL_ALL, true },
+};
+
+TEST(HealthFleetTest, CutIsFoundHere)
+{
+	for (const auto &c : cut_cases) {
+		for (uint32_t seed = 1; seed <= 5; seed++) {
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			struct model_config config = base(seed);
+			struct model_result result;
+
+			config.run_us = ONSET_US + 10 * US_PER_S;
+			add(&config, home_fault(MODEL_CUT, 1, c.backend));
+			model_run(&config, &result);
+			EXPECT_LE(result.lost_us[1][4],
+				  ONSET_US + LOST_WITHIN_US);
+			EXPECT_EQ(result.lost_us[0][4], MODEL_NEVER_US);
+			EXPECT_EQ(result.self_cut_us[1] != MODEL_NEVER_US,
+				  c.self_cut);
+			EXPECT_EQ(result.self_cut_us[0], MODEL_NEVER_US);
+			EXPECT_EQ(model_ejections(&result), 0u);
+		}
+	}
+}
+
 } // namespace
