Keep a leaving instance open a while after each late caller

Change: each request that comes during a planned stop keeps the instance open for a second more, up to the longest stop; a hurried stop does not wait. Conclusion: left is a caller that comes less than once a second while the announcement is lost.

--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -1,5 +1,6 @@
 #include "command/admit.h"
 
+#include "command/leave.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
 #include "query/pick.h"
@@ -58,6 +59,7 @@
 			     out);
 		return;
 	}
+	leave_note_request(state, now);
 	if (!route_find(state, &command->facts, &match)) {
 		cause = g_hash_table_size(state->services) == 0 ?
 				REFUSAL_NOT_READY :
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -4,6 +4,8 @@
 
 /* Callers may use an answer to entries a little past its end. */
 #define ENTRIES_MARGIN_US (500 * US_PER_MS)
+/* The last caller may be followed by others that know no better. */
+#define LATE_CALLERS_US US_PER_S
 
 void leave(struct state *state, const struct leave_command *command,
 	   struct instant now, struct event_list *out)
@@ -25,8 +27,21 @@
 		state_audit(state, &record, now, out);
 		member_announce_leaving(state, now, out);
 	}
-	if (command->hurry)
+	if (command->hurry) {
+		state->leave_hurried = true;
 		state->leave_accept_until_us = now.mono_us;
+	}
+}
+
+void leave_note_request(struct state *state, struct instant now)
+{
+	uint64_t until_us =
+		MIN(now.mono_us + LATE_CALLERS_US, state->leave_deadline_us);
+
+	if (!state->leaving || state->leave_hurried)
+		return;
+	state->leave_accept_until_us =
+		MAX(state->leave_accept_until_us, until_us);
 }
 
 void leave_tick(struct state *state, struct instant now, struct event_list *out)
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -286,6 +286,7 @@
  * @tick_us: when the last tick was
  * @leaving: in a planned stop
  * @leave_accept_until_us: answers to entries that named this instance are over
+ * @leave_hurried: answers to entries are not waited for
  * @leave_deadline_us: end of the planned stop
  * @left: EVENT_LEFT was given
  * @config_reader: this instance reads the platform itself
@@ -314,6 +315,7 @@
 	uint64_t tick_us;
 	bool leaving;
 	uint64_t leave_accept_until_us;
+	bool leave_hurried;
 	uint64_t leave_deadline_us;
 	bool left;
 	bool config_reader;
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -375,6 +375,10 @@
 	{ "in a hurry work in progress still ends", true, true, 0, 3000, 3000,
 	  3200 },
 	{ "the longest stop ends it", true, false, 0, 60000, 29900, 30200 },
+	{ "a late caller may be followed by others for 1 s", false, false, 5400,
+	  0, 6300, 6600 },
+	{ "in a hurry a late caller keeps nothing open", true, true, 2500, 3000,
+	  3000, 3200 },
 };
 
 void run_leave(const struct leave_case &c)
