--- a/src/core/state.h
+++ b/src/core/state.h
@@ -285,8 +285,8 @@
  * @stepped_back: does not name itself in entries
  * @tick_us: when the last tick was
  * @leaving: in a planned stop
- * @leave_accept_until_us: answers to entries that named this instance are over
  * @leave_hurried: answers to entries are not waited for
+ * @leave_accept_until_us: answers to entries that named this instance are over
  * @leave_deadline_us: end of the planned stop
  * @left: EVENT_LEFT was given
  * @config_reader: this instance reads the platform itself
@@ -314,8 +314,8 @@
 	bool stepped_back;
 	uint64_t tick_us;
 	bool leaving;
-	uint64_t leave_accept_until_us;
 	bool leave_hurried;
+	uint64_t leave_accept_until_us;
 	uint64_t leave_deadline_us;
 	bool left;
 	bool config_reader;
