--- a/bench/detection.c
+++ b/bench/detection.c
@@ -93,8 +93,8 @@
 	printf("detection, seed %u, %u runs a row, green probes,\n"
 	       "20 requests/s for each backend server, mean 50 ms\n\n"
 	       "%-8s %-12s %-12s %9s %8s %7s %6s %8s\n",
-	       order->seed, (uint32_t)RUNS, "service", "fault", "ejector", "median ms",
-	       "worst ms", "missed", "wrong", "failed %");
+	       order->seed, (uint32_t)RUNS, "service", "fault", "ejector",
+	       "median ms", "worst ms", "missed", "wrong", "failed %");
 	for (i = 0; i < G_N_ELEMENTS(sizes); i++) {
 		for (j = 0; j < G_N_ELEMENTS(sick_rows); j++) {
 			for (ejector = MODEL_NOTHING; ejector <= MODEL_VERDICT;
