--- a/bench/bench.h
+++ b/bench/bench.h
@@ -14,6 +14,7 @@
 	BENCH_LATENCY,
 	BENCH_DETECTION,
 	BENCH_FAILOVER,
+	BENCH_CONTROL,
 };
 
 /**
@@ -66,4 +67,12 @@
  */
 int bench_failover(const struct bench_order *order);
 
+/**
+ * bench_control() - what an instance costs without callers, by fleet size
+ * @order: the order
+ *
+ * Return: an exit status.
+ */
+int bench_control(const struct bench_order *order);
+
 #endif
--- /dev/null
+++ b/bench/control_model.c
@@ -0,0 +1,379 @@
+#include "control_model.h"
+
+#include <malloc.h>
+#include <string.h>
+#include <time.h>
+
+#include "codec/peer_rpc.h"
+#include "command/apply.h"
+
+#define STEP_US (50 * US_PER_MS)
+#define SETTLE_STEPS 600
+#define MEASURED_STEPS 200
+#define DOMAINS 3
+#define SLOTS 6
+#define SERVICE_US 20000
+#define FIRST_IP UINT32_C(0x7f100001)
+#define PEER_PORT 8000
+#define STATE_TICKS 200
+
+/**
+ * struct model_node - one instance
+ * @settings: its settings
+ * @state: its state
+ * @inbox: owned struct peer_message
+ * @grants: struct grant_event to be ended at the next step
+ */
+struct model_node {
+	struct settings settings;
+	struct state *state;
+	GPtrArray *inbox;
+	GArray *grants;
+};
+
+/**
+ * struct model - the fleet
+ * @plan: sizes
+ * @nodes: array
+ * @now: simulated time
+ * @datagrams: sent so far
+ * @bytes: sent so far
+ * @cpu_us: CPU time on control so far
+ */
+struct model {
+	const struct control_plan *plan;
+	struct model_node *nodes;
+	struct instant now;
+	uint64_t datagrams;
+	uint64_t bytes;
+	uint64_t cpu_us;
+};
+
+static void init_node(struct model *model, uint32_t index);
+static void hear_all(const struct model *model, struct model_node *node);
+static void clear_node(struct model_node *node);
+static void list_instances(struct model *model, struct model_node *node,
+			   uint32_t count);
+static void accept_documents(struct model *model, struct model_node *node);
+static struct service_doc *make_document(const struct control_plan *plan,
+					 uint32_t index);
+static struct instance_doc instance_at(uint32_t index);
+static void step(struct model *model);
+static void run_node(struct model *model, struct model_node *node);
+static void work(struct model *model, struct model_node *node);
+static void request_work(struct model *model, struct model_node *node,
+			 const struct service *service);
+static void apply(struct model *model, struct model_node *node,
+		  struct command *command);
+static void carry_out(struct model *model, struct model_node *node,
+		      struct event_list *list);
+static void send_datagram(struct model *model, struct peer_send_event *order);
+static uint64_t cpu_now_us(void);
+
+struct control_figures control_model_run(const struct control_plan *plan)
+{
+	struct model model = { .plan = plan };
+	struct control_figures out;
+	double instance_seconds;
+	uint32_t i;
+
+	model.now.mono_us = 1000 * US_PER_S;
+	model.now.unix_ms = 1700000000000;
+	model.nodes = g_new0(struct model_node, plan->instances);
+	for (i = 0; i < plan->instances; i++)
+		init_node(&model, i);
+	for (i = 0; i < SETTLE_STEPS; i++)
+		step(&model);
+	model.datagrams = 0;
+	model.bytes = 0;
+	model.cpu_us = 0;
+	for (i = 0; i < MEASURED_STEPS; i++)
+		step(&model);
+	instance_seconds =
+		(double)plan->instances * MEASURED_STEPS * STEP_US / US_PER_S;
+	out.datagrams = (double)model.datagrams / instance_seconds;
+	out.bytes = (double)model.bytes / instance_seconds;
+	out.cpu_us = (double)model.cpu_us / instance_seconds;
+	for (i = 0; i < plan->instances; i++)
+		clear_node(&model.nodes[i]);
+	g_free(model.nodes);
+	return out;
+}
+
+struct state_figures control_model_state(const struct control_plan *plan)
+{
+	struct model model = { .plan = plan };
+	struct command tick = { .kind = COMMAND_TICK };
+	size_t before = mallinfo2().uordblks;
+	struct state_figures out;
+	uint64_t began_us;
+	uint32_t i;
+
+	model.now.mono_us = 1000 * US_PER_S;
+	model.now.unix_ms = 1700000000000;
+	model.nodes = g_new0(struct model_node, plan->instances);
+	init_node(&model, 0);
+	out.state_bytes = mallinfo2().uordblks - before;
+	out.tick_us = 0;
+	for (i = 0; i < STATE_TICKS; i++) {
+		model.now.mono_us += STEP_US;
+		hear_all(&model, &model.nodes[0]);
+		began_us = cpu_now_us();
+		apply(&model, &model.nodes[0], &tick);
+		out.tick_us += (double)(cpu_now_us() - began_us) / STATE_TICKS;
+	}
+	began_us = cpu_now_us();
+	list_instances(&model, &model.nodes[0], plan->instances - 1);
+	out.list_us = (double)(cpu_now_us() - began_us);
+	for (i = 0; i < plan->instances; i++) {
+		if (model.nodes[i].inbox)
+			clear_node(&model.nodes[i]);
+	}
+	g_free(model.nodes);
+	return out;
+}
+
+/* Nobody answers here, and nobody shall be thought dead for it. */
+static void hear_all(const struct model *model, struct model_node *node)
+{
+	GArray *members = node->state->membership.members;
+	guint i;
+
+	for (i = 0; i < members->len; i++)
+		g_array_index(members, struct member, i).heard_us =
+			model->now.mono_us;
+}
+
+static void init_node(struct model *model, uint32_t index)
+{
+	struct model_node *node = &model->nodes[index];
+	struct instance_doc self = instance_at(index);
+
+	node->settings.caller_listen = self.caller;
+	node->settings.peer_listen = self.peer;
+	node->settings.domain = self.domain;
+	node->settings.worker_threads = 64;
+	node->settings.entries_ttl_ms = 5000;
+	node->settings.drain_max_ms = 30000;
+	node->settings.random_seed = model->plan->seed + index;
+	node->state = state_new(&node->settings);
+	node->inbox = g_ptr_array_new();
+	node->grants = g_array_new(FALSE, FALSE, sizeof(struct grant_event));
+	list_instances(model, node, model->plan->instances);
+	accept_documents(model, node);
+}
+
+static void clear_node(struct model_node *node)
+{
+	guint i;
+
+	for (i = 0; i < node->inbox->len; i++)
+		g_free(node->inbox->pdata[i]);
+	for (i = 0; i < node->grants->len; i++)
+		request_unref(g_array_index(node->grants, struct grant_event, i)
+				      .request);
+	g_ptr_array_unref(node->inbox);
+	g_array_unref(node->grants);
+	state_free(node->state);
+}
+
+static void list_instances(struct model *model, struct model_node *node,
+			   uint32_t count)
+{
+	struct command command = { .kind = COMMAND_ACCEPT_INSTANCES };
+	uint32_t i;
+
+	command.accept_instances.list = g_new0(struct instance_doc, count);
+	command.accept_instances.count = count;
+	for (i = 0; i < count; i++)
+		command.accept_instances.list[i] = instance_at(i);
+	apply(model, node, &command);
+}
+
+static void accept_documents(struct model *model, struct model_node *node)
+{
+	struct command command = { .kind = COMMAND_ACCEPT_CONFIG };
+	uint32_t i;
+
+	for (i = 0; i < model->plan->services; i++) {
+		command.accept_config.doc = make_document(model->plan, i);
+		apply(model, node, &command);
+	}
+}
+
+static struct service_doc *make_document(const struct control_plan *plan,
+					 uint32_t index)
+{
+	struct service_doc *doc = g_new0(struct service_doc, 1);
+	struct backend_doc *backend;
+	uint32_t i;
+
+	doc->refs = 1;
+	doc->version = 1;
+	doc->hash = index + 1;
+	g_snprintf(doc->service.text, NAME_BYTES_MAX, "service%u", index);
+	g_snprintf(doc->path_prefix, PATH_BYTES_MAX, "/service%u/", index);
+	doc->backend_count = plan->backends;
+	doc->backends = g_new0(struct backend_doc, plan->backends);
+	for (i = 0; i < plan->backends; i++) {
+		backend = &doc->backends[i];
+		backend->addr.ip = FIRST_IP + 65536 + index * 256 + i;
+		backend->addr.port = 9000;
+		backend->capacity_slots = SLOTS;
+		backend->connections_max = 350;
+		backend->domain = instance_at(i).domain;
+	}
+	doc->class_count = 1;
+	g_strlcpy(doc->classes[0].name.text, "class", NAME_BYTES_MAX);
+	doc->classes[0].queue_max_requests = 64;
+	doc->floor.kind = FLOOR_PERCENT;
+	doc->floor.percent = 60;
+	doc->default_budget_ms = 2000;
+	return doc;
+}
+
+static struct instance_doc instance_at(uint32_t index)
+{
+	struct instance_doc instance = { 0 };
+
+	instance.caller.ip = FIRST_IP + index;
+	instance.caller.port = 7000;
+	instance.peer.ip = FIRST_IP + index;
+	instance.peer.port = PEER_PORT;
+	instance.domain.text[0] = (char)('a' + index % DOMAINS);
+	return instance;
+}
+
+static void step(struct model *model)
+{
+	uint32_t i;
+
+	model->now.mono_us += STEP_US;
+	model->now.unix_ms += STEP_US / US_PER_MS;
+	for (i = 0; i < model->plan->instances; i++)
+		run_node(model, &model->nodes[i]);
+}
+
+static void run_node(struct model *model, struct model_node *node)
+{
+	struct command command = { .kind = COMMAND_PEER_MESSAGE };
+	struct command tick = { .kind = COMMAND_TICK };
+	GPtrArray *inbox = node->inbox;
+	uint64_t began_us;
+	guint i;
+
+	node->inbox = g_ptr_array_new();
+	if (model->plan->busy)
+		work(model, node);
+	began_us = cpu_now_us();
+	for (i = 0; i < inbox->len; i++) {
+		command.peer_message = inbox->pdata[i];
+		apply(model, node, &command);
+	}
+	apply(model, node, &tick);
+	model->cpu_us += cpu_now_us() - began_us;
+	g_ptr_array_unref(inbox);
+}
+
+static void work(struct model *model, struct model_node *node)
+{
+	struct command command = { .kind = COMMAND_FINISH };
+	GArray *grants = node->grants;
+	const struct grant_event *grant;
+	GHashTableIter iter;
+	gpointer value;
+	guint i;
+
+	node->grants = g_array_new(FALSE, FALSE, sizeof(struct grant_event));
+	for (i = 0; i < grants->len; i++) {
+		grant = &g_array_index(grants, struct grant_event, i);
+		command.finish.exchange = grant->exchange;
+		command.finish.backend = grant->backend;
+		command.finish.evidence.kind = EVIDENCE_OK;
+		command.finish.evidence.request_sent = true;
+		command.finish.evidence.status = 200;
+		command.finish.evidence.service_us = SERVICE_US;
+		apply(model, node, &command);
+		request_unref(grant->request);
+	}
+	g_array_unref(grants);
+	g_hash_table_iter_init(&iter, node->state->services);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		request_work(model, node, value);
+}
+
+static void request_work(struct model *model, struct model_node *node,
+			 const struct service *service)
+{
+	struct command command = { .kind = COMMAND_ADMIT };
+
+	if (service->self_home >= service->home_count)
+		return;
+	memcpy(command.admit.facts.path, service->doc->path_prefix,
+	       PATH_BYTES_MAX);
+	command.admit.facts.method = METHOD_GET;
+	command.admit.facts.caller_hash = g_rand_int(node->state->rand);
+	command.admit.facts.deadline_us = DEADLINE_NONE_US;
+	command.admit.request = request_new();
+	apply(model, node, &command);
+}
+
+static void apply(struct model *model, struct model_node *node,
+		  struct command *command)
+{
+	struct event_list list;
+
+	event_list_init(&list);
+	command_apply(node->state, command, model->now, &list);
+	carry_out(model, node, &list);
+}
+
+static void carry_out(struct model *model, struct model_node *node,
+		      struct event_list *list)
+{
+	struct event *event;
+	guint i;
+
+	for (i = 0; i < list->events->len; i++) {
+		event = &g_array_index(list->events, struct event, i);
+		switch (event->kind) {
+		case EVENT_PEER_SEND:
+			send_datagram(model, &event->peer_send);
+			break;
+		case EVENT_GRANT:
+			g_array_append_val(node->grants, event->grant);
+			continue;
+		default:
+			break;
+		}
+		event_clear(event);
+	}
+	g_array_unref(list->events);
+}
+
+static void send_datagram(struct model *model, struct peer_send_event *order)
+{
+	uint8_t data[PEER_DATAGRAM_BYTES_MAX];
+	uint32_t bytes =
+		peer_message_encode(order->message, 1, data, sizeof(data));
+	uint32_t to = order->to.ip - FIRST_IP;
+	struct peer_message *message;
+
+	model->datagrams++;
+	model->bytes += bytes;
+	if (to >= model->plan->instances || !model->nodes[to].inbox)
+		return;
+	message = g_new(struct peer_message, 1);
+	if (!peer_message_decode(data, bytes, message, NULL))
+		g_error("control: a datagram does not come back");
+	g_ptr_array_add(model->nodes[to].inbox, message);
+}
+
+static uint64_t cpu_now_us(void)
+{
+	struct timespec ts;
+
+	if (clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts) != 0)
+		return 0;
+	return (uint64_t)ts.tv_sec * US_PER_S + (uint64_t)ts.tv_nsec / 1000;
+}
--- a/bench/main.c
+++ b/bench/main.c
@@ -19,7 +19,7 @@
 static const struct argp bench_argp = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "crest|blocking|latency|detection|failover",
+	.args_doc = "crest|blocking|latency|detection|failover|control",
 	.doc = "Measure nutmegcrank; prints a table and one JSON line.",
 };
 
@@ -66,6 +66,8 @@
 		return BENCH_DETECTION;
 	if (strcmp(text, "failover") == 0)
 		return BENCH_FAILOVER;
+	if (strcmp(text, "control") == 0)
+		return BENCH_CONTROL;
 	return BENCH_NONE;
 }
 
@@ -94,6 +96,8 @@
 		return bench_detection(order);
 	case BENCH_FAILOVER:
 		return bench_failover(order);
+	case BENCH_CONTROL:
+		return bench_control(order);
 	case BENCH_NONE:
 		break;
 	}
