Leave room for the recent peak of short work beside long work

The third of each backend server's slots that is short only is dealt to the homes by hash, so some homes had fewer of them than short work needed on average; long work of 1 s held the rest. Long work on borrowed slots also outlived its lease. Change: at each home long work leaves free what short work, running and waiting, needed at its peak in the last 2 to 4 s, down to a sixth of the slots; a home gives long work no borrowed slots. Tests: LongWork, a table of 6 cases; it fails with the check left out.

--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -6,7 +6,10 @@
 
 /* One grant in so many begins with the lowest class, so that it never stops. */
 #define LOWEST_CLASS_TURN 16
+/* Room for short work follows its peak in one or two of these. */
+#define SHORT_WINDOW_US (2 * US_PER_S)
 
+static void note_short_peak(struct service *service, struct instant now);
 static bool grant_next(struct state *state, struct service *service,
 		       struct instant now, struct event_list *out);
 static bool grant_class(struct state *state, struct service *service,
@@ -27,6 +30,7 @@
 void schedule_run(struct state *state, struct service *service,
 		  struct instant now, struct event_list *out)
 {
+	note_short_peak(service, now);
 	while (service->waiting_requests > 0 &&
 	       grant_next(state, service, now, out))
 		;
@@ -72,6 +76,24 @@
 	return ticket->service->route_typical_us[ticket->route_index];
 }
 
+static void note_short_peak(struct service *service, struct instant now)
+{
+	uint32_t requests =
+		service->running_requests - service->running_long_requests;
+	uint32_t i;
+
+	for (i = 0; i < DOC_CLASSES_MAX; i++)
+		requests += service->queues[i].short_tickets->len;
+	if (now.mono_us >= service->short_window_ends_us) {
+		service->short_window_ends_us = now.mono_us + SHORT_WINDOW_US;
+		service->short_peak_requests[1] =
+			service->short_peak_requests[0];
+		service->short_peak_requests[0] = 0;
+	}
+	service->short_peak_requests[0] =
+		MAX(service->short_peak_requests[0], requests);
+}
+
 static bool grant_next(struct state *state, struct service *service,
 		       struct instant now, struct event_list *out)
 {
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -203,6 +203,9 @@
  * @waiting_requests: in all queues
  * @running_requests: on slots
  * @running_long_requests: long ones among them
+ * @short_peak_requests: most short requests that ran or waited at once, in this
+ *	window and in the one before
+ * @short_window_ends_us: end of this window
  * @callers: caller_hash to count of its requests here
  * @homes: home set, same order on every instance
  * @home_count: used entries of @homes
@@ -237,6 +240,8 @@
 	uint32_t waiting_requests;
 	uint32_t running_requests;
 	uint32_t running_long_requests;
+	uint32_t short_peak_requests[2];
+	uint64_t short_window_ends_us;
 	GHashTable *callers;
 	struct home homes[HOMES_MAX];
 	uint32_t home_count;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -2,6 +2,11 @@
 
 #include "query/health.h"
 
+/* Whatever short work needs, long work keeps this part of the slots. */
+#define LONG_SLOTS_MIN_PART 6
+
+static bool long_fits(const struct state *state, const struct service *service,
+		      struct instant now);
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
@@ -18,8 +23,16 @@
 	       struct pick *out)
 {
 	out->borrowed_index = TICKET_NONE;
+	if (ticket->long_work && !long_fits(state, service, now))
+		return false;
 	if (pick_own(state, service, ticket, now, out))
 		return true;
+	/*
+	 * Long work would outlast a lease and find its slot in use twice, so a
+	 * home with slots of its own does not put it there.
+	 */
+	if (ticket->long_work && service->self_home < service->home_count)
+		return false;
 	return pick_borrowed(service, ticket, now, out);
 }
 
@@ -50,6 +63,25 @@
 	return slots;
 }
 
+/*
+ * Each backend server keeps a third of its slots from long work, but dealt to
+ * the homes that third can be less here than short work needs at its peak.
+ */
+static bool long_fits(const struct state *state, const struct service *service,
+		      struct instant now)
+{
+	uint32_t usable = service_usable_slots(service, now);
+	uint32_t least = MAX(usable / LONG_SLOTS_MIN_PART, UINT32_C(1));
+	uint32_t peak = MAX(service->short_peak_requests[0],
+			    service->short_peak_requests[1]);
+
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return true;
+	if (usable > peak)
+		least = MAX(least, usable - peak);
+	return service->running_long_requests < least;
+}
+
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out)
--- /dev/null
+++ b/test/unit/long_work_test.cc
@@ -0,0 +1,55 @@
+/* How much room long work leaves for short work. */
+#include "world.h"
+
+namespace
+{
+
+const uint32_t LONG_REQUESTS = 20;
+
+struct room_case {
+	const char *name;
+	uint32_t short_requests; /* at once, all ended before the long ones */
+	uint32_t pass_ms;
+	uint32_t long_grants; /* of 24 slots, 16 of them open to long work */
+};
+
+const struct room_case room_cases[] = {
+	{ "no short work of late", 0, 0, 16 },
+	{ "a little short work fits in its third", 6, 0, 16 },
+	{ "a higher peak takes room from long work", 12, 0, 12 },
+	{ "long work keeps a sixth", 24, 0, 4 },
+	{ "the peak of the window before counts", 24, 2500, 4 },
+	{ "an old peak does not", 24, 4500, 16 },
+};
+
+TEST(LongWork, LeavesRoomForThePeakOfShortWork)
+{
+	for (const auto &c : room_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		const struct evidence ok = ended(EVIDENCE_OK);
+		std::vector<struct grant_event> grants;
+		uint32_t long_grants = 0;
+
+		world.list(1);
+		world.accept(make_doc({}));
+		world.pass_ms(50);
+		for (uint32_t i = 0; i < c.short_requests; i++)
+			world.request("/s/short", i + 1);
+		for (const struct event &event : world.events) {
+			if (event.kind == EVENT_GRANT)
+				grants.push_back(event.grant);
+		}
+		ASSERT_EQ(grants.size(), c.short_requests);
+		for (const auto &grant : grants)
+			world.finish(grant, ok);
+		world.pass_ms(c.pass_ms);
+		world.forget();
+		for (uint32_t i = 0; i < LONG_REQUESTS; i++)
+			world.request("/s/long", i + 1);
+		long_grants = world.count(EVENT_GRANT);
+		EXPECT_EQ(long_grants, c.long_grants);
+	}
+}
+
+} // namespace
