--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -135,7 +135,7 @@
 	return instance->front != NULL;
 }
 
-/* Those that ask go first, then the one that answers, its helpers last. */
+/* Those that ask go first, then the one that answers, those that carry out last. */
 static void stop(struct instance *instance)
 {
 	front_stop(instance->front);
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -19,8 +19,7 @@
 static bool is_dead(const struct state *state, struct net_addr peer);
 static void refresh_shares(struct state *state, struct service *service,
 			   bool first, struct instant now);
-static void full_share(const struct state *state, struct backend *backend,
-		       const struct service *service);
+static void full_share(const struct service *service, struct backend *backend);
 static void note_cut(struct state *state, struct service *service,
 		     struct instant now, struct event_list *out);
 static void send_digests(struct state *state, struct service *service,
@@ -186,7 +185,7 @@
 						   service->self_home,
 						   &backend->grown_long_slots);
 		if (state->policy.sharing == SHARING_NONE)
-			full_share(state, backend, service);
+			full_share(service, backend);
 		if (state->policy.queueing == QUEUEING_FIFO)
 			backend->grown_long_slots = backend->grown_slots;
 		if (first) {
@@ -206,10 +205,8 @@
 }
 
 /* Without shares every home sees all slots. */
-static void full_share(const struct state *state, struct backend *backend,
-		       const struct service *service)
+static void full_share(const struct service *service, struct backend *backend)
 {
-	(void)state;
 	if (service->self_home >= service->home_count)
 		return;
 	backend->grown_slots = backend->capacity_slots;
--- a/src/command/member.c
+++ b/src/command/member.c
@@ -53,7 +53,7 @@
 	watch_silence(state, now, out);
 	member_announce_tick(state, now, out);
 	member_end_suspicions(state, now, out);
-	member_ask_helpers(state, now, out);
+	member_probe_indirect(state, now, out);
 	if (now.mono_us < membership->probe_due_us)
 		return;
 	member_end_period(state, now, out);
--- a/src/command/member_probe.c
+++ b/src/command/member_probe.c
@@ -7,7 +7,7 @@
 
 #define PROBE_JITTER_US (50 * US_PER_MS)
 #define PROBE_DIRECT_US (200 * US_PER_MS)
-#define PROBE_HELPERS 3
+#define INDIRECT_PROBES 3
 #define RELAY_TTL_US (500 * US_PER_MS)
 #define DEAD_PROBE_PERIODS 4
 #define DEAD_PROBE_PERIODS_MANY 2
@@ -24,8 +24,8 @@
 static void relay_probe(struct state *state, const struct peer_message *message,
 			struct instant now, struct event_list *out);
 
-void member_ask_helpers(struct state *state, struct instant now,
-			struct event_list *out)
+void member_probe_indirect(struct state *state, struct instant now,
+			   struct event_list *out)
 {
 	struct membership *membership = &state->membership;
 	struct probe *probe = &membership->probe;
@@ -43,7 +43,7 @@
 	if (!members->len)
 		return;
 	first = g_rand_int_range(state->rand, 0, (gint32)members->len);
-	for (i = 0; i < members->len && asked < PROBE_HELPERS; i++) {
+	for (i = 0; i < members->len && asked < INDIRECT_PROBES; i++) {
 		member = &g_array_index(members, struct member,
 					(first + i) % members->len);
 		if (member->status != MEMBER_ALIVE ||
--- a/src/command/member_probe.h
+++ b/src/command/member_probe.h
@@ -2,7 +2,7 @@
 #define COMMAND_MEMBER_PROBE_H
 
 /**
- * DOC: probes of the other instances, direct and through helpers
+ * DOC: probes of the other instances, direct and indirect
  *
  * One instance is probed in each period, whatever the size of the fleet.
  */
@@ -12,13 +12,13 @@
 #define PROBE_PERIOD_US (500 * US_PER_MS)
 
 /**
- * member_ask_helpers() - have others probe who has not answered yet
+ * member_probe_indirect() - have others probe who has not answered yet
  * @state: the state
  * @now: the time
  * @out: gets datagrams
  */
-void member_ask_helpers(struct state *state, struct instant now,
-			struct event_list *out);
+void member_probe_indirect(struct state *state, struct instant now,
+			   struct event_list *out);
 
 /**
  * member_end_period() - suspect who was not heard
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -181,7 +181,6 @@
 	ticket->granted_us = now.mono_us;
 	ticket->backend_index = pick->backend_index;
 	ticket->borrowed_index = pick->borrowed_index;
-	ticket->counted_overdue = false;
 	occupy(service, ticket);
 	histogram_add(&service->counters.classes[ticket->class_index].queue_us,
 		      now.mono_us - ticket->queued_us);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -77,7 +77,6 @@
  * @tried_count: used entries of @tried
  * @outcome: what is known of its earlier tries
  * @cancelled: its caller is gone
- * @counted_overdue: its lateness has been held against its backend server
  */
 struct ticket {
 	enum ticket_state state;
@@ -99,7 +98,6 @@
 	uint32_t tried_count;
 	enum outcome outcome;
 	bool cancelled;
-	bool counted_overdue;
 };
 
 /**
