Take a reset before the connection is seen as the reset it is

Cause: StandinTest.FaultProxy, case resets, wanted curl's 56 and got its 7 in 5 of 11 runs on a machine at a load of 25: the proxy resets as soon as it accepts, and the reset can reach curl before it has seen the connection made. Change: for this one case 7 counts as 56; that the request never reached the backend server is still asked for, and every other case is compared as before. Conclusion: the test was wrong about the order of two events that the kernel does not order.

--- a/test/process/standin_test.cc
+++ b/test/process/standin_test.cc
@@ -154,6 +154,14 @@
 	  0 },
 };
 
+/* The proxy's reset may reach curl before it has seen the connection made. */
+int without_race(int code, int expected)
+{
+	if (expected == CURLE_RECV_ERROR && code == CURLE_COULDNT_CONNECT)
+		return expected;
+	return code;
+}
+
 TEST(StandinTest, FaultProxy)
 {
 	for (const auto &c : fault_cases) {
@@ -169,7 +177,7 @@
 		request.url = "http://" + listen + "/works";
 		request.headers = { "X-Request-Id: one" };
 		request.timeout_ms = 300;
-		EXPECT_EQ(http_ask(request).code, c.code);
+		EXPECT_EQ(without_race(http_ask(request).code, c.code), c.code);
 		EXPECT_EQ(backends.counts()["one"], c.runs);
 	}
 }
