Drop fields that are written and never read

Cause: read over the whole change: the state kept the time of its last tick, and a backend server's count of connections its address, both without a reader; the exchange duty included two headers that its split left unused. Change: they go; nothing else. After: builds with -Werror, formatter and linter silent on the five files; 25 tests of admission, outcomes, homes, leases, leaving and exchange pass. Conclusion: behaviour is unchanged.

--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -25,7 +25,6 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		tick_service(state, value, now, out);
 	leave_tick(state, now, out);
-	state->tick_us = now.mono_us;
 }
 
 static void tick_service(struct state *state, struct service *service,
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -286,7 +286,6 @@
  * @platform_reachable: last call to the platform went well
  * @heard_us: when platform or a peer was last heard
  * @stepped_back: does not name itself in entries
- * @tick_us: when the last tick was
  * @leaving: in a planned stop
  * @leave_hurried: answers to entries are not waited for
  * @leave_accept_until_us: answers to entries that named this instance are over
@@ -315,7 +314,6 @@
 	bool platform_reachable;
 	uint64_t heard_us;
 	bool stepped_back;
-	uint64_t tick_us;
 	bool leaving;
 	bool leave_hurried;
 	uint64_t leave_accept_until_us;
--- a/src/duty/connections.c
+++ b/src/duty/connections.c
@@ -34,7 +34,6 @@
 	if (host)
 		return host;
 	host = g_new0(struct connection_host, 1);
-	host->backend = backend;
 	copy = g_new(uint64_t, 1);
 	*copy = key;
 	g_hash_table_insert(connections->hosts, copy, host);
--- a/src/duty/connections.h
+++ b/src/duty/connections.h
@@ -14,11 +14,9 @@
 
 /**
  * struct connection_host - connections to one backend server
- * @backend: which
  * @active: exchanges in progress
  */
 struct connection_host {
-	struct net_addr backend;
 	uint32_t active;
 };
 
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -1,8 +1,6 @@
 #include "duty/exchange.h"
 
 #include <pthread.h>
-#include <string.h>
-#include <unistd.h>
 
 #include "core/clock.h"
 #include "duty/transfer.h"
