--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 DESTDIR ?=
 PREFIX ?= /usr/local
 
-INC = -Isrc -Itest
+INC = -Isrc -I. -Itest
 DEFS = -D_GNU_SOURCE
 WARN = -Wall -Wextra -Werror
 CPPFLAGS += $(INC) $(DEFS) -MMD -MP $(shell pkg-config --cflags $(PKGS))
@@ -18,7 +18,7 @@
 LDLIBS += $(shell pkg-config --libs $(PKGS)) -lcivetweb -lpthread -lm
 
 LIB_DIRS = core command query ring codec codec/gen duty cli
-LIB_SRC = $(wildcard $(LIB_DIRS:%=src/%/*.c))
+LIB_SRC = $(wildcard $(LIB_DIRS:%=src/%/*.c) platform/*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 STANDIN_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard test/standin/*.c))
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
@@ -101,7 +101,7 @@
 	rm -rf build
 
 # Formatter and linter; generated code is left out.
-SOURCES = $(shell find src test bench -name '*.[ch]' -not -path '*/gen/*') \
+SOURCES = $(shell find src platform test bench -name '*.[ch]' -not -path '*/gen/*') \
 	$(shell find test -name '*.cc')
 
 format:
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -6,12 +6,14 @@
 #include "duty/operator.h"
 #include "duty/peer_serve.h"
 #include "duty/signal.h"
+#include "platform/directory.h"
 
 #include <signal.h>
 #include <stdlib.h>
 
 /* All duties of one instance, in the order in which they start. */
 struct instance {
+	const char *settings_path;
 	struct ring *dispatch_ring;
 	struct ring *left_ring;
 	struct signal_duty *signal;
@@ -25,6 +27,7 @@
 	struct peer_serve_duty *peer_serve;
 	struct operator_duty *operator;
 	struct front_duty *front;
+	struct directory_duty *directory;
 };
 
 static bool start(struct instance *instance, const struct settings *settings,
@@ -38,9 +41,9 @@
 static void stop(struct instance *instance);
 static void drain_ring(struct ring *ring);
 
-int run_main(const struct settings *settings)
+int run_main(const struct settings *settings, const char *settings_path)
 {
-	struct instance instance = { 0 };
+	struct instance instance = { .settings_path = settings_path };
 	GError *error = NULL;
 	struct instant left;
 	int status = EXIT_SUCCESS;
@@ -79,7 +82,7 @@
 	struct ring *ring = instance->dispatch_ring;
 
 	/* First, so that all other threads inherit its signal mask. */
-	instance->signal = signal_start(ring, error);
+	instance->signal = signal_start(instance->settings_path, ring, error);
 	if (!instance->signal)
 		return false;
 	instance->audit = audit_start(settings, ring, error);
@@ -132,12 +135,16 @@
 		return false;
 	instance->front =
 		front_start(settings, ring, instance->exchange, error);
-	return instance->front != NULL;
+	if (!instance->front)
+		return false;
+	instance->directory = directory_start(settings, ring, error);
+	return instance->directory != NULL;
 }
 
 /* Those that ask go first, then the one that answers, those that carry out last. */
 static void stop(struct instance *instance)
 {
+	directory_stop(instance->directory);
 	front_stop(instance->front);
 	operator_stop(instance->operator);
 	peer_serve_stop(instance->peer_serve);
--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -59,6 +59,8 @@
 	{ "service", FIELD_NAME, true, AT_DOC(service) },
 	{ .key = "hosts", .kind = FIELD_CUSTOM },
 	{ "path_prefix", FIELD_PATH, false, AT_DOC(path_prefix) },
+	{ "routed", FIELD_BOOL, false, AT_DOC(routed) },
+	{ "home_group", FIELD_NAME, false, AT_DOC(home_group) },
 	{ .key = "backends", .kind = FIELD_CUSTOM },
 	{ .key = "classes", .kind = FIELD_CUSTOM },
 	{ .key = "routes", .kind = FIELD_CUSTOM },
@@ -80,6 +82,8 @@
 	{ "connections", FIELD_U32, true, AT_BACKEND(connections_max),
 	  .range = { 1, CONNECTIONS_MAX, 0 } },
 	{ "draining", FIELD_BOOL, false, AT_BACKEND(draining) },
+	{ "warming", FIELD_BOOL, false, AT_BACKEND(warming) },
+	{ "instance", FIELD_NAME, false, AT_BACKEND(instance) },
 };
 
 static const struct json_field class_fields[] = {
@@ -187,11 +191,13 @@
 
 	if (!json_read_fields(place, table, doc, error))
 		return false;
-	if (!json_has(place, "hosts") && !json_has(place, "path_prefix"))
+	if (!doc->routed && !json_has(place, "hosts") &&
+	    !json_has(place, "path_prefix"))
 		return json_fail(place, "path_prefix", SETTINGS_ERROR_MISSING,
 				 error,
 				 "nothing selects the service; add "
-				 "path_prefix or hosts");
+				 "path_prefix or hosts, or say that it is "
+				 "routed");
 	return read_hosts(place, doc, error) &&
 	       read_classes(place, doc, error) &&
 	       read_backends(place, doc, error) &&
@@ -284,14 +290,15 @@
 	const struct json_list list = {
 		.key = "backends",
 		.required = true,
-		.min_items = 1,
+		/* All of a service may be gone while its routes stand. */
+		.min_items = doc->routed ? 0 : 1,
 		.max_items = DOC_BACKENDS_MAX,
 	};
 	struct json_items items;
 
 	if (!json_items_begin(place, &list, &items, error))
 		return false;
-	doc->backends = g_new0(struct backend_doc, items.count);
+	doc->backends = g_new0(struct backend_doc, items.count + 1);
 	while (json_items_next(&items)) {
 		if (!read_backend(&items.item, doc, items.index, error))
 			return false;
--- a/src/codec/document_json.h
+++ b/src/codec/document_json.h
@@ -10,6 +10,7 @@
 #include "core/document.h"
 #include "core/error.h"
 #include "core/peer.h"
+#include "core/routing.h"
 
 /**
  * service_doc_parse() - read and check a service document
@@ -25,6 +26,20 @@
 				      size_t text_bytes, uint64_t version,
 				      GError **error);
 
+/**
+ * routing_table_parse() - read and check a routing table
+ * @label: file name or key, for errors
+ * @text: the table, need not be NUL-terminated
+ * @text_bytes: its length
+ * @version: version the platform gave it
+ * @error: set on failure
+ *
+ * Return: a table with one reference, or NULL.
+ */
+struct routing_table *routing_table_parse(const char *label, const char *text,
+					  size_t text_bytes, uint64_t version,
+					  GError **error);
+
 /**
  * settings_parse() - read and check a settings file's text
  * @label: file name, for errors
--- a/src/codec/gen/peer.h
+++ b/src/codec/gen/peer.h
@@ -32,6 +32,8 @@
 
 struct wire_rumour {
 	wire_addr peer;
+	wire_addr caller;
+	wire_name domain;
 	u_int incarnation;
 	u_int status;
 };
@@ -114,6 +116,9 @@
 	wire_addr sender;
 	u_int incarnation;
 	u_int status;
+	wire_addr caller;
+	wire_name domain;
+	u_quad_t members_digest;
 	u_quad_t config_digest;
 	struct {
 		u_int rumours_len;
--- a/src/codec/gen/peer_xdr.c
+++ b/src/codec/gen/peer_xdr.c
@@ -34,6 +34,10 @@
 
 	 if (!xdr_wire_addr (xdrs, &objp->peer))
 		 return FALSE;
+	 if (!xdr_wire_addr (xdrs, &objp->caller))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->domain))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->incarnation))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
@@ -229,6 +233,12 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->status))
 		 return FALSE;
+	 if (!xdr_wire_addr (xdrs, &objp->caller))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->domain))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->members_digest))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->config_digest))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->rumours.rumours_val, (u_int *) &objp->rumours.rumours_len, WIRE_RUMOURS_MAX,
--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -24,13 +24,17 @@
 static void drop_hop_fields(struct http_answer_reader *reader);
 static void restart(struct http_answer_reader *reader);
 static const char *reason_text(uint32_t status);
+static uint32_t cause_status(enum refusal_cause cause);
+static const char *field_value(const struct header *headers, uint32_t count,
+			       const char *name);
 
 void http_answer_reader_init(struct http_answer_reader *reader,
-			     enum http_method method, uint64_t head_max_bytes)
+			     enum http_method method,
+			     const struct settings *settings)
 {
 	memset(reader, 0, sizeof(*reader));
 	reader->method = method;
-	reader->head_max_bytes = head_max_bytes;
+	reader->settings = settings;
 	restart(reader);
 }
 
@@ -49,7 +53,7 @@
 	if (reader->complete)
 		return true;
 	reader->head_bytes += line_bytes;
-	if (reader->head_bytes > reader->head_max_bytes ||
+	if (reader->head_bytes > reader->settings->head_max_bytes ||
 	    memchr(line, '\0', line_bytes))
 		return false;
 	if (line_bytes > 0 && line[line_bytes - 1] == '\n')
@@ -82,6 +86,29 @@
 	return false;
 }
 
+bool http_answer_owned(const struct http_answer_reader *reader,
+		       const struct request *request)
+{
+	const struct header_names *names = &reader->settings->headers;
+	const struct answer_head *head = reader->head;
+	bool success = head->status >= 200 && head->status < 300;
+	const char *asked;
+	const char *echoed;
+
+	if (names->request_id[0] != '\0') {
+		asked = field_value(request->headers, request->header_count,
+				    names->request_id);
+		echoed = field_value(head->headers, head->header_count,
+				     names->request_id);
+		if (asked && (echoed ? strcmp(asked, echoed) != 0 : success))
+			return false;
+	}
+	if (names->signature[0] == '\0' || !success)
+		return true;
+	return !reader->coded && field_value(head->headers, head->header_count,
+					     names->signature) != NULL;
+}
+
 GString *http_answer_text(const struct answer_head *head, const char *reason,
 			  enum http_framing framing, uint64_t body_bytes,
 			  bool close)
@@ -106,7 +133,7 @@
 		g_string_append(text, "Transfer-Encoding: chunked\r\n");
 		break;
 	case FRAMING_NONE:
-	case FRAMING_UNPROVED:
+	case FRAMING_CLOSE:
 		break;
 	}
 	g_string_append_printf(text, "Connection: %s\r\n\r\n",
@@ -115,7 +142,7 @@
 }
 
 GString *http_json_text(uint32_t status, const char *json, enum outcome outcome,
-			uint64_t retry_after_s, bool with_body, bool close)
+			const char *retry_after, bool with_body, bool close)
 {
 	GString *text = g_string_new(NULL);
 
@@ -127,9 +154,9 @@
 			       ": %s\r\n",
 			       status, reason_text(status), strlen(json),
 			       outcome_text(outcome));
-	if (retry_after_s > 0)
-		g_string_append_printf(text, "Retry-After: %" PRIu64 "\r\n",
-				       retry_after_s);
+	if (retry_after)
+		g_string_append_printf(text, "Retry-After: %s\r\n",
+				       retry_after);
 	g_string_append_printf(text, "Connection: %s\r\n\r\n",
 			       close ? "close" : "keep-alive");
 	if (with_body)
@@ -137,7 +164,7 @@
 	return text;
 }
 
-uint32_t http_refusal_status(enum refusal_cause cause)
+static uint32_t cause_status(enum refusal_cause cause)
 {
 	switch (cause) {
 	case REFUSAL_BAD_REQUEST:
@@ -168,16 +195,40 @@
 	return 503;
 }
 
-uint64_t http_retry_after_s(const struct refusal *refusal, uint64_t now_unix_ms)
+uint32_t http_refusal_status(const struct settings *settings,
+			     const struct refusal *refusal)
+{
+	uint32_t status = cause_status(refusal->cause);
+
+	if (settings->not_run_is_503 && status >= 500 &&
+	    refusal->outcome == OUTCOME_NOT_RUN)
+		return 503;
+	/* That status would promise that nothing ran. */
+	if (settings->not_run_is_503 && status == 503)
+		return 502;
+	return status;
+}
+
+const char *http_retry_after(const struct settings *settings,
+			     const struct refusal *refusal,
+			     uint64_t now_unix_ms,
+			     char out[HTTP_RETRY_TEXT_BYTES])
 {
-	uint64_t left_ms;
+	uint64_t left_ms = 0;
 
 	if (refusal->retry_at_unix_ms == 0)
-		return 0;
-	if (refusal->retry_at_unix_ms <= now_unix_ms)
-		return 1;
-	left_ms = refusal->retry_at_unix_ms - now_unix_ms;
-	return (left_ms + MS_PER_S - 1) / MS_PER_S;
+		return NULL;
+	if (refusal->retry_at_unix_ms > now_unix_ms)
+		left_ms = refusal->retry_at_unix_ms - now_unix_ms;
+	if (settings->not_run_is_503)
+		g_snprintf(out, HTTP_RETRY_TEXT_BYTES,
+			   "%" PRIu64 ".%03" PRIu64, left_ms / MS_PER_S,
+			   left_ms % MS_PER_S);
+	else
+		g_snprintf(out, HTTP_RETRY_TEXT_BYTES, "%" PRIu64,
+			   MAX((left_ms + MS_PER_S - 1) / MS_PER_S,
+			       UINT64_C(1)));
+	return out;
 }
 
 static bool status_line(struct http_answer_reader *reader, const char *line)
@@ -215,7 +266,7 @@
 		return false;
 	if (!note_field(reader, &field))
 		return false;
-	if (http_field_reserved(field.name))
+	if (http_field_reserved(&reader->settings->headers, field.name))
 		return true;
 	if (reader->head->header_count == REQUEST_HEADERS_MAX)
 		return false;
@@ -236,6 +287,8 @@
 			return false;
 		reader->chunked = true;
 	}
+	if (strcasecmp(field->name, "Content-Encoding") == 0)
+		reader->coded = true;
 	if (strcasecmp(field->name, "Connection") == 0)
 		note_connection(reader, field->value);
 	return true;
@@ -270,7 +323,8 @@
 	reader->framing = framing_of(reader);
 	drop_hop_fields(reader);
 	reader->complete = true;
-	return reader->framing != FRAMING_UNPROVED;
+	return reader->framing != FRAMING_CLOSE ||
+	       reader->settings->close_ends_answer;
 }
 
 static enum http_framing framing_of(const struct http_answer_reader *reader)
@@ -282,7 +336,7 @@
 		return FRAMING_NONE;
 	if (reader->chunked)
 		return FRAMING_CHUNKED;
-	return reader->has_length ? FRAMING_LENGTH : FRAMING_UNPROVED;
+	return reader->has_length ? FRAMING_LENGTH : FRAMING_CLOSE;
 }
 
 /* Removes the fields that the Connection field lists. */
@@ -312,9 +366,23 @@
 	reader->head->body_bytes = UINT64_MAX;
 	reader->has_length = false;
 	reader->chunked = false;
+	reader->coded = false;
 	reader->status_read = false;
 }
 
+/* Return: the first field of a name, NULL when there is none. */
+static const char *field_value(const struct header *headers, uint32_t count,
+			       const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (strcasecmp(headers[i].name, name) == 0)
+			return headers[i].value;
+	}
+	return NULL;
+}
+
 static const char *reason_text(uint32_t status)
 {
 	switch (status) {
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -4,48 +4,52 @@
 /**
  * DOC: HTTP answers: read from backend servers, written to callers
  *
- * An answer is taken for whole only when its own framing proves it, so one
- * that ends with its connection is not accepted.
+ * An answer is taken for whole only when its own framing proves it; one that
+ * ends with its connection is accepted only when the settings say so.
  */
 
 #include "codec/http_field.h"
 #include "core/request.h"
 
+#define HTTP_RETRY_TEXT_BYTES 24
+
 /**
  * enum http_framing - how an answer's body is delimited
  * @FRAMING_NONE: it has no body
  * @FRAMING_LENGTH: by its length
  * @FRAMING_CHUNKED: in chunks
- * @FRAMING_UNPROVED: by the end of its connection
+ * @FRAMING_CLOSE: by the end of its connection
  */
 enum http_framing {
 	FRAMING_NONE,
 	FRAMING_LENGTH,
 	FRAMING_CHUNKED,
-	FRAMING_UNPROVED,
+	FRAMING_CLOSE,
 };
 
 /**
  * struct http_answer_reader - reads an answer's head line by line
  * @head: owned until taken; end-to-end fields only once @complete
+ * @settings: bounds and names of header fields, not owned
  * @head_bytes: bytes read so far
- * @head_max_bytes: bound for them
  * @method: of the request
  * @connection: value of the Connection field, or NULL, owned
  * @has_length: a Content-Length was read
  * @chunked: the coding is chunked
+ * @coded: the body has a coding of its own
  * @status_read: the status line was read
  * @complete: the head is whole
  * @framing: known once @complete
  */
 struct http_answer_reader {
 	struct answer_head *head;
+	const struct settings *settings;
 	uint64_t head_bytes;
-	uint64_t head_max_bytes;
 	enum http_method method;
 	char *connection;
 	bool has_length;
 	bool chunked;
+	bool coded;
 	bool status_read;
 	bool complete;
 	enum http_framing framing;
@@ -55,10 +59,11 @@
  * http_answer_reader_init() - begin to read an answer
  * @reader: the reader
  * @method: of the request
- * @head_max_bytes: largest head accepted
+ * @settings: must outlive the reader
  */
 void http_answer_reader_init(struct http_answer_reader *reader,
-			     enum http_method method, uint64_t head_max_bytes);
+			     enum http_method method,
+			     const struct settings *settings);
 
 /**
  * http_answer_reader_clear() - free what a reader holds
@@ -89,6 +94,19 @@
 bool http_answer_marked(const struct answer_head *head,
 			const struct marker_doc *marker);
 
+/**
+ * http_answer_owned() - whether an answer belongs to a request
+ * @reader: a complete head
+ * @request: the request
+ *
+ * The settings name the fields that tell: an echoed id, which every answer may
+ * have, and a signature, which each success must have.
+ *
+ * Return: false when it is another request's, or nobody's.
+ */
+bool http_answer_owned(const struct http_answer_reader *reader,
+		       const struct request *request);
+
 /**
  * http_answer_text() - write an answer's head for a caller
  * @head: the answer
@@ -108,31 +126,37 @@
  * @status: HTTP status
  * @json: body
  * @outcome: goes into the outcome field
- * @retry_after_s: goes into Retry-After unless 0
+ * @retry_after: goes into Retry-After unless NULL
  * @with_body: false for HEAD
  * @close: the connection ends after this answer
  *
  * Return: owned text of the whole answer.
  */
 GString *http_json_text(uint32_t status, const char *json, enum outcome outcome,
-			uint64_t retry_after_s, bool with_body, bool close);
+			const char *retry_after, bool with_body, bool close);
 
 /**
  * http_refusal_status() - status for a refusal
- * @cause: why
+ * @settings: whether one status stands for all that did not run
+ * @refusal: why
  *
  * Return: HTTP status.
  */
-uint32_t http_refusal_status(enum refusal_cause cause);
+uint32_t http_refusal_status(const struct settings *settings,
+			     const struct refusal *refusal);
 
 /**
- * http_retry_after_s() - seconds until a refused request may come again
+ * http_retry_after() - when a refused request may come again
+ * @settings: whether parts of a second are written
  * @refusal: the refusal
  * @now_unix_ms: wall clock
+ * @out: filled unless there is no advice
  *
- * Return: seconds, rounded up; 0 for no advice.
+ * Return: @out or NULL.
  */
-uint64_t http_retry_after_s(const struct refusal *refusal,
-			    uint64_t now_unix_ms);
+const char *http_retry_after(const struct settings *settings,
+			     const struct refusal *refusal,
+			     uint64_t now_unix_ms,
+			     char out[HTTP_RETRY_TEXT_BYTES]);
 
 #endif
--- a/src/codec/http_client.c
+++ b/src/codec/http_client.c
@@ -9,6 +9,9 @@
 
 #define URL_BYTES_MAX (ADDR_TEXT_BYTES + 16)
 
+static bool add_limits(struct curl_slist **fields,
+		       const struct header_names *names,
+		       const struct client_limits *limits);
 static bool set_method(CURL *easy, const struct request *request);
 static bool set_body(CURL *easy, const struct request *request);
 static bool add_field(struct curl_slist **fields, const char *name,
@@ -43,19 +46,18 @@
 }
 
 bool http_client_request(CURL *easy, const struct request *request,
-			 uint64_t deadline_unix_ms, struct curl_slist **fields)
+			 const struct header_names *names,
+			 const struct client_limits *limits,
+			 struct curl_slist **fields)
 {
 	/* libcurl adds these by itself unless they are emptied. */
 	static const char *const emptied[] = { "Accept", "User-Agent",
 					       "Content-Type" };
-	char number[24];
 	bool ok;
 	uint32_t i;
 
 	*fields = NULL;
-	snprintf(number, sizeof(number), "%" PRIu64, deadline_unix_ms);
-	ok = add_text(fields, "Expect:") &&
-	     add_field(fields, HTTP_DEADLINE_FIELD, number);
+	ok = add_text(fields, "Expect:") && add_limits(fields, names, limits);
 	for (i = 0; ok && i < request->header_count; i++)
 		ok = add_field(fields, request->headers[i].name,
 			       request->headers[i].value);
@@ -71,6 +73,25 @@
 	       curl_easy_setopt(easy, CURLOPT_HTTPHEADER, *fields) == CURLE_OK;
 }
 
+/* Whose names the settings do not give go by this system's own. */
+static bool add_limits(struct curl_slist **fields,
+		       const struct header_names *names,
+		       const struct client_limits *limits)
+{
+	bool relative = names->time_left_ms[0] != '\0';
+	char number[24];
+
+	snprintf(number, sizeof(number), "%" PRIu64,
+		 relative ? limits->left_ms : limits->deadline_unix_ms);
+	if (!add_field(fields,
+		       relative ? names->time_left_ms : HTTP_DEADLINE_FIELD,
+		       number))
+		return false;
+	if (names->instance[0] == '\0' || limits->instance->text[0] == '\0')
+		return true;
+	return add_field(fields, names->instance, limits->instance->text);
+}
+
 static bool set_method(CURL *easy, const struct request *request)
 {
 	if (request->method == METHOD_HEAD)
--- a/src/codec/http_client.h
+++ b/src/codec/http_client.h
@@ -30,16 +30,31 @@
  */
 bool http_client_target(CURL *easy, struct net_addr to, const char *target);
 
+/**
+ * struct client_limits - what a backend server is told beside the request
+ * @deadline_unix_ms: end of the caller's time
+ * @left_ms: the same as what is left
+ * @instance: which start of the backend server is meant, may be empty
+ */
+struct client_limits {
+	uint64_t deadline_unix_ms;
+	uint64_t left_ms;
+	const struct name *instance;
+};
+
 /**
  * http_client_request() - encode a caller's request
  * @easy: the handle
  * @request: must outlive the transfer
- * @deadline_unix_ms: told to the backend server
+ * @names: header fields that the settings name
+ * @limits: told to the backend server
  * @fields: owned list, to be freed after the transfer
  *
  * Return: whether libcurl took it.
  */
 bool http_client_request(CURL *easy, const struct request *request,
-			 uint64_t deadline_unix_ms, struct curl_slist **fields);
+			 const struct header_names *names,
+			 const struct client_limits *limits,
+			 struct curl_slist **fields);
 
 #endif
--- a/src/codec/http_field.c
+++ b/src/codec/http_field.c
@@ -6,6 +6,8 @@
 
 #define OWN_FIELD_PREFIX "Nutmegcrank-"
 
+static bool same_field(const char *name, const char *chosen);
+
 bool http_token_valid(const char *text)
 {
 	size_t i;
@@ -65,9 +67,9 @@
 	return false;
 }
 
-bool http_field_reserved(const char *name)
+bool http_field_reserved(const struct header_names *names, const char *name)
 {
-	static const char *const names[] = {
+	static const char *const fixed[] = {
 		"Connection",
 		"Keep-Alive",
 		"Proxy-Authenticate",
@@ -82,10 +84,22 @@
 	};
 	size_t i;
 
-	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
-		if (strcasecmp(name, names[i]) == 0)
+	for (i = 0; i < sizeof(fixed) / sizeof(fixed[0]); i++) {
+		if (strcasecmp(name, fixed[i]) == 0)
 			return true;
 	}
+	if (same_field(name, names->request_id) ||
+	    same_field(name, names->signature))
+		return false;
+	if (same_field(name, names->time_left_ms) ||
+	    same_field(name, names->instance))
+		return true;
 	return strncasecmp(name, OWN_FIELD_PREFIX,
 			   sizeof(OWN_FIELD_PREFIX) - 1) == 0;
 }
+
+/* An empty name stands for no field. */
+static bool same_field(const char *name, const char *chosen)
+{
+	return chosen[0] != '\0' && strcasecmp(name, chosen) == 0;
+}
--- a/src/codec/http_field.h
+++ b/src/codec/http_field.h
@@ -7,7 +7,7 @@
 
 #include <stddef.h>
 
-#include "core/units.h"
+#include "core/document.h"
 
 #define HTTP_DEADLINE_FIELD "Nutmegcrank-Deadline-Unix-Ms"
 #define HTTP_OUTCOME_FIELD "Nutmegcrank-Outcome"
@@ -59,11 +59,12 @@
 
 /**
  * http_field_reserved() - fields that never pass through a proxy as they are
+ * @names: those that the settings name
  * @name: field name
  *
  * Return: true for hop-by-hop fields, for those that framing rewrites and for
  * this system's own.
  */
-bool http_field_reserved(const char *name);
+bool http_field_reserved(const struct header_names *names, const char *name);
 
 #endif
--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -31,19 +31,21 @@
 static bool query_valid(const char *query);
 static bool fields_valid(const struct http_request_head *head);
 static void read_framing(const struct http_request_head *head,
+			 const struct header_names *names,
 			 struct framing *framing);
 static bool plan_body(const struct framing *framing, uint64_t body_max_bytes,
 		      struct http_body_plan *plan, enum refusal_cause *cause);
 static bool host_parse(const char *value, char out[NAME_BYTES_MAX]);
 static bool deadline_parse(const struct framing *framing, struct instant now,
-			   uint64_t *out);
+			   bool relative, uint64_t *out);
 static void copy_fields(const struct http_request_head *head,
+			const struct header_names *names,
 			struct request *request);
 static bool listed_in_connection(const struct http_request_head *head,
 				 const char *name);
 
 bool http_request_read(const struct http_request_head *head,
-		       uint64_t body_max_bytes, struct instant now,
+		       const struct settings *settings, struct instant now,
 		       struct request *request, struct request_facts *facts,
 		       struct http_body_plan *plan, enum refusal_cause *cause)
 {
@@ -55,12 +57,14 @@
 	    strcmp(head->version, "1.1") != 0 || !path_valid(head->path) ||
 	    !query_valid(head->query) || !fields_valid(head))
 		return false;
-	read_framing(head, &framing);
+	read_framing(head, &settings->headers, &framing);
 	if (framing.host_count != 1 || !host_parse(framing.host, facts->host))
 		return false;
-	if (!deadline_parse(&framing, now, &facts->deadline_us))
+	if (!deadline_parse(&framing, now,
+			    settings->headers.time_left_ms[0] != '\0',
+			    &facts->deadline_us))
 		return false;
-	if (!plan_body(&framing, body_max_bytes, plan, cause))
+	if (!plan_body(&framing, settings->body_max_bytes, plan, cause))
 		return false;
 	g_strlcpy(facts->path, head->path, sizeof(facts->path));
 	facts->caller_hash = hash_bytes(
@@ -69,7 +73,7 @@
 	request->target =
 		head->query ? g_strconcat(head->path, "?", head->query, NULL) :
 			      g_strdup(head->path);
-	copy_fields(head, request);
+	copy_fields(head, &settings->headers, request);
 	return true;
 }
 
@@ -215,8 +219,12 @@
 }
 
 static void read_framing(const struct http_request_head *head,
+			 const struct header_names *names,
 			 struct framing *framing)
 {
+	const char *deadline = names->time_left_ms[0] != '\0' ?
+				       names->time_left_ms :
+				       HTTP_DEADLINE_FIELD;
 	const struct {
 		const char *name;
 		const char **value;
@@ -226,7 +234,7 @@
 		{ "Content-Length", &framing->length, &framing->length_count },
 		{ "Transfer-Encoding", &framing->coding,
 		  &framing->coding_count },
-		{ HTTP_DEADLINE_FIELD, &framing->deadline,
+		{ deadline, &framing->deadline,
 		  &framing->deadline_count },
 		{ "Expect", &framing->expect, &framing->expect_count },
 	};
@@ -296,25 +304,28 @@
 }
 
 static bool deadline_parse(const struct framing *framing, struct instant now,
-			   uint64_t *out)
+			   bool relative, uint64_t *out)
 {
-	uint64_t unix_ms;
-	uint64_t left_us;
+	uint64_t number_ms;
+	uint64_t left_us = 0;
 
 	*out = DEADLINE_NONE_US;
 	if (framing->deadline_count == 0)
 		return true;
 	if (framing->deadline_count > 1 ||
 	    !http_number_parse(framing->deadline, UINT64_MAX / US_PER_MS,
-			       &unix_ms))
+			       &number_ms))
 		return false;
-	left_us = unix_ms > now.unix_ms ? (unix_ms - now.unix_ms) * US_PER_MS :
-					  0;
+	if (relative)
+		left_us = number_ms * US_PER_MS;
+	else if (number_ms > now.unix_ms)
+		left_us = (number_ms - now.unix_ms) * US_PER_MS;
 	*out = now.mono_us + MIN(left_us, CALLER_DEADLINE_MAX_US);
 	return true;
 }
 
 static void copy_fields(const struct http_request_head *head,
+			const struct header_names *names,
 			struct request *request)
 {
 	const struct http_field *field;
@@ -323,7 +334,7 @@
 
 	for (i = 0; i < head->field_count; i++) {
 		field = &head->fields[i];
-		if (http_field_reserved(field->name) ||
+		if (http_field_reserved(names, field->name) ||
 		    listed_in_connection(head, field->name))
 			continue;
 		copy = &request->headers[request->header_count++];
--- a/src/codec/http_request.h
+++ b/src/codec/http_request.h
@@ -46,7 +46,7 @@
 /**
  * http_request_read() - check a request head
  * @head: the head
- * @body_max_bytes: largest body accepted
+ * @settings: bounds and names of header fields
  * @now: the time
  * @request: gets method, target and end-to-end header fields
  * @facts: filled on success
@@ -56,7 +56,7 @@
  * Return: whether the request is accepted.
  */
 bool http_request_read(const struct http_request_head *head,
-		       uint64_t body_max_bytes, struct instant now,
+		       const struct settings *settings, struct instant now,
 		       struct request *request, struct request_facts *facts,
 		       struct http_body_plan *plan, enum refusal_cause *cause);
 
--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -98,6 +98,15 @@
 			 error);
 }
 
+bool json_read_addr(const struct json_place *place, struct net_addr *addr,
+		    GError **error)
+{
+	if (!expect(place, json_type_string, "a string", error))
+		return false;
+	return read_addr(place, json_object_get_string(place->value), addr,
+			 error);
+}
+
 bool json_has(const struct json_place *place, const char *key)
 {
 	return json_object_object_get_ex(place->value, key, NULL) != 0;
--- a/src/codec/json_fields.h
+++ b/src/codec/json_fields.h
@@ -157,6 +157,17 @@
 bool json_read_name(const struct json_place *place, struct name *name,
 		    GError **error);
 
+/**
+ * json_read_addr() - read a value that is an address
+ * @place: the value
+ * @addr: filled on success
+ * @error: set on failure
+ *
+ * Return: whether it is accepted.
+ */
+bool json_read_addr(const struct json_place *place, struct net_addr *addr,
+		    GError **error);
+
 /**
  * json_has() - whether a member is there
  * @place: the object
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -22,6 +22,8 @@
 
 struct wire_rumour {
 	wire_addr peer;
+	wire_addr caller;
+	wire_name domain;
 	unsigned int incarnation;
 	unsigned int status;
 };
@@ -93,6 +95,9 @@
 	wire_addr sender;
 	unsigned int incarnation;
 	unsigned int status;
+	wire_addr caller;
+	wire_name domain;
+	unsigned hyper members_digest;
 	unsigned hyper config_digest;
 	wire_rumour rumours<WIRE_RUMOURS_MAX>;
 	wire_offer offers<WIRE_OFFERS_MAX>;
--- a/src/codec/peer_pull_rpc.c
+++ b/src/codec/peer_pull_rpc.c
@@ -70,24 +70,27 @@
 	return accepted;
 }
 
-GByteArray *peer_document_encode(uint32_t xid, const struct service_doc *doc)
+GByteArray *peer_document_encode(uint32_t xid,
+				 const struct held_document *document)
 {
 	wire_pull_result wire;
+	wire_document *body = &wire.wire_pull_result_u.document;
+	gsize text_bytes;
 
 	memset(&wire, 0, sizeof(wire));
-	if (doc) {
+	if (document->text) {
 		wire.found = TRUE;
-		wire.wire_pull_result_u.document.doc_version = doc->version;
-		wire.wire_pull_result_u.document.hash = doc->hash;
-		wire.wire_pull_result_u.document.text.text_len =
-			doc->text_bytes;
-		wire.wire_pull_result_u.document.text.text_val = doc->text;
+		body->doc_version = document->version;
+		body->hash = document->hash;
+		body->text.text_val =
+			(char *)g_bytes_get_data(document->text, &text_bytes);
+		body->text.text_len = (u_int)text_bytes;
 	}
 	return encode_reply(xid, (xdrproc_t)xdr_wire_pull_result, &wire);
 }
 
 bool peer_document_decode(const uint8_t *data, uint32_t data_bytes,
-			  uint32_t xid, struct peer_document *out,
+			  uint32_t xid, struct held_document *out,
 			  GError **error)
 {
 	const wire_document *document;
--- a/src/codec/peer_rpc.c
+++ b/src/codec/peer_rpc.c
@@ -88,12 +88,17 @@
 
 	memset(wire, 0, sizeof(*wire));
 	wire->sender = wire_addr_write(message->sender);
+	wire->caller = wire_addr_write(message->caller);
+	wire->domain = (char *)message->domain.text;
+	wire->members_digest = message->members_digest;
 	wire->incarnation = message->incarnation;
 	wire->status = message->status;
 	wire->config_digest = message->config_digest;
 	for (i = 0; i < message->rumour_count; i++) {
 		rumour = &message->rumours[i];
 		room->rumours[i].peer = wire_addr_write(rumour->peer);
+		room->rumours[i].caller = wire_addr_write(rumour->caller);
+		room->rumours[i].domain = (char *)rumour->domain.text;
 		room->rumours[i].incarnation = rumour->incarnation;
 		room->rumours[i].status = rumour->status;
 	}
@@ -186,8 +191,11 @@
 
 static bool read_message(const wire_message *wire, struct peer_message *out)
 {
-	if (!wire_addr_read(&wire->sender, &out->sender))
+	if (!wire_addr_read(&wire->sender, &out->sender) ||
+	    !wire_addr_read(&wire->caller, &out->caller) ||
+	    !name_set(&out->domain, wire->domain))
 		return false;
+	out->members_digest = wire->members_digest;
 	if (wire->status != MEMBER_ALIVE && wire->status != MEMBER_LEAVING)
 		return false;
 	out->incarnation = wire->incarnation;
@@ -206,7 +214,9 @@
 	for (i = 0; i < wire->rumours.rumours_len; i++) {
 		from = &wire->rumours.rumours_val[i];
 		to = &out->rumours[out->rumour_count++];
-		if (!wire_addr_read(&from->peer, &to->peer))
+		if (!wire_addr_read(&from->peer, &to->peer) ||
+		    !wire_addr_read(&from->caller, &to->caller) ||
+		    !name_set(&to->domain, from->domain))
 			return false;
 		if (from->status > MEMBER_LEAVING)
 			return false;
--- a/src/codec/peer_rpc.h
+++ b/src/codec/peer_rpc.h
@@ -42,18 +42,6 @@
 	struct config_offer offer;
 };
 
-/**
- * struct peer_document - reply to a pull of a document
- * @version: its version
- * @hash: of its text
- * @text: owned
- */
-struct peer_document {
-	uint64_t version;
-	uint64_t hash;
-	GBytes *text;
-};
-
 /**
  * peer_message_encode() - write a datagram
  * @message: the message
@@ -101,11 +89,12 @@
 /**
  * peer_document_encode() - write the reply to PEER_CALL_DOCUMENT
  * @xid: of the call
- * @doc: the document, or NULL when it is absent
+ * @document: the document; without a text it is absent
  *
  * Return: an owned record.
  */
-GByteArray *peer_document_encode(uint32_t xid, const struct service_doc *doc);
+GByteArray *peer_document_encode(uint32_t xid,
+				 const struct held_document *document);
 
 /**
  * peer_document_decode() - read and check the reply to PEER_CALL_DOCUMENT
@@ -118,7 +107,7 @@
  * Return: whether it is accepted.
  */
 bool peer_document_decode(const uint8_t *data, uint32_t data_bytes,
-			  uint32_t xid, struct peer_document *out,
+			  uint32_t xid, struct held_document *out,
 			  GError **error);
 
 /**
--- /dev/null
+++ b/src/codec/routing_json.c
@@ -0,0 +1,198 @@
+/* The routing table. */
+#include "codec/document_json.h"
+
+#include <string.h>
+
+#include "codec/json_fields.h"
+#include "codec/json_text.h"
+
+#define PRIORITY_LAST 100
+#define BUDGET_MAX_MS 600000
+#define TRIES_DEFAULT 2
+#define WEIGHT_MAX 1000000
+#define TYPICAL_SEED UINT64_C(0x726f757465)
+
+#define AT_TARGET(member) .offset_bytes = offsetof(struct route_target, member)
+#define AT_ROUTE(member) .offset_bytes = offsetof(struct table_route, member)
+#define TABLE(list)                      \
+	{                                \
+		list, G_N_ELEMENTS(list) \
+	}
+
+/**
+ * struct host_parts - a host as read
+ * @name: its name
+ */
+struct host_parts {
+	struct name name;
+};
+
+static const struct json_field target_fields[] = {
+	{ "service", FIELD_NAME, true, AT_TARGET(service) },
+	{ "weight", FIELD_U32, false, AT_TARGET(weight),
+	  .range = { 0, WEIGHT_MAX, 1 } },
+};
+
+static const struct json_field route_fields[] = {
+	{ "path_prefix", FIELD_PATH, true, AT_ROUTE(path_prefix) },
+	{ "idempotent", FIELD_BOOL, true, AT_ROUTE(idempotent) },
+	{ "budget_ms", FIELD_U32, true, AT_ROUTE(budget_ms),
+	  .range = { 1, BUDGET_MAX_MS, 0 } },
+	{ "objective_ms", FIELD_U32, true, AT_ROUTE(objective_ms),
+	  .range = { 1, BUDGET_MAX_MS, 0 } },
+	{ "priority", FIELD_U32, false, AT_ROUTE(priority),
+	  .range = { 0, PRIORITY_LAST, 0 } },
+	{ "tries", FIELD_U32, false, AT_ROUTE(tries_max),
+	  .range = { 1, 16, TRIES_DEFAULT } },
+	{ .key = "targets", .kind = FIELD_CUSTOM },
+};
+
+static const struct json_field host_fields[] = {
+	{ "host", FIELD_NAME, true,
+	  .offset_bytes = offsetof(struct host_parts, name) },
+	{ .key = "routes", .kind = FIELD_CUSTOM },
+};
+
+static const struct json_field table_fields[] = {
+	{ .key = "hosts", .kind = FIELD_CUSTOM },
+};
+
+static bool read_hosts(const struct json_place *place,
+		       struct routing_table *table, GError **error);
+static bool read_host(const struct json_place *place,
+		      struct routing_table *table, GError **error);
+static bool read_route(const struct json_place *place, const char *name,
+		       struct table_host *host, GError **error);
+static bool read_targets(const struct json_place *place,
+			 struct table_route *route, GError **error);
+
+struct routing_table *routing_table_parse(const char *label, const char *text,
+					  size_t text_bytes, uint64_t version,
+					  GError **error)
+{
+	const struct field_table fields = TABLE(table_fields);
+	struct json_place place = { .label = label };
+	struct routing_table *table;
+	bool ok;
+
+	place.value =
+		json_text_parse(label, text, text_bytes, DOC_BYTES_MAX, error);
+	if (!place.value)
+		return NULL;
+	table = routing_table_new(text, text_bytes, version);
+	place.path = g_string_new(NULL);
+	ok = json_read_fields(&place, fields, table, error) &&
+	     read_hosts(&place, table, error);
+	g_string_free(place.path, TRUE);
+	json_object_put(place.value);
+	if (ok)
+		return table;
+	routing_table_unref(table);
+	return NULL;
+}
+
+static bool read_hosts(const struct json_place *place,
+		       struct routing_table *table, GError **error)
+{
+	const struct json_list list = {
+		.key = "hosts",
+		.required = true,
+		.max_items = ROUTING_HOSTS_MAX,
+	};
+	struct json_items items;
+
+	if (!json_items_begin(place, &list, &items, error))
+		return false;
+	while (json_items_next(&items)) {
+		if (!read_host(&items.item, table, error))
+			return false;
+	}
+	return true;
+}
+
+static bool read_host(const struct json_place *place,
+		      struct routing_table *table, GError **error)
+{
+	const struct field_table fields = TABLE(host_fields);
+	const struct json_list list = {
+		.key = "routes",
+		.required = true,
+		.max_items = ROUTING_HOST_ROUTES_MAX,
+	};
+	struct host_parts parts = { 0 };
+	struct json_items items;
+	struct table_host *host;
+	uint32_t i;
+
+	if (!json_read_fields(place, fields, &parts, error))
+		return false;
+	/* Host names compare without case, requests carry them lowered. */
+	for (i = 0; parts.name.text[i]; i++)
+		parts.name.text[i] = g_ascii_tolower(parts.name.text[i]);
+	host = routing_table_add_host(table, parts.name.text);
+	if (!host)
+		return json_fail(place, "host", SETTINGS_ERROR_DUPLICATE, error,
+				 "%s stands twice; keep one", parts.name.text);
+	if (!json_items_begin(place, &list, &items, error))
+		return false;
+	while (json_items_next(&items)) {
+		if (!read_route(&items.item, parts.name.text, host, error))
+			return false;
+	}
+	return true;
+}
+
+static bool read_route(const struct json_place *place, const char *name,
+		       struct table_host *host, GError **error)
+{
+	const struct field_table fields = TABLE(route_fields);
+	struct table_route *route = g_new0(struct table_route, 1);
+	uint64_t hash;
+
+	if (!json_read_fields(place, fields, route, error) ||
+	    !read_targets(place, route, error)) {
+		table_route_free(route);
+		return false;
+	}
+	if (!g_str_has_suffix(route->path_prefix, "/")) {
+		table_route_free(route);
+		return json_fail(place, "path_prefix", SETTINGS_ERROR_RANGE,
+				 error, "does not end with /; add one");
+	}
+	hash = hash_bytes(name, strlen(name), TYPICAL_SEED);
+	hash = hash_bytes(route->path_prefix, strlen(route->path_prefix), hash);
+	route->typical_index = (uint32_t)(hash % DOC_ROUTES_MAX);
+	if (table_host_add(host, route))
+		return true;
+	table_route_free(route);
+	return json_fail(place, "path_prefix", SETTINGS_ERROR_DUPLICATE, error,
+			 "stands twice for %s; keep one", name);
+}
+
+static bool read_targets(const struct json_place *place,
+			 struct table_route *route, GError **error)
+{
+	const struct field_table fields = TABLE(target_fields);
+	const struct json_list list = {
+		.key = "targets",
+		.required = true,
+		.min_items = 1,
+		.max_items = ROUTING_TARGETS_MAX,
+	};
+	struct json_items items;
+
+	if (!json_items_begin(place, &list, &items, error))
+		return false;
+	route->targets = g_new0(struct route_target, items.count);
+	while (json_items_next(&items)) {
+		if (!json_read_fields(&items.item, fields,
+				      &route->targets[items.index], error))
+			return false;
+		route->weight_sum += route->targets[items.index].weight;
+		route->target_count = items.index + 1;
+	}
+	if (route->weight_sum > 0)
+		return true;
+	return json_fail(place, "targets", SETTINGS_ERROR_RANGE, error,
+			 "all weights are 0; give one service a weight");
+}
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -32,6 +32,18 @@
 	{ "baseline", POLICY_BASELINE },
 };
 
+static const struct field_choice platform_kinds[] = {
+	{ "documents", PLATFORM_DOCUMENTS },
+	{ "store", PLATFORM_STORE },
+};
+
+static const struct json_field header_fields[] = {
+	{ "request_id", FIELD_TOKEN, false, AT(headers.request_id) },
+	{ "time_left_ms", FIELD_TOKEN, false, AT(headers.time_left_ms) },
+	{ "instance", FIELD_TOKEN, false, AT(headers.instance) },
+	{ "signature", FIELD_TOKEN, false, AT(headers.signature) },
+};
+
 static const struct json_field log_fields[] = {
 	{ "format", FIELD_CHOICE, false, AT(log_format),
 	  .choices = { log_formats, G_N_ELEMENTS(log_formats), LOG_TEXT } },
@@ -46,6 +58,22 @@
 	{ "operators", FIELD_ADDR, true, AT(operator_listen) },
 	{ "failure_domain", FIELD_NAME, true, AT(domain) },
 	{ "platform", FIELD_ADDR, true, AT(platform) },
+	{ "platform_kind", FIELD_CHOICE, false, AT(platform_kind),
+	  .choices = { platform_kinds, G_N_ELEMENTS(platform_kinds),
+		       PLATFORM_DOCUMENTS } },
+	{ "directory", FIELD_ADDR, false, AT(directory_listen) },
+	{ "ready", FIELD_ADDR, false, AT(ready_listen) },
+	{ .key = "seeds", .kind = FIELD_CUSTOM },
+	{ "headers", FIELD_OBJECT, false,
+	  .table = { header_fields, G_N_ELEMENTS(header_fields) } },
+	{ "not_run_is_503", FIELD_BOOL, false, AT(not_run_is_503) },
+	{ "close_ends_answer", FIELD_BOOL, false, AT(close_ends_answer) },
+	{ "retry_min_ms", FIELD_U32, false, AT(retry_min_ms),
+	  .range = { 1, 60000, 1000 } },
+	{ "retry_max_ms", FIELD_U32, false, AT(retry_max_ms),
+	  .range = { 2, 120000, 3000 } },
+	{ "idle_max_ms", FIELD_U32, false, AT(idle_max_ms),
+	  .range = { 1000, 600000, 2000 } },
 	{ "worker_threads", FIELD_U32, false, AT(worker_threads),
 	  .range = { 4, 4096, 64 } },
 	{ "body_max_bytes", FIELD_U32, false, AT(body_max_bytes),
@@ -71,6 +99,8 @@
 	G_N_ELEMENTS(settings_fields),
 };
 
+static bool read_seeds(const struct json_place *place,
+		       struct settings *settings, GError **error);
 static bool check_settings(const struct json_place *place,
 			   const struct settings *settings, GError **error);
 
@@ -87,6 +117,7 @@
 		return false;
 	place.path = g_string_new(NULL);
 	ok = json_read_fields(&place, settings_table, &settings, error) &&
+	     read_seeds(&place, &settings, error) &&
 	     check_settings(&place, &settings, error);
 	if (settings.peer_bind.port == 0)
 		settings.peer_bind = settings.peer_listen;
@@ -115,9 +146,33 @@
 	return ok;
 }
 
+static bool read_seeds(const struct json_place *place,
+		       struct settings *settings, GError **error)
+{
+	const struct json_list list = { .key = "seeds",
+					.max_items = SEEDS_MAX };
+	struct json_items items;
+
+	if (!json_items_begin(place, &list, &items, error))
+		return false;
+	while (json_items_next(&items)) {
+		if (!json_read_addr(&items.item,
+				    &settings->seeds[items.index], error))
+			return false;
+		settings->seed_count = items.index + 1;
+	}
+	return true;
+}
+
 static bool check_settings(const struct json_place *place,
 			   const struct settings *settings, GError **error)
 {
+	if (settings->retry_min_ms >= settings->retry_max_ms)
+		return json_fail(place, "retry_max_ms", SETTINGS_ERROR_RANGE,
+				 error,
+				 "%u is not above retry_min_ms, %u; write more",
+				 settings->retry_max_ms,
+				 settings->retry_min_ms);
 	if (addr_equal(settings->peer_listen, settings->caller_listen))
 		return json_fail(place, "peers", SETTINGS_ERROR_DUPLICATE,
 				 error,
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -8,9 +8,6 @@
 
 /* An overload ends when nothing was refused for this long. */
 #define OVERLOAD_CALM_US US_PER_S
-/* Callers that are refused for load come back in this span, at random. */
-#define RETRY_AFTER_MIN_MS 1000
-#define RETRY_AFTER_MAX_MS 3000
 /* No request may ask for more time than this. */
 #define BUDGET_MAX_US (600 * US_PER_S)
 /* A caller is held to its share once its class is this full. */
@@ -60,11 +57,16 @@
 		return;
 	}
 	leave_note_request(state, now);
-	if (!route_find(state, &command->facts, &match)) {
-		cause = g_hash_table_size(state->services) == 0 ?
-				REFUSAL_NOT_READY :
-				REFUSAL_NO_SERVICE;
-		refuse_early(state, command->request, cause, now, out);
+	switch (route_find(state, &command->facts, &match)) {
+	case ROUTE_FOUND:
+		break;
+	case ROUTE_NONE:
+		refuse_early(state, command->request, REFUSAL_NO_SERVICE, now,
+			     out);
+		return;
+	case ROUTE_UNKNOWN:
+		refuse_early(state, command->request, REFUSAL_NOT_READY, now,
+			     out);
 		return;
 	}
 	index = ticket_new(state);
@@ -153,12 +155,15 @@
 
 	if (command->facts.deadline_us != DEADLINE_NONE_US)
 		deadline_us = MIN(command->facts.deadline_us,
-				  now.mono_us + BUDGET_MAX_US);
+				  match->budget_is_limit ?
+					  deadline_us :
+					  now.mono_us + BUDGET_MAX_US);
 	ticket->service = match->service;
 	ticket->class_index = match->class_index;
 	ticket->route_index = match->route_index;
 	ticket->idempotent = match->idempotent;
 	ticket->long_work = match->long_work;
+	ticket->tries_max = match->tries_max;
 	ticket->caller_hash = command->facts.caller_hash;
 	ticket->deadline_us = deadline_us;
 	ticket->outcome = OUTCOME_NOT_RUN;
@@ -318,7 +323,8 @@
 	};
 
 	refusal.retry_at_unix_ms += (uint64_t)g_rand_int_range(
-		state->rand, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+		state->rand, (gint32)state->settings->retry_min_ms,
+		(gint32)state->settings->retry_max_ms);
 	return refusal;
 }
 
--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -1,5 +1,7 @@
 #include "command/apply.h"
 
+#include <string.h>
+
 #include "command/admit.h"
 #include "command/configure.h"
 #include "command/finish.h"
@@ -8,12 +10,15 @@
 #include "command/leave.h"
 #include "command/lease.h"
 #include "command/member.h"
+#include "command/member_join.h"
 #include "command/schedule.h"
 #include "command/tick.h"
 
 static void accept_instances(struct state *state,
 			     const struct accept_instances_command *command,
 			     struct instant now, struct event_list *out);
+static void accept_seeds(struct membership *membership,
+			 const struct seeds_command *command);
 static void apply_peer_message(struct state *state,
 			       const struct peer_message *message,
 			       struct instant now, struct event_list *out);
@@ -42,6 +47,10 @@
 	case COMMAND_ACCEPT_CONFIG:
 		configure_accept(state, &command->accept_config, now, out);
 		break;
+	case COMMAND_ACCEPT_ROUTES:
+		configure_accept_routes(state, &command->accept_routes, now,
+					out);
+		break;
 	case COMMAND_REFUSE_CONFIG:
 		configure_refuse(state, &command->refuse_config, now, out);
 		break;
@@ -59,6 +68,9 @@
 		if (state->platform_reachable)
 			state->heard_us = now.mono_us;
 		break;
+	case COMMAND_SEEDS:
+		accept_seeds(&state->membership, &command->seeds);
+		break;
 	case COMMAND_LEAVE:
 		leave(state, &command->leave, now, out);
 		break;
@@ -72,12 +84,28 @@
 			     const struct accept_instances_command *command,
 			     struct instant now, struct event_list *out)
 {
+	if (state->membership.seeded) {
+		member_merge_list(state, command->list, command->count, now,
+				  out);
+		return;
+	}
 	/* What the platform itself said is never older than a relayed list. */
 	if (command->from_peer && state->membership.list_known)
 		return;
 	member_accept_list(state, command->list, command->count, now, out);
 }
 
+/* Whether a list is published does not change while a process runs. */
+static void accept_seeds(struct membership *membership,
+			 const struct seeds_command *command)
+{
+	if (!membership->seeded)
+		return;
+	memcpy(membership->seeds, command->seeds, sizeof(command->seeds));
+	membership->seed_count = command->count;
+	membership->seed_due_us = 0;
+}
+
 static void apply_peer_message(struct state *state,
 			       const struct peer_message *message,
 			       struct instant now, struct event_list *out)
--- a/src/command/configure.c
+++ b/src/command/configure.c
@@ -7,14 +7,14 @@
 
 #define REFUSAL_HOLD_US (60 * US_PER_S)
 
+static bool check_newer(struct state *state, const struct config_offer *offer,
+			bool from_peer, struct instant now,
+			struct event_list *out);
+static void spread(struct state *state, const struct name *key);
 static void put_in_force(struct state *state, struct service_doc *doc,
 			 struct instant now, struct event_list *out);
 static void index_hosts(struct state *state);
 static int compare_services(gconstpointer a, gconstpointer b);
-static void audit_accepted(struct state *state,
-			   const struct accept_config_command *command,
-			   uint64_t in_force, struct instant now,
-			   struct event_list *out);
 static void audit_refused(struct state *state, const struct config_offer *offer,
 			  enum audit_cause cause, struct instant now,
 			  struct event_list *out);
@@ -31,24 +31,28 @@
 		.version = doc->version,
 		.hash = doc->hash,
 	};
-	const struct service *service = service_lookup(state, &doc->service);
-	uint64_t in_force = service ? service->doc->version : 0;
 
-	if (service && doc->version < in_force) {
-		audit_refused(state, &offer, CAUSE_OLDER_VERSION, now, out);
+	if (!check_newer(state, &offer, command->from_peer, now, out))
 		return;
-	}
-	if (service && doc->version == in_force) {
-		if (doc->hash != service->doc->hash)
-			audit_refused(state, &offer,
-				      CAUSE_SAME_VERSION_OTHER_CONTENT, now,
-				      out);
-		return;
-	}
-	audit_accepted(state, command, in_force, now, out);
 	put_in_force(state, doc, now, out);
-	state->membership.config_digest = offers_digest(state);
-	member_spread_offer(state, &doc->service);
+	spread(state, &offer.key);
+}
+
+void configure_accept_routes(struct state *state,
+			     const struct accept_routes_command *command,
+			     struct instant now, struct event_list *out)
+{
+	struct config_offer offer = {
+		.version = command->table->version,
+		.hash = command->table->hash,
+	};
+
+	g_strlcpy(offer.key.text, ROUTING_KEY, NAME_BYTES_MAX);
+	if (!check_newer(state, &offer, command->from_peer, now, out))
+		return;
+	routing_table_unref(state->routes);
+	state->routes = routing_table_ref(command->table);
+	spread(state, &offer.key);
 }
 
 void configure_refuse(struct state *state,
@@ -64,6 +68,47 @@
 	audit_refused(state, &offer, CAUSE_MALFORMED, now, out);
 }
 
+/* Return: whether it is to be put in force; both ends are in the audit trail. */
+static bool check_newer(struct state *state, const struct config_offer *offer,
+			bool from_peer, struct instant now,
+			struct event_list *out)
+{
+	struct config_offer held = { 0 };
+	struct audit_record record = {
+		.kind = AUDIT_CONFIG_ACCEPTED,
+		.cause = from_peer ? CAUSE_PEER : CAUSE_PLATFORM,
+		.service = offer->key,
+		.figures_kind = FIGURES_CONFIG,
+		.config.version = offer->version,
+		.config.hash = offer->hash,
+	};
+
+	if (offer_find(state, &offer->key, &held)) {
+		if (offer->version < held.version) {
+			audit_refused(state, offer, CAUSE_OLDER_VERSION, now,
+				      out);
+			return false;
+		}
+		if (offer->version == held.version) {
+			if (offer->hash != held.hash)
+				audit_refused(state, offer,
+					      CAUSE_SAME_VERSION_OTHER_CONTENT,
+					      now, out);
+			return false;
+		}
+	}
+	record.config.in_force = held.version;
+	state_audit(state, &record, now, out);
+	return true;
+}
+
+static void spread(struct state *state, const struct name *key)
+{
+	state->membership.config_digest = offers_digest(state);
+	member_spread_offer(state, key);
+	state->membership.offers_due = true;
+}
+
 static void put_in_force(struct state *state, struct service_doc *doc,
 			 struct instant now, struct event_list *out)
 {
@@ -116,24 +161,6 @@
 	return g_strcmp0(x->doc->service.text, y->doc->service.text);
 }
 
-static void audit_accepted(struct state *state,
-			   const struct accept_config_command *command,
-			   uint64_t in_force, struct instant now,
-			   struct event_list *out)
-{
-	struct audit_record record = {
-		.kind = AUDIT_CONFIG_ACCEPTED,
-		.cause = command->from_peer ? CAUSE_PEER : CAUSE_PLATFORM,
-		.service = command->doc->service,
-		.figures_kind = FIGURES_CONFIG,
-		.config.version = command->doc->version,
-		.config.in_force = in_force,
-		.config.hash = command->doc->hash,
-	};
-
-	state_audit(state, &record, now, out);
-}
-
 /* The same refusal is told once a minute, however often it is offered. */
 static void audit_refused(struct state *state, const struct config_offer *offer,
 			  enum audit_cause cause, struct instant now,
@@ -158,7 +185,7 @@
 static uint64_t version_in_force(const struct state *state,
 				 const struct name *key)
 {
-	const struct service *service = service_lookup(state, key);
+	struct config_offer held;
 
-	return service ? service->doc->version : 0;
+	return offer_find(state, key, &held) ? held.version : 0;
 }
--- a/src/command/configure.h
+++ b/src/command/configure.h
@@ -18,6 +18,17 @@
 		      const struct accept_config_command *command,
 		      struct instant now, struct event_list *out);
 
+/**
+ * configure_accept_routes() - put a routing table in force, if it is newer
+ * @state: the state
+ * @command: the table
+ * @now: the time
+ * @out: gets the audit records
+ */
+void configure_accept_routes(struct state *state,
+			     const struct accept_routes_command *command,
+			     struct instant now, struct event_list *out);
+
 /**
  * configure_refuse() - record a document that did not parse
  * @state: the state
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -176,7 +176,7 @@
 		return false;
 	if (!ticket->idempotent && !evidence_not_run(evidence))
 		return false;
-	if (ticket->tried_count + 1 >= TICKET_TRIES_MAX)
+	if (ticket->tried_count + 1 >= ticket->tries_max)
 		return false;
 	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -38,7 +38,7 @@
 		       const struct digest_entry *entry);
 static void follow(struct health_change *change);
 static const struct backend *find(const struct backend *backends,
-				  uint32_t count, struct net_addr addr);
+				  uint32_t count, const struct backend *wanted);
 
 void health_observe(struct state *state, struct service *service,
 		    struct backend *backend, const struct ticket *ticket,
@@ -135,12 +135,11 @@
 	for (i = 0; i < service->backend_count; i++) {
 		backend = &service->backends[i];
 		change.backend = backend;
-		before = find(old, old_count, backend->addr);
+		before = find(old, old_count, backend);
 		if (before) {
 			backend->health = before->health;
 			backend->drain_seen_until_us =
 				before->drain_seen_until_us;
-			backend->cold = before->cold;
 		} else if (old) {
 			health_ramp(&change, CAUSE_COLD_START);
 		}
@@ -279,12 +278,13 @@
 }
 
 static const struct backend *find(const struct backend *backends,
-				  uint32_t count, struct net_addr addr)
+				  uint32_t count, const struct backend *wanted)
 {
 	uint32_t i;
 
 	for (i = 0; backends && i < count; i++) {
-		if (addr_equal(backends[i].addr, addr))
+		if (addr_equal(backends[i].addr, wanted->addr) &&
+		    name_equal(&backends[i].instance, &wanted->instance))
 			return &backends[i];
 	}
 	return NULL;
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -1,6 +1,7 @@
 #include "command/leave.h"
 
 #include "command/member.h"
+#include "query/listing.h"
 
 /* Callers may use an answer to entries a little past its end. */
 #define ENTRIES_MARGIN_US (500 * US_PER_MS)
@@ -25,6 +26,7 @@
 			now.mono_us + state->settings->drain_max_ms * US_PER_MS;
 		record.subject = state->membership.self.peer;
 		state_audit(state, &record, now, out);
+		state->membership.members_digest = members_digest(state);
 		member_announce_leaving(state, now, out);
 	}
 	if (command->hurry) {
--- a/src/command/member.c
+++ b/src/command/member.c
@@ -3,14 +3,19 @@
 #include <string.h>
 
 #include "command/member_belief.h"
+#include "command/member_join.h"
 #include "command/member_offer.h"
 #include "command/member_probe.h"
 #include "command/member_spread.h"
+#include "query/listing.h"
 #include "query/readers.h"
 
 #define LATE_WAKE_US US_PER_S
 #define SILENCE_US (10 * US_PER_S)
 
+static struct member *join_sender(struct state *state,
+				  const struct peer_message *message,
+				  struct instant now, struct event_list *out);
 static void start(struct state *state, struct instant now);
 static void wake_late(struct state *state, struct instant now);
 static void watch_silence(struct state *state, struct instant now,
@@ -26,6 +31,8 @@
 	if (addr_equal(message->sender, membership->self.peer))
 		return;
 	sender = membership_find(membership, message->sender);
+	if (!sender && membership->seeded && message->status == MEMBER_ALIVE)
+		sender = join_sender(state, message, now, out);
 	if (sender) {
 		sender->heard_us = now.mono_us;
 		member_believe(state, sender, message->incarnation,
@@ -52,6 +59,10 @@
 	membership->last_tick_us = now.mono_us;
 	watch_silence(state, now, out);
 	member_announce_tick(state, now, out);
+	if (membership->offers_due)
+		member_announce_offers(state, out);
+	if (membership->seeded)
+		member_seed_tick(state, now, out);
 	member_end_suspicions(state, now, out);
 	member_probe_indirect(state, now, out);
 	if (now.mono_us < membership->probe_due_us)
@@ -61,6 +72,20 @@
 	member_begin_period(state, now, out);
 }
 
+static struct member *join_sender(struct state *state,
+				  const struct peer_message *message,
+				  struct instant now, struct event_list *out)
+{
+	const struct instance_doc instance = {
+		.caller = message->caller,
+		.peer = message->sender,
+		.domain = message->domain,
+	};
+
+	return member_join(state, &instance, message->incarnation,
+			   message->status, now, out);
+}
+
 /* Wall-clock seconds let a restarted instance outrank what was believed. */
 static void start(struct state *state, struct instant now)
 {
@@ -70,6 +95,7 @@
 	membership->last_tick_us = now.mono_us;
 	if (membership->incarnation == 0)
 		membership->incarnation = (uint32_t)(now.unix_ms / MS_PER_S);
+	membership->members_digest = members_digest(state);
 	state->heard_us = now.mono_us;
 }
 
--- a/src/command/member_belief.c
+++ b/src/command/member_belief.c
@@ -2,11 +2,17 @@
 
 #include <string.h>
 
+#include "command/member_join.h"
 #include "command/member_probe.h"
 #include "command/member_spread.h"
+#include "query/listing.h"
 
 #define SUSPECT_PERIODS 4
+/* A partition longer than this heals by the seeds alone. */
+#define DEAD_KEEP_US (600 * US_PER_S)
 
+static void hear_of(struct state *state, const struct rumour *rumour,
+		    struct instant now, struct event_list *out);
 static bool belief_newer(const struct member *member, uint32_t incarnation,
 			 enum member_status status);
 static uint32_t status_rank(enum member_status status);
@@ -57,6 +63,12 @@
 
 	member->status = status;
 	member->suspect_until_us = 0;
+	if (status == MEMBER_DEAD)
+		member->forget_us = now.mono_us + DEAD_KEEP_US;
+	if (state->membership.seeded) {
+		member->in_list = status != MEMBER_DEAD;
+		state->membership.members_digest = members_digest(state);
+	}
 	if (status == MEMBER_SUSPECT)
 		member->suspect_until_us = member_suspicion_end_us(state, now);
 	if (before == MEMBER_DEAD)
@@ -111,13 +123,38 @@
 		if (!believed)
 			continue;
 		member = membership_find(membership, rumour->peer);
-		if (!member)
+		if (!member) {
+			hear_of(state, rumour, now, out);
 			continue;
+		}
 		member_believe(state, member, rumour->incarnation,
 			       rumour->status, CAUSE_PEER, now, out);
 	}
 }
 
+static void hear_of(struct state *state, const struct rumour *rumour,
+		    struct instant now, struct event_list *out)
+{
+	struct instance_doc instance = {
+		.caller = rumour->caller,
+		.peer = rumour->peer,
+		.domain = rumour->domain,
+	};
+
+	if (!state->membership.seeded)
+		return;
+	switch (rumour->status) {
+	case MEMBER_ALIVE:
+	case MEMBER_SUSPECT:
+		member_join(state, &instance, rumour->incarnation,
+			    rumour->status, now, out);
+		break;
+	case MEMBER_LEAVING:
+	case MEMBER_DEAD:
+		break;
+	}
+}
+
 static bool belief_newer(const struct member *member, uint32_t incarnation,
 			 enum member_status status)
 {
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -3,12 +3,15 @@
 #include <string.h>
 
 #include "command/member.h"
+#include "query/listing.h"
 
 #define PULL_HOLD_US (2 * US_PER_S)
 #define CONFLICT_HOLD_US (60 * US_PER_S)
 #define LIST_PULL_US US_PER_S
 #define LIST_PULL_DOUBLINGS_MAX 6
 
+static bool same_knowledge(const struct membership *membership,
+			   const struct peer_message *message);
 static bool hear_offer(struct state *state, struct net_addr sender,
 		       const struct config_offer *offer, struct instant now,
 		       struct event_list *out);
@@ -16,7 +19,7 @@
 				   const struct config_offer *offer);
 static void set_hold(struct pull_hold *hold, const struct config_offer *offer,
 		     uint64_t until_us);
-static void pull_list(struct state *state, struct net_addr sender,
+static void pull_list(struct state *state, const struct peer_message *message,
 		      struct instant now, struct event_list *out);
 
 void member_hear_offers(struct state *state, const struct peer_message *message,
@@ -29,14 +32,13 @@
 	for (i = 0; i < message->offer_count; i++)
 		explained |= hear_offer(state, message->sender,
 					&message->offers[i], now, out);
-	if (membership->list_known &&
-	    message->config_digest == membership->config_digest) {
+	if (same_knowledge(membership, message)) {
 		membership->list_pulls = 0;
 		membership->list_pull_due_us = 0;
 		return;
 	}
 	if (!explained || !membership->list_known)
-		pull_list(state, message->sender, now, out);
+		pull_list(state, message, now, out);
 }
 
 bool member_hold_pull(struct state *state, const struct config_offer *offer,
@@ -62,12 +64,23 @@
 	return true;
 }
 
+static bool same_knowledge(const struct membership *membership,
+			   const struct peer_message *message)
+{
+	if (message->config_digest != membership->config_digest)
+		return false;
+	if (!membership->seeded)
+		return membership->list_known;
+	return message->members_digest == membership->members_digest;
+}
+
 /* Return: whether the offer explains that the digests differ. */
 static bool hear_offer(struct state *state, struct net_addr sender,
 		       const struct config_offer *offer, struct instant now,
 		       struct event_list *out)
 {
-	const struct service *service = service_lookup(state, &offer->key);
+	struct config_offer held = { 0 };
+	bool holds = offer_find(state, &offer->key, &held);
 	struct event event = { .kind = EVENT_CONFIG_PULL };
 	struct audit_record record = {
 		.kind = AUDIT_CONFIG_REFUSED,
@@ -79,12 +92,12 @@
 		.config.hash = offer->hash,
 	};
 
-	if (service && service->doc->version > offer->version)
+	if (holds && held.version > offer->version)
 		return true;
-	if (service && service->doc->version == offer->version) {
-		if (service->doc->hash == offer->hash)
+	if (holds && held.version == offer->version) {
+		if (held.hash == offer->hash)
 			return false;
-		record.config.in_force = service->doc->version;
+		record.config.in_force = held.version;
 		if (member_hold_refused(state, offer,
 					now.mono_us + CONFLICT_HOLD_US, now))
 			state_audit(state, &record, now, out);
@@ -128,7 +141,7 @@
 	hold->refused = false;
 }
 
-static void pull_list(struct state *state, struct net_addr sender,
+static void pull_list(struct state *state, const struct peer_message *message,
 		      struct instant now, struct event_list *out)
 {
 	struct membership *membership = &state->membership;
@@ -146,7 +159,10 @@
 		now.mono_us + (LIST_PULL_US << membership->list_pulls);
 	if (membership->list_pulls < LIST_PULL_DOUBLINGS_MAX)
 		membership->list_pulls++;
-	event.config_pull.from = sender;
-	event.config_pull.instances = !membership->list_known;
+	event.config_pull.from = message->sender;
+	event.config_pull.instances =
+		membership->seeded ? message->members_digest !=
+					     membership->members_digest :
+				     !membership->list_known;
 	event_list_add(out, &event);
 }
--- a/src/command/member_probe.c
+++ b/src/command/member_probe.c
@@ -109,6 +109,12 @@
 		   probe->target, out);
 }
 
+void member_ping(struct state *state, struct net_addr to,
+		 struct event_list *out)
+{
+	send_probe(state, PEER_PING, to, ++state->membership.sequence, to, out);
+}
+
 void member_join_round(struct state *state, struct net_addr peer)
 {
 	struct membership *membership = &state->membership;
--- a/src/command/member_probe.h
+++ b/src/command/member_probe.h
@@ -38,6 +38,15 @@
 void member_begin_period(struct state *state, struct instant now,
 			 struct event_list *out);
 
+/**
+ * member_ping() - call an instance outside the rounds
+ * @state: the state
+ * @to: its peer address
+ * @out: gets the datagram
+ */
+void member_ping(struct state *state, struct net_addr to,
+		 struct event_list *out);
+
 /**
  * member_join_round() - put an instance at a random place of the running round
  * @state: the state
--- a/src/command/member_spread.c
+++ b/src/command/member_spread.c
@@ -3,9 +3,12 @@
 #include <string.h>
 
 #include "command/member.h"
+#include "query/listing.h"
 
 #define RUMOUR_SENDS_FACTOR 3
 #define ANNOUNCES 3
+/* Peers that an instance tells of a change by itself. */
+#define OFFER_PEERS 4
 #define ANNOUNCE_EVERY_US (150 * US_PER_MS)
 
 static uint32_t rumour_sends(const struct state *state);
@@ -28,6 +31,9 @@
 	message->sender = membership->self.peer;
 	message->incarnation = membership->incarnation;
 	message->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+	message->caller = membership->self.caller;
+	message->domain = membership->self.domain;
+	message->members_digest = membership->members_digest;
 	message->config_digest = membership->config_digest;
 	message->rumour_count = 0;
 	message->offer_count = 0;
@@ -78,6 +84,33 @@
 	}
 }
 
+void member_announce_offers(struct state *state, struct event_list *out)
+{
+	struct membership *membership = &state->membership;
+	const struct member *member;
+	struct peer_message *message;
+	uint32_t count = membership->members->len;
+	uint32_t told = 0;
+	uint32_t first;
+	uint32_t i;
+
+	membership->offers_due = false;
+	if (count == 0)
+		return;
+	first = (uint32_t)g_rand_int_range(state->rand, 0, (gint32)count);
+	for (i = 0; i < count && told < OFFER_PEERS; i++) {
+		member = &g_array_index(membership->members, struct member,
+					(first + i) % count);
+		if (member->status != MEMBER_ALIVE)
+			continue;
+		message = g_new0(struct peer_message, 1);
+		message->kind = PEER_ACK;
+		message->ping.target = membership->self.peer;
+		member_send(state, member->listed.peer, message, out);
+		told++;
+	}
+}
+
 uint32_t member_spread_rounds(const struct state *state)
 {
 	return log2_ceil(state->membership.members->len + 1);
@@ -145,6 +178,8 @@
 
 	out->peer = peer;
 	if (addr_equal(peer, membership->self.peer)) {
+		out->caller = membership->self.caller;
+		out->domain = membership->self.domain;
 		out->incarnation = membership->incarnation;
 		out->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
 		return true;
@@ -152,6 +187,8 @@
 	member = membership_find(membership, peer);
 	if (!member)
 		return false;
+	out->caller = member->listed.caller;
+	out->domain = member->listed.domain;
 	out->incarnation = member->incarnation;
 	out->status = member->status;
 	return true;
@@ -203,7 +240,6 @@
 {
 	GArray *offers = state->membership.offers;
 	uint32_t tries = MIN(offers->len, PEER_OFFERS_MAX);
-	const struct service *service;
 	struct config_offer *offer;
 	struct offer_task task;
 	uint32_t first;
@@ -212,13 +248,10 @@
 		first = least_carried_offer(offers);
 		task = g_array_index(offers, struct offer_task, first);
 		g_array_remove_index(offers, first);
-		service = service_lookup(state, &task.key);
-		if (!service)
+		offer = &message->offers[message->offer_count];
+		if (!offer_find(state, &task.key, offer))
 			continue;
-		offer = &message->offers[message->offer_count++];
-		offer->key = task.key;
-		offer->version = service->doc->version;
-		offer->hash = service->doc->hash;
+		message->offer_count++;
 		if (--task.sends_left > 0)
 			g_array_append_val(offers, task);
 	}
--- a/src/command/member_spread.h
+++ b/src/command/member_spread.h
@@ -26,6 +26,15 @@
  */
 void member_spread_rumour(struct state *state, struct net_addr peer);
 
+/**
+ * member_announce_offers() - tell a few peers what documents changed
+ * @state: the state
+ * @out: gets the datagrams
+ *
+ * Each of them tells others in turn, so all hear of a change within a few ticks.
+ */
+void member_announce_offers(struct state *state, struct event_list *out);
+
 /**
  * member_announce_tick() - repeat the announcement of a planned stop
  * @state: the state
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -88,7 +88,8 @@
 	for (i = 0; i < remap->old_count; i++) {
 		old = &remap->old[i];
 		backend = service_backend(service, old->addr);
-		if (backend) {
+		/* Another start at the same address is another one. */
+		if (backend && name_equal(&backend->instance, &old->instance)) {
 			carry_backend(backend, old);
 			remap->backends[i] =
 				(uint32_t)(backend - service->backends);
@@ -125,6 +126,8 @@
 	backend->capacity_slots = stated.capacity_slots;
 	backend->connections_max = stated.connections_max;
 	backend->drain_document = stated.drain_document;
+	if (stated.instance.text[0] != '\0')
+		backend->cold = stated.cold;
 	backend->own_slots = MIN(old->own_slots, stated.capacity_slots);
 	backend->own_long_slots = MIN(old->own_long_slots, backend->own_slots);
 	backend->grown_slots = backend->own_slots;
@@ -189,8 +192,11 @@
 	for (i = 0; i < old->route_count; i++)
 		remap->routes[i] =
 			find_route(remap->service->doc, &old->routes[i]);
+	/* Those of the routing table keep their names. */
 	for (; i <= DOC_ROUTES_MAX; i++)
-		remap->routes[i] = DOC_ROUTES_MAX;
+		remap->routes[i] = remap->service->doc->routed ?
+					   i :
+					   DOC_ROUTES_MAX;
 }
 
 static uint32_t find_route(const struct service_doc *doc,
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -45,7 +45,7 @@
 		g_array_unref(reply->records);
 		break;
 	case QUERY_DOCUMENT:
-		service_doc_unref(reply->doc);
+		g_clear_pointer(&reply->document.text, g_bytes_unref);
 		break;
 	case QUERY_OFFERS:
 		g_array_unref(reply->offers);
@@ -71,6 +71,9 @@
 	case COMMAND_ACCEPT_CONFIG:
 		service_doc_unref(command->accept_config.doc);
 		break;
+	case COMMAND_ACCEPT_ROUTES:
+		routing_table_unref(command->accept_routes.table);
+		break;
 	case COMMAND_ACCEPT_INSTANCES:
 		g_free(command->accept_instances.list);
 		break;
@@ -81,6 +84,7 @@
 	case COMMAND_REFUSE_CONFIG:
 	case COMMAND_PROBE_RESULT:
 	case COMMAND_PLATFORM_STATE:
+	case COMMAND_SEEDS:
 	case COMMAND_LEAVE:
 		break;
 	}
@@ -102,11 +106,13 @@
 	case COMMAND_ADMIT:
 	case COMMAND_TICK:
 	case COMMAND_ACCEPT_CONFIG:
+	case COMMAND_ACCEPT_ROUTES:
 	case COMMAND_REFUSE_CONFIG:
 	case COMMAND_ACCEPT_INSTANCES:
 	case COMMAND_PEER_MESSAGE:
 	case COMMAND_PROBE_RESULT:
 	case COMMAND_PLATFORM_STATE:
+	case COMMAND_SEEDS:
 		break;
 	}
 	return ring_push(dispatch, &message);
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -11,6 +11,7 @@
 #include "core/evidence.h"
 #include "core/peer.h"
 #include "core/request.h"
+#include "core/routing.h"
 
 enum command_kind {
 	COMMAND_ADMIT,
@@ -18,11 +19,13 @@
 	COMMAND_CANCEL,
 	COMMAND_TICK,
 	COMMAND_ACCEPT_CONFIG,
+	COMMAND_ACCEPT_ROUTES,
 	COMMAND_REFUSE_CONFIG,
 	COMMAND_ACCEPT_INSTANCES,
 	COMMAND_PEER_MESSAGE,
 	COMMAND_PROBE_RESULT,
 	COMMAND_PLATFORM_STATE,
+	COMMAND_SEEDS,
 	COMMAND_LEAVE,
 };
 
@@ -68,6 +71,16 @@
 	bool from_peer;
 };
 
+/**
+ * struct accept_routes_command - a parsed routing table from platform or peer
+ * @table: carries a reference
+ * @from_peer: a peer relayed it
+ */
+struct accept_routes_command {
+	struct routing_table *table;
+	bool from_peer;
+};
+
 /**
  * struct refuse_config_command - a document that did not parse
  * @key: service
@@ -120,6 +133,16 @@
 	bool reachable;
 };
 
+/**
+ * struct seeds_command - the settings name other seeds now
+ * @seeds: the seeds
+ * @count: used entries of @seeds
+ */
+struct seeds_command {
+	struct net_addr seeds[SEEDS_MAX];
+	uint32_t count;
+};
+
 /**
  * struct leave_command - planned stop
  * @hurry: do not wait for answers to entries to expire
@@ -139,11 +162,13 @@
 		struct finish_command finish;
 		struct cancel_command cancel;
 		struct accept_config_command accept_config;
+		struct accept_routes_command accept_routes;
 		struct refuse_config_command refuse_config;
 		struct accept_instances_command accept_instances;
 		struct peer_message *peer_message; /* owned */
 		struct probe_result probe_result;
 		struct platform_state_command platform_state;
+		struct seeds_command seeds;
 		struct leave_command leave;
 	};
 };
@@ -162,6 +187,8 @@
 /**
  * struct query - tagged union; the answer goes to @reply
  * @kind: which member of the union holds
+ * @host: with QUERY_ENTRIES, names the services by a host of the routing table;
+ *	empty when @service names one
  * @service: with QUERY_ENTRIES, QUERY_STATUS (empty for all), QUERY_DOCUMENT
  * @caller_hash: with QUERY_ENTRIES, shuffles the answer
  * @caller_domain: with QUERY_ENTRIES, may be empty
@@ -170,6 +197,7 @@
  */
 struct query {
 	enum query_kind kind;
+	struct name host;
 	struct name service;
 	uint64_t caller_hash;
 	struct name caller_domain;
@@ -177,7 +205,7 @@
 	struct query_port *reply;
 };
 
-#define ENTRIES_MAX 16
+#define ENTRIES_MAX 64
 
 /**
  * struct entry - one instance a caller may use
@@ -223,7 +251,7 @@
  * @status: with QUERY_STATUS, owned (core/report.h)
  * @metrics: with QUERY_METRICS, owned (core/report.h)
  * @records: with QUERY_AUDIT, owned array of struct audit_record
- * @doc: with QUERY_DOCUMENT, carries a reference, NULL when absent
+ * @document: with QUERY_DOCUMENT, owned, its text is NULL when absent
  * @offers: with QUERY_OFFERS, owned array of struct config_offer
  * @instances: with QUERY_INSTANCES, owned array of struct instance_doc
  */
@@ -235,7 +263,7 @@
 		struct status_report *status;
 		struct metrics_report *metrics;
 		GArray *records;
-		struct service_doc *doc;
+		struct held_document document;
 		GArray *offers;
 		GArray *instances;
 	};
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -19,6 +19,7 @@
 #define DOC_HOSTS_MAX 16
 #define DOC_BYTES_MAX (1024 * 1024)
 #define DOC_SLOTS_MAX 1024
+#define SEEDS_MAX 8
 
 /**
  * enum http_method - request methods that are passed on
@@ -41,6 +42,9 @@
  * @capacity_slots: requests it works on at once
  * @connections_max: connections it takes from the whole fleet
  * @draining: it shall get no new work
+ * @warming: it has just started and is slow for now
+ * @instance: names this start of it, so that a request never reaches another
+ *	one at the same address; empty when the team does not name it
  */
 struct backend_doc {
 	struct net_addr addr;
@@ -48,6 +52,8 @@
 	uint32_t capacity_slots;
 	uint32_t connections_max;
 	bool draining;
+	bool warming;
+	struct name instance;
 };
 
 /**
@@ -120,6 +126,9 @@
  * @hosts: Host names that select the service
  * @host_count: used entries of @hosts
  * @path_prefix: path that selects the service, empty for none
+ * @routed: the routing table selects the service, so neither of the two need to
+ * @home_group: services of one group have the same home set; empty for a group
+ *	of its own
  * @backends: backend servers
  * @backend_count: entries of @backends
  * @routes: routes
@@ -143,6 +152,8 @@
 	struct name hosts[DOC_HOSTS_MAX];
 	uint32_t host_count;
 	char path_prefix[PATH_BYTES_MAX];
+	bool routed;
+	struct name home_group;
 	struct backend_doc *backends;
 	uint32_t backend_count;
 	struct route_doc *routes;
@@ -176,6 +187,31 @@
 	POLICY_BASELINE,
 };
 
+/**
+ * enum platform_kind - what the configuration is read from
+ * @PLATFORM_DOCUMENTS: a service with an index of documents
+ * @PLATFORM_STORE: a key-value store, translated by platform/
+ */
+enum platform_kind { PLATFORM_DOCUMENTS, PLATFORM_STORE };
+
+/**
+ * struct header_names - header fields whose names the users choose; empty for
+ *	none
+ * @request_id: a request's id, passed on both ways; an answer with another id
+ *	belongs to another request
+ * @time_left_ms: what is left of a request's time, from callers and to backend
+ *	servers, in place of this system's own deadline field
+ * @instance: names the start of the backend server that is meant; any other
+ *	one answers 421 and has not run the request
+ * @signature: each successful answer of a backend server has it
+ */
+struct header_names {
+	char request_id[NAME_BYTES_MAX];
+	char time_left_ms[NAME_BYTES_MAX];
+	char instance[NAME_BYTES_MAX];
+	char signature[NAME_BYTES_MAX];
+};
+
 /**
  * struct settings - one instance's settings file
  * @caller_listen: where callers connect
@@ -185,6 +221,21 @@
  * @operator_listen: where operators connect, loopback unless set
  * @domain: own failure domain
  * @platform: the platform's configuration service
+ * @platform_kind: enum platform_kind
+ * @directory_listen: where callers that know the platform alone ask for
+ *	entries, port 0 for none
+ * @ready_listen: where the platform asks whether this instance is ready, port 0
+ *	for none
+ * @seeds: peers to begin with when no list of instances is published; they may
+ *	be down or gone
+ * @seed_count: used entries of @seeds
+ * @headers: header fields with names of the users' choice
+ * @not_run_is_503: every refusal of proper requests that did not run has status
+ *	503 and says when to come back, to the millisecond
+ * @close_ends_answer: an answer without a length ends with its connection
+ * @retry_min_ms: refused callers come back after this at the earliest
+ * @retry_max_ms: and after this at the latest
+ * @idle_max_ms: how long a caller's connection may be idle
  * @worker_threads: callers served at once
  * @body_max_bytes: largest request body
  * @head_max_bytes: largest request head
@@ -203,6 +254,17 @@
 	struct net_addr operator_listen;
 	struct name domain;
 	struct net_addr platform;
+	uint32_t platform_kind;
+	struct net_addr directory_listen;
+	struct net_addr ready_listen;
+	struct net_addr seeds[SEEDS_MAX];
+	uint32_t seed_count;
+	struct header_names headers;
+	bool not_run_is_503;
+	bool close_ends_answer;
+	uint32_t retry_min_ms;
+	uint32_t retry_max_ms;
+	uint32_t idle_max_ms;
 	uint32_t worker_threads;
 	uint32_t body_max_bytes;
 	uint32_t head_max_bytes;
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -29,6 +29,7 @@
  * @exchange: names the exchange
  * @request: token; carries a reference
  * @backend: to whom
+ * @instance: which start of it is meant, may be empty
  * @deadline_us: absolute end of the exchange
  * @send_before_us: not after this, for a slot may be lent by then
  * @hold_server_error: give a 5xx answer to the decisions first
@@ -40,6 +41,7 @@
 	struct exchange_id exchange;
 	struct request *request;
 	struct net_addr backend;
+	struct name instance;
 	uint64_t deadline_us;
 	uint64_t send_before_us;
 	bool hold_server_error;
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -1,11 +1,18 @@
 #include "core/member.h"
 
+#include <string.h>
+
 void membership_init(struct membership *membership,
 		     const struct settings *settings)
 {
 	membership->self.caller = settings->caller_listen;
 	membership->self.peer = settings->peer_listen;
 	membership->self.domain = settings->domain;
+	membership->seeded = settings->seed_count > 0;
+	membership->seed_count = settings->seed_count;
+	memcpy(membership->seeds, settings->seeds, sizeof(settings->seeds));
+	membership->list_known = membership->seeded;
+	membership->self_listed = membership->seeded;
 	membership->members = g_array_new(FALSE, TRUE, sizeof(struct member));
 	membership->probe_order =
 		g_array_new(FALSE, TRUE, sizeof(struct net_addr));
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -19,6 +19,7 @@
  * @incarnation: of that belief
  * @suspect_until_us: it is dead when it does not refute by then
  * @heard_us: when it was last heard itself
+ * @forget_us: a dead one is not tried any more from then on
  */
 struct member {
 	struct instance_doc listed;
@@ -27,6 +28,7 @@
 	uint32_t incarnation;
 	uint64_t suspect_until_us;
 	uint64_t heard_us;
+	uint64_t forget_us;
 };
 
 /**
@@ -103,7 +105,13 @@
  * @self_listed: the list has this instance
  * @incarnation: own incarnation
  * @members: array of struct member, by peer address
- * @list_known: a list was read at least once
+ * @list_known: a list was read at least once, or none is published
+ * @seeded: no list is published; members are those that were heard of
+ * @seeds: peers to begin with
+ * @seed_count: used entries of @seeds
+ * @seed_due_us: when the seeds are called next
+ * @members_digest: hash over the members that are not dead, and this one
+ * @offers_due: a document changed and peers are to be told with the next tick
  * @started: the first tick was seen
  * @last_tick_us: when time was last looked at, tells a pause of the process
  * @probe: the running probe
@@ -128,6 +136,12 @@
 	uint32_t incarnation;
 	GArray *members;
 	bool list_known;
+	bool seeded;
+	struct net_addr seeds[SEEDS_MAX];
+	uint32_t seed_count;
+	uint64_t seed_due_us;
+	uint64_t members_digest;
+	bool offers_due;
 	bool started;
 	uint64_t last_tick_us;
 	struct probe probe;
--- a/src/core/peer.h
+++ b/src/core/peer.h
@@ -32,11 +32,15 @@
 /**
  * struct rumour - one belief about an instance
  * @peer: the instance
+ * @caller: where callers connect to it
+ * @domain: its failure domain
  * @incarnation: raised by the instance itself to refute
  * @status: the belief
  */
 struct rumour {
 	struct net_addr peer;
+	struct net_addr caller;
+	struct name domain;
 	uint32_t incarnation;
 	enum member_status status;
 };
@@ -53,6 +57,18 @@
 	uint64_t hash;
 };
 
+/**
+ * struct held_document - a document as it was published
+ * @version: its version
+ * @hash: hash of @text
+ * @text: owned, NULL for none
+ */
+struct held_document {
+	uint64_t version;
+	uint64_t hash;
+	GBytes *text;
+};
+
 /**
  * struct digest_entry - what a home saw of one backend server of late
  * @backend: the backend server
@@ -145,8 +161,11 @@
 /**
  * struct peer_message - one datagram
  * @sender: the sending instance's peer address
+ * @caller: where callers connect to the sender
+ * @domain: the sender's failure domain
  * @incarnation: the sender's incarnation
  * @status: MEMBER_ALIVE or MEMBER_LEAVING
+ * @members_digest: hash over all instances that the sender holds to be there
  * @config_digest: hash over all (key, version, hash) that the sender holds
  * @rumours: piggybacked beliefs
  * @rumour_count: used entries
@@ -159,8 +178,11 @@
  */
 struct peer_message {
 	struct net_addr sender;
+	struct net_addr caller;
+	struct name domain;
 	uint32_t incarnation;
 	enum member_status status;
+	uint64_t members_digest;
 	uint64_t config_digest;
 	struct rumour rumours[PEER_RUMOURS_MAX];
 	uint32_t rumour_count;
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -45,6 +45,7 @@
 	g_hash_table_unref(state->ticket_by_request);
 	g_hash_table_unref(state->by_host);
 	g_hash_table_unref(state->services);
+	routing_table_unref(state->routes);
 	membership_clear(&state->membership);
 	g_rand_free(state->rand);
 	g_free(state->audit);
@@ -154,4 +155,6 @@
 	backend->capacity_slots = doc->capacity_slots;
 	backend->connections_max = doc->connections_max;
 	backend->drain_document = doc->draining;
+	backend->cold = doc->warming;
+	backend->instance = doc->instance;
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -12,6 +12,7 @@
 #include "core/health.h"
 #include "core/member.h"
 #include "core/metrics.h"
+#include "core/routing.h"
 
 #define TICKETS_MAX 4096
 #define TICKET_TRIES_MAX 4
@@ -73,6 +74,7 @@
  * @backend_index: whose slot it holds while running
  * @on_long_slot: it holds a slot that long work may use
  * @borrowed_index: entry of the service's borrowed slots, TICKET_NONE for own
+ * @tries_max: backend servers it may be sent to
  * @tried: backend servers tried before
  * @tried_count: used entries of @tried
  * @outcome: what is known of its earlier tries
@@ -94,6 +96,7 @@
 	uint32_t backend_index;
 	bool on_long_slot;
 	uint32_t borrowed_index;
+	uint32_t tries_max;
 	struct net_addr tried[TICKET_TRIES_MAX];
 	uint32_t tried_count;
 	enum outcome outcome;
@@ -103,6 +106,7 @@
 /**
  * struct backend - one backend server of a service, this instance's part
  * @addr: where it listens
+ * @instance: names this start of it, may be empty
  * @domain: its failure domain
  * @capacity_slots: requests it works on at once, for the whole fleet
  * @connections_max: connections this instance may hold
@@ -115,11 +119,12 @@
  * @in_use_long_slots: own slots in use by long work
  * @drain_document: the document says that it drains
  * @drain_seen_until_us: its answers or load report said so; 0 when not
- * @cold: its load report says so
+ * @cold: its load report or its document says so
  * @health: its health
  */
 struct backend {
 	struct net_addr addr;
+	struct name instance;
 	struct name domain;
 	uint32_t capacity_slots;
 	uint32_t connections_max;
@@ -273,6 +278,7 @@
  * @rand: seeded random numbers
  * @services: owned name text to owned struct service
  * @by_host: owned Host text to struct service, not owned
+ * @routes: routing table in force, holds a reference, NULL while none is known
  * @tickets: array of TICKETS_MAX
  * @free_tickets: array of uint32_t indices
  * @ticket_by_request: request token to index
@@ -301,6 +307,7 @@
 	GRand *rand;
 	GHashTable *services;
 	GHashTable *by_host;
+	struct routing_table *routes;
 	struct ticket *tickets;
 	GArray *free_tickets;
 	GHashTable *ticket_by_request;
--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -33,6 +33,7 @@
 static void *config_thread(void *data);
 static bool take_roles(struct config_duty *duty);
 static void begin_reads(struct config_duty *duty);
+static bool index_wanted(const struct config_duty *duty);
 static void begin_watch(struct config_duty *duty, struct watch *watch,
 			enum source_request_kind kind);
 static void begin_fetches(struct config_duty *duty);
@@ -137,13 +138,19 @@
 
 static void begin_reads(struct config_duty *duty)
 {
-	begin_watch(duty, &duty->instances, SOURCE_INSTANCES);
-	/* The list tells first whether there are peers to learn from. */
-	if (watch_tried(&duty->instances))
+	if (!duty->settings->seed_count)
+		begin_watch(duty, &duty->instances, SOURCE_INSTANCES);
+	if (index_wanted(duty))
 		begin_watch(duty, &duty->index, SOURCE_INDEX);
 	begin_fetches(duty);
 }
 
+/* A published list tells first whether there are peers to learn from. */
+static bool index_wanted(const struct config_duty *duty)
+{
+	return duty->settings->seed_count || watch_tried(&duty->instances);
+}
+
 static void begin_watch(struct config_duty *duty, struct watch *watch,
 			enum source_request_kind kind)
 {
@@ -198,9 +205,9 @@
 {
 	uint64_t due_us = DEADLINE_NONE_US;
 
-	if (!duty->instances.running)
+	if (!duty->settings->seed_count && !duty->instances.running)
 		due_us = duty->instances.due_us;
-	if (!duty->index.running && watch_tried(&duty->instances))
+	if (!duty->index.running && index_wanted(duty))
 		due_us = MIN(due_us, duty->index.due_us);
 	if (duty->fetches.running < FETCHES_AT_ONCE)
 		due_us = MIN(due_us, fetch_list_due_us(&duty->fetches));
--- a/src/duty/config_source.h
+++ b/src/duty/config_source.h
@@ -4,9 +4,9 @@
 /**
  * DOC: where documents and the list of instances are read
  *
- * The config duty knows the platform by this interface alone. Another client
- * takes the place of config_source_http.c by giving the same functions. A
- * source is used by one thread, but for config_source_wake().
+ * The config duty knows the platform by this interface alone; which source is
+ * behind it, the settings say. A source is used by one thread, but for
+ * config_source_wake().
  */
 
 #include "core/document.h"
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -266,7 +266,7 @@
 	exchange->held = g_byte_array_new();
 	exchange->easy = take_handle(duty);
 	http_answer_reader_init(&exchange->reader, grant->request->method,
-				duty->settings->head_max_bytes);
+				duty->settings);
 	g_hash_table_insert(duty->by_key, &exchange->key, exchange);
 	g_hash_table_insert(duty->by_request, grant->request, exchange);
 	if (!transfer_prepare(exchange) ||
--- a/src/duty/front.c
+++ b/src/duty/front.c
@@ -20,7 +20,6 @@
 #define ENTRIES_PATH "/.nutmegcrank/entries"
 #define WORKER_STACK_BYTES (UINT64_C(256) * 1024)
 #define HEAD_MAX_MS 3000
-#define KEEP_ALIVE_MAX_MS 2000
 #define BODY_MAX_MS 3000
 #define WRITE_MARGIN_US (3 * US_PER_S)
 #define ANSWER_MARGIN_MS 500
@@ -203,7 +202,8 @@
 		 front->settings->worker_threads);
 	snprintf(head, sizeof(head), "%u", front->settings->head_max_bytes);
 	snprintf(head_ms, sizeof(head_ms), "%d", HEAD_MAX_MS);
-	snprintf(keep_ms, sizeof(keep_ms), "%d", KEEP_ALIVE_MAX_MS);
+	snprintf(keep_ms, sizeof(keep_ms), "%u",
+		 front->settings->idle_max_ms);
 	/* CivetWeb has no setting for its workers' stacks. */
 	if (pthread_getattr_default_np(&before) != 0 ||
 	    pthread_attr_init(&small) != 0 ||
@@ -381,7 +381,7 @@
 	if (!reply->known)
 		return refuse_early(call, REFUSAL_NO_SERVICE);
 	json = entries_to_json(service, reply);
-	text = http_json_text(200, json, OUTCOME_COMPLETE, 0, true,
+	text = http_json_text(200, json, OUTCOME_COMPLETE, NULL, true,
 			      call->close);
 	if (!write_text(call, text))
 		set_close(call);
@@ -435,8 +435,8 @@
 		fields[i].name = info->http_headers[i].name;
 		fields[i].value = info->http_headers[i].value;
 	}
-	return http_request_read(&head, call->front->settings->body_max_bytes,
-				 clock_now(), request, facts, plan, cause);
+	return http_request_read(&head, call->front->settings, clock_now(),
+				 request, facts, plan, cause);
 }
 
 static bool read_body(struct call *call, const struct http_body_plan *plan,
@@ -681,11 +681,14 @@
 
 static uint32_t refuse(struct call *call, const struct refusal *refusal)
 {
-	uint32_t status = http_refusal_status(refusal->cause);
+	const struct settings *settings = call->front->settings;
+	uint32_t status = http_refusal_status(settings, refusal);
 	char *json = refusal_to_json(refusal);
+	char retry[HTTP_RETRY_TEXT_BYTES];
 	GString *text =
 		http_json_text(status, json, refusal->outcome,
-			       http_retry_after_s(refusal, clock_now().unix_ms),
+			       http_retry_after(settings, refusal,
+						clock_now().unix_ms, retry),
 			       !call->head_only, call->close);
 
 	caller_watch_limit(call->front->watch, call->caller,
--- a/src/duty/peer_pull.c
+++ b/src/duty/peer_pull.c
@@ -247,7 +247,7 @@
 			  const struct pull_transfer *transfer)
 {
 	const struct config_offer *offer = &transfer->call.offer;
-	struct peer_document document;
+	struct held_document document;
 	GError *error = NULL;
 	const char *text;
 	gsize text_bytes;
--- a/src/duty/peer_serve.c
+++ b/src/duty/peer_serve.c
@@ -346,17 +346,15 @@
 		.kind = QUERY_DOCUMENT,
 		.service = call->offer.key,
 	};
-	const struct service_doc *doc;
 	struct query_reply reply;
 	GByteArray *out;
 
 	if (ask_query(duty->dispatch, &query, &reply,
 		      clock_now_us() + QUERY_WAIT_US) != RING_OK)
 		return NULL;
-	doc = reply.doc;
-	if (doc && doc->version < call->offer.version)
-		doc = NULL;
-	out = peer_document_encode(call->xid, doc);
+	if (reply.document.version < call->offer.version)
+		g_clear_pointer(&reply.document.text, g_bytes_unref);
+	out = peer_document_encode(call->xid, &reply.document);
 	query_reply_clear(&reply);
 	return out;
 }
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -1,11 +1,17 @@
 #include "duty/relay.h"
 
+#include <string.h>
+
 #include "codec/document_json.h"
 #include "core/clock.h"
 #include "ring/ring.h"
 
 #define QUERY_WAIT_US (500 * US_PER_MS)
 
+static enum ring_result relay_routes(struct ring *dispatch,
+				     const struct name *key, uint64_t version,
+				     const char *text, size_t text_bytes,
+				     bool from_peer);
 static enum ring_result refuse(struct ring *dispatch, const struct name *key,
 			       uint64_t version, const char *text,
 			       size_t text_bytes, GError *error);
@@ -19,6 +25,9 @@
 	GError *error = NULL;
 	enum ring_result result;
 
+	if (strcmp(key->text, ROUTING_KEY) == 0)
+		return relay_routes(dispatch, key, version, text, text_bytes,
+				    from_peer);
 	doc = service_doc_parse(key->text, text, text_bytes, version, &error);
 	if (doc && !name_equal(&doc->service, key)) {
 		g_set_error(&error, SETTINGS_ERROR, SETTINGS_ERROR_REFERENCE,
@@ -37,6 +46,26 @@
 	return result;
 }
 
+static enum ring_result relay_routes(struct ring *dispatch,
+				     const struct name *key, uint64_t version,
+				     const char *text, size_t text_bytes,
+				     bool from_peer)
+{
+	struct command command = { .kind = COMMAND_ACCEPT_ROUTES };
+	GError *error = NULL;
+	enum ring_result result;
+
+	command.accept_routes.table = routing_table_parse(
+		key->text, text, text_bytes, version, &error);
+	command.accept_routes.from_peer = from_peer;
+	if (!command.accept_routes.table)
+		return refuse(dispatch, key, version, text, text_bytes, error);
+	result = send_command(dispatch, &command);
+	if (result != RING_OK)
+		command_clear(&command);
+	return result;
+}
+
 enum ring_result relay_instances(struct ring *dispatch, const GArray *list,
 				 bool from_peer)
 {
--- a/src/duty/signal.c
+++ b/src/duty/signal.c
@@ -1,27 +1,50 @@
 #include "duty/signal.h"
 
+#include "codec/document_json.h"
 #include "core/command.h"
 
+#include <errno.h>
 #include <pthread.h>
 #include <signal.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <time.h>
 
 /* Tells the thread to end; no user sends it. */
 #define SIGNAL_END SIGUSR2
+/* A settings file may change without a signal. */
+#define LOOK_EVERY_S 5
 
+/**
+ * struct signal_duty - the duty
+ * @settings_path: file that is read again, NULL for none
+ * @dispatch: ring of struct message
+ * @thread: its thread
+ * @signals: what it waits for
+ * @seen: the file as it was last read
+ */
 struct signal_duty {
+	const char *settings_path;
 	struct ring *dispatch;
 	pthread_t thread;
 	sigset_t signals;
+	struct stat seen;
 };
 
 static bool block_signals(sigset_t *signals);
 static void *signal_thread(void *data);
+static void leave(struct signal_duty *duty, bool hurry);
+static bool file_changed(struct signal_duty *duty);
+static void reload(struct signal_duty *duty, const char *why);
 
-struct signal_duty *signal_start(struct ring *dispatch, GError **error)
+struct signal_duty *signal_start(const char *settings_path,
+				 struct ring *dispatch, GError **error)
 {
 	struct signal_duty *duty = g_new0(struct signal_duty, 1);
 
+	duty->settings_path = settings_path;
 	duty->dispatch = dispatch;
+	file_changed(duty);
 	if (block_signals(&duty->signals) &&
 	    pthread_create(&duty->thread, NULL, signal_thread, duty) == 0)
 		return duty;
@@ -44,22 +67,84 @@
 {
 	return sigemptyset(signals) == 0 && sigaddset(signals, SIGTERM) == 0 &&
 	       sigaddset(signals, SIGINT) == 0 &&
+	       sigaddset(signals, SIGHUP) == 0 &&
 	       sigaddset(signals, SIGNAL_END) == 0 &&
 	       pthread_sigmask(SIG_BLOCK, signals, NULL) == 0;
 }
 
 static void *signal_thread(void *data)
 {
+	const struct timespec every = { .tv_sec = LOOK_EVERY_S };
 	struct signal_duty *duty = data;
-	struct command command = { .kind = COMMAND_LEAVE };
+	bool leaving = false;
 	int number;
 
 	for (;;) {
-		if (sigwait(&duty->signals, &number) != 0 ||
-		    number == SIGNAL_END)
+		number = sigtimedwait(&duty->signals, NULL, &every);
+		if (number < 0 && errno != EAGAIN && errno != EINTR) {
+			g_critical("signal: cannot wait: %s", strerror(errno));
+			return NULL;
+		}
+		if (number == SIGNAL_END)
 			return NULL;
-		if (send_command(duty->dispatch, &command) != RING_OK)
-			g_warning("signal: dispatch ring refused a stop");
-		command.leave.hurry = true;
+		if (number == SIGTERM || number == SIGINT) {
+			leave(duty, leaving);
+			leaving = true;
+		} else if (number == SIGHUP) {
+			file_changed(duty);
+			reload(duty, "SIGHUP");
+		} else if (file_changed(duty)) {
+			reload(duty, "the file changed");
+		}
+	}
+}
+
+static void leave(struct signal_duty *duty, bool hurry)
+{
+	struct command command = { .kind = COMMAND_LEAVE };
+
+	command.leave.hurry = hurry;
+	g_message("signal: planned stop%s", hurry ? ", hurried" : "");
+	if (send_command(duty->dispatch, &command) != RING_OK)
+		g_warning("signal: dispatch ring refused a stop");
+}
+
+static bool file_changed(struct signal_duty *duty)
+{
+	struct stat now;
+	bool changed;
+
+	if (!duty->settings_path || stat(duty->settings_path, &now) != 0)
+		return false;
+	changed = now.st_ino != duty->seen.st_ino ||
+		  now.st_size != duty->seen.st_size ||
+		  now.st_mtim.tv_sec != duty->seen.st_mtim.tv_sec ||
+		  now.st_mtim.tv_nsec != duty->seen.st_mtim.tv_nsec;
+	duty->seen = now;
+	return changed;
+}
+
+/* The seeds may change while the process runs; all else is read at its start. */
+static void reload(struct signal_duty *duty, const char *why)
+{
+	struct command command = { .kind = COMMAND_SEEDS };
+	struct settings settings;
+	GError *error = NULL;
+
+	if (!duty->settings_path)
+		return;
+	if (!settings_load(duty->settings_path, &settings, &error)) {
+		g_warning("reload: %s: settings refused, those before stay in "
+			  "force: %s",
+			  why, error->message);
+		g_error_free(error);
+		return;
 	}
+	memcpy(command.seeds.seeds, settings.seeds, sizeof(settings.seeds));
+	command.seeds.count = settings.seed_count;
+	if (send_command(duty->dispatch, &command) != RING_OK)
+		g_warning("reload: dispatch ring refused the settings");
+	else
+		g_message("reload: %s: %u seeds in force", why,
+			  settings.seed_count);
 }
--- a/src/duty/signal.h
+++ b/src/duty/signal.h
@@ -12,12 +12,15 @@
 
 /**
  * signal_start() - block the signals for all later threads, start the duty
+ * @settings_path: file that SIGHUP reads again, NULL for none; must outlive the
+ *	duty
  * @dispatch: ring of struct message
  * @error: DUTY_ERROR on failure
  *
  * Return: the duty, to be ended with signal_stop(), or NULL.
  */
-struct signal_duty *signal_start(struct ring *dispatch, GError **error);
+struct signal_duty *signal_start(const char *settings_path,
+				 struct ring *dispatch, GError **error);
 
 /**
  * signal_stop() - end the thread and free the duty
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -7,6 +7,7 @@
 #include "duty/backend_socket.h"
 
 #define CONNECT_MAX_MS 250
+#define HTTP_MISDIRECTED 421
 
 static bool set_limits(struct exchange *exchange, uint64_t now_us);
 static bool set_callbacks(struct exchange *exchange);
@@ -22,6 +23,23 @@
 static int on_send_point(void *data, char *to_ip, char *own_ip, int to_port,
 			 int own_port);
 static size_t on_head(char *line, size_t size, size_t count, void *data);
+/* One that was not meant has not run the request either, and stays another. */
+static void judge_shed(struct exchange *exchange)
+{
+	const struct grant_event *grant = &exchange->grant;
+	const struct http_answer_reader *reader = &exchange->reader;
+	bool named = exchange->settings->headers.instance[0] != '\0' &&
+		     grant->instance.text[0] != '\0';
+
+	exchange->shed = exchange->status >= 400 &&
+			 http_answer_marked(reader->head, &grant->shed);
+	if (exchange->status != HTTP_MISDIRECTED || !named)
+		return;
+	exchange->shed = true;
+	exchange->draining = true;
+}
+
+static void judge_shed(struct exchange *exchange);
 static size_t on_body(char *bytes, size_t size, size_t count, void *data);
 static bool begin_streaming(struct exchange *exchange);
 static enum ring_result push_chunk(struct exchange *exchange, const void *bytes,
@@ -33,12 +51,18 @@
 	struct instant now = clock_now();
 	uint64_t left_ms =
 		(uint64_t)clock_ms_left(grant->deadline_us, now.mono_us);
+	const struct client_limits limits = {
+		.deadline_unix_ms = now.unix_ms + left_ms,
+		.left_ms = left_ms,
+		.instance = &grant->instance,
+	};
 
 	return http_client_defaults(exchange->easy) &&
 	       http_client_target(exchange->easy, grant->backend,
 				  grant->request->target) &&
 	       http_client_request(exchange->easy, grant->request,
-				   now.unix_ms + left_ms, &exchange->fields) &&
+				   &exchange->settings->headers, &limits,
+				   &exchange->fields) &&
 	       set_limits(exchange, now.mono_us) && set_callbacks(exchange);
 }
 
@@ -186,6 +210,8 @@
 	if (reader->framing == FRAMING_LENGTH &&
 	    exchange->body_bytes != exchange->length_bytes)
 		return EVIDENCE_TRUNCATED;
+	if (!http_answer_owned(reader, exchange->grant.request))
+		return EVIDENCE_BAD_ANSWER;
 	if (exchange->shed)
 		return EVIDENCE_SHED;
 	return exchange->status >= 500 ? EVIDENCE_SERVER_ERROR : EVIDENCE_OK;
@@ -270,9 +296,7 @@
 		exchange->length_bytes = reader->head->body_bytes;
 		exchange->draining = http_answer_marked(reader->head,
 							&exchange->grant.drain);
-		exchange->shed =
-			exchange->status == 503 &&
-			http_answer_marked(reader->head, &exchange->grant.shed);
+		judge_shed(exchange);
 	}
 	if (valid)
 		return size * count;
@@ -297,6 +321,11 @@
 		exchange->body_bytes += length;
 		return length;
 	}
+	if (!exchange->streaming &&
+	    !http_answer_owned(&exchange->reader, exchange->grant.request)) {
+		exchange->stop = STOP_BAD_ANSWER;
+		return 0;
+	}
 	if (!exchange->streaming && !begin_streaming(exchange)) {
 		exchange->stop = STOP_CALLER;
 		return 0;
--- a/src/main.c
+++ b/src/main.c
@@ -60,5 +60,5 @@
 		settings.random_seed = g_random_int();
 	log_setup(&settings);
 	g_message("settings accepted, random seed %u", settings.random_seed);
-	return run_main(&settings);
+	return run_main(&settings, order->settings_path);
 }
--- a/src/query/answer.c
+++ b/src/query/answer.c
@@ -4,8 +4,8 @@
 #include "query/listing.h"
 #include "query/ready.h"
 
-static struct service_doc *find_document(const struct state *state,
-					 const struct name *key);
+static struct held_document find_document(const struct state *state,
+					  const struct name *key);
 
 void query_answer(const struct state *state, const struct query *query,
 		  struct instant now, struct query_reply *reply)
@@ -28,7 +28,7 @@
 		ready_answer(state, &reply->ready);
 		break;
 	case QUERY_DOCUMENT:
-		reply->doc = find_document(state, &query->service);
+		reply->document = find_document(state, &query->service);
 		break;
 	case QUERY_OFFERS:
 		reply->offers = list_offers(state);
@@ -39,10 +39,22 @@
 	}
 }
 
-static struct service_doc *find_document(const struct state *state,
-					 const struct name *key)
+static struct held_document find_document(const struct state *state,
+					  const struct name *key)
 {
-	struct service *service = service_lookup(state, key);
+	const struct service *service = service_lookup(state, key);
+	struct held_document held = { 0 };
+	struct config_offer offer;
 
-	return service ? service_doc_ref(service->doc) : NULL;
+	if (!offer_find(state, key, &offer))
+		return held;
+	held.version = offer.version;
+	held.hash = offer.hash;
+	if (service)
+		held.text = g_bytes_new(service->doc->text,
+					service->doc->text_bytes);
+	else
+		held.text = g_bytes_new(state->routes->text,
+					state->routes->text_bytes);
+	return held;
 }
--- a/src/query/entries.c
+++ b/src/query/entries.c
@@ -12,9 +12,12 @@
 	uint64_t shuffle;
 };
 
-static GArray *usable_homes(const struct state *state,
-			    const struct service *service,
-			    const struct query *query, struct instant now);
+static bool add_homes_of_host(const struct state *state,
+			      const struct query *query, struct instant now,
+			      GArray *list);
+static bool add_homes(const struct state *state, const struct name *name,
+		      const struct query *query, struct instant now,
+		      GArray *list);
 static GArray *usable_instances(const struct state *state,
 				const struct query *query);
 static bool usable(const struct state *state, struct net_addr peer,
@@ -26,17 +29,16 @@
 void entries_answer(const struct state *state, const struct query *query,
 		    struct instant now, struct entries_reply *out)
 {
-	const struct service *service = service_lookup(state, &query->service);
-	GArray *list;
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct choice));
 	guint i;
 
-	out->known = service != NULL;
 	out->entry_count = 0;
 	out->expires_unix_ms = now.unix_ms + state->settings->entries_ttl_ms;
-	if (!service)
-		return;
-	list = usable_homes(state, service, query, now);
-	if (list->len == 0) {
+	out->known = query->host.text[0] != '\0' ?
+			     add_homes_of_host(state, query, now, list) :
+			     add_homes(state, &query->service, query, now,
+				       list);
+	if (out->known && list->len == 0) {
 		g_array_unref(list);
 		list = usable_instances(state, query);
 	}
@@ -47,16 +49,38 @@
 	g_array_unref(list);
 }
 
-static GArray *usable_homes(const struct state *state,
-			    const struct service *service,
-			    const struct query *query, struct instant now)
+/* Return: whether the host is known. */
+static bool add_homes_of_host(const struct state *state,
+			      const struct query *query, struct instant now,
+			      GArray *list)
 {
-	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct choice));
+	const struct table_host *host = NULL;
+	guint i;
+
+	if (state->routes)
+		host = g_hash_table_lookup(state->routes->hosts,
+					   query->host.text);
+	if (!host)
+		return false;
+	for (i = 0; i < host->services->len; i++)
+		add_homes(state, &g_array_index(host->services, struct name, i),
+			  query, now, list);
+	return true;
+}
+
+/* Return: whether the service is known. */
+static bool add_homes(const struct state *state, const struct name *name,
+		      const struct query *query, struct instant now,
+		      GArray *list)
+{
+	const struct service *service = service_lookup(state, name);
 	const struct home *home;
 	struct instance_doc instance;
 	bool busy;
 	uint32_t i;
 
+	if (!service)
+		return false;
 	for (i = 0; i < service->home_count; i++) {
 		home = &service->homes[i];
 		if (!usable(state, home->peer, &instance) ||
@@ -66,7 +90,7 @@
 		       home->load_permille >= BUSY_PERMILLE;
 		add_choice(list, &instance, query, busy);
 	}
-	return list;
+	return true;
 }
 
 /* With no home left any instance will do: it serves on borrowed slots. */
@@ -121,7 +145,15 @@
 		.shuffle = hash_pair(instance->peer, instance->caller,
 				     query->caller_hash),
 	};
+	guint i;
 
+	/* The services of a host share homes. */
+	for (i = 0; i < list->len; i++) {
+		if (addr_equal(g_array_index(list, struct choice, i)
+				       .entry.caller,
+			       instance->caller))
+			return;
+	}
 	g_array_append_val(list, choice);
 }
 
--- a/src/query/homes.c
+++ b/src/query/homes.c
@@ -30,7 +30,10 @@
 		      struct net_addr out[HOMES_MAX])
 {
 	const struct service_doc *doc = service->doc;
-	uint64_t seed = hash_bytes(doc->service.text, NAME_BYTES_MAX, 0);
+	const struct name *group = doc->home_group.text[0] != '\0' ?
+					   &doc->home_group :
+					   &doc->service;
+	uint64_t seed = hash_bytes(group->text, NAME_BYTES_MAX, 0);
 	GArray *list = collect(state, seed);
 	uint32_t domains;
 	uint32_t count;
--- a/src/query/listing.h
+++ b/src/query/listing.h
@@ -47,6 +47,17 @@
  */
 GArray *list_offers(const struct state *state);
 
+/**
+ * offer_find() - version and hash of one document held
+ * @state: only read
+ * @key: service, or ROUTING_KEY for the routing table
+ * @offer: filled on success
+ *
+ * Return: false when this instance does not hold it.
+ */
+bool offer_find(const struct state *state, const struct name *key,
+		struct config_offer *offer);
+
 /**
  * list_instances() - the published list as it was last read
  * @state: only read
@@ -55,6 +66,14 @@
  */
 GArray *list_instances(const struct state *state);
 
+/**
+ * members_digest() - one hash over this instance and the members not dead
+ * @state: only read
+ *
+ * Return: the same on instances that know the same members.
+ */
+uint64_t members_digest(const struct state *state);
+
 /**
  * offers_digest() - one hash over all documents held
  * @state: only read
--- a/src/query/route.c
+++ b/src/query/route.c
@@ -2,36 +2,115 @@
 
 #include <string.h>
 
+static enum route_result match_table(const struct state *state,
+				     const struct table_route *route,
+				     struct route_match *out);
+static const struct route_target *pick_target(const struct state *state,
+					      const struct table_route *route);
+static uint32_t class_of_priority(const struct service_doc *doc,
+				  uint32_t priority);
+static void match_document(const struct service_doc *doc,
+			   const struct request_facts *facts,
+			   struct route_match *out);
 static struct service *find_service(const struct state *state,
 				    const struct request_facts *facts);
 static uint32_t find_route(const struct service_doc *doc,
 			   const struct request_facts *facts);
 static bool prefix_matches(const char *prefix, const char *path);
 
-bool route_find(const struct state *state, const struct request_facts *facts,
-		struct route_match *out)
+enum route_result route_find(const struct state *state,
+			     const struct request_facts *facts,
+			     struct route_match *out)
 {
-	const struct service_doc *doc;
-	const struct route_doc *route;
+	const struct table_route *route = NULL;
 
+	memset(out, 0, sizeof(*out));
+	out->tries_max = TICKET_TRIES_MAX;
+	if (state->routes)
+		route = routing_table_find(state->routes, facts->host,
+					   facts->path);
+	if (route)
+		return match_table(state, route, out);
 	out->service = find_service(state, facts);
+	if (out->service) {
+		match_document(out->service->doc, facts, out);
+		return ROUTE_FOUND;
+	}
+	if (g_hash_table_size(state->services) == 0 ||
+	    (state->settings->platform_kind == PLATFORM_STORE &&
+	     !state->routes))
+		return ROUTE_UNKNOWN;
+	return ROUTE_NONE;
+}
+
+static enum route_result match_table(const struct state *state,
+				     const struct table_route *route,
+				     struct route_match *out)
+{
+	const struct route_target *target = pick_target(state, route);
+
+	out->service = service_lookup(state, &target->service);
 	if (!out->service)
-		return false;
-	doc = out->service->doc;
+		return ROUTE_UNKNOWN;
+	out->route_index = route->typical_index;
+	out->class_index =
+		class_of_priority(out->service->doc, route->priority);
+	out->budget_ms = route->budget_ms;
+	out->budget_is_limit = true;
+	out->idempotent = route->idempotent;
+	out->tries_max = MIN(route->tries_max, TICKET_TRIES_MAX);
+	return ROUTE_FOUND;
+}
+
+/* Each target gets its part of the requests, whatever room it has. */
+static const struct route_target *pick_target(const struct state *state,
+					      const struct table_route *route)
+{
+	uint32_t point;
+	uint32_t i = 0;
+
+	if (route->target_count == 1)
+		return &route->targets[0];
+	point = (uint32_t)g_rand_int_range(state->rand, 0,
+					   (gint32)route->weight_sum);
+	while (point >= route->targets[i].weight)
+		point -= route->targets[i++].weight;
+	return &route->targets[i];
+}
+
+/* The last class that does not go before the priority, else the lowest. */
+static uint32_t class_of_priority(const struct service_doc *doc,
+				  uint32_t priority)
+{
+	uint32_t best = class_lowest(doc);
+	uint32_t i;
+
+	for (i = 0; i < doc->class_count; i++) {
+		if (doc->classes[i].priority >= priority &&
+		    doc->classes[i].priority < doc->classes[best].priority)
+			best = i;
+	}
+	return best;
+}
+
+static void match_document(const struct service_doc *doc,
+			   const struct request_facts *facts,
+			   struct route_match *out)
+{
+	const struct route_doc *route;
+
 	out->route_index = find_route(doc, facts);
 	if (out->route_index == DOC_ROUTES_MAX) {
 		out->class_index = class_lowest(doc);
 		out->budget_ms = doc->default_budget_ms;
 		out->idempotent = facts->method <= METHOD_OPTIONS;
-		out->long_work = false;
-		return true;
+		return;
 	}
 	route = &doc->routes[out->route_index];
 	out->class_index = route->class_index;
 	out->budget_ms = route->budget_ms;
 	out->idempotent = route->idempotent;
 	out->long_work = route->long_work;
-	return true;
 }
 
 uint32_t class_lowest(const struct service_doc *doc)
--- a/test/unit/audit_figures_test.cc
+++ b/test/unit/audit_figures_test.cc
@@ -58,6 +58,8 @@
 		struct ticket ticket = {};
 
 		settings.worker_threads = 8;
+		settings.retry_min_ms = 1000;
+		settings.retry_max_ms = 3000;
 		struct state *state = state_new(&settings);
 		struct service_doc *doc = service_doc_parse(
 			"doc", document, sizeof(document) - 1, 1, NULL);
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -91,6 +91,7 @@
 		settings_.peer_bind.ip = settings_.caller_listen.ip;
 		settings_.caller_listen.port = free_port();
 		settings_.worker_threads = 8;
+		settings_.idle_max_ms = 2000;
 		settings_.head_max_bytes = head_max_bytes;
 		settings_.body_max_bytes = body_max_bytes;
 		settings_.hold_max_bytes = 1000;
--- a/test/unit/http_request_test.cc
+++ b/test/unit/http_request_test.cc
@@ -254,7 +254,10 @@
 			"127.0.0.9",
 		};
 
-		taken = http_request_read(&head, body_max_bytes, now, request,
+		struct settings settings = {};
+
+		settings.body_max_bytes = body_max_bytes;
+		taken = http_request_read(&head, &settings, now, request,
 					  &facts, &plan, &cause);
 	}
 	~reading()
--- a/test/unit/peer_duty_test.cc
+++ b/test/unit/peer_duty_test.cc
@@ -133,7 +133,9 @@
 
 		reply.kind = query->kind;
 		if (query->kind == QUERY_DOCUMENT && doc)
-			reply.doc = service_doc_ref(doc);
+			reply.document = { doc->version, doc->hash,
+					   g_bytes_new(doc->text,
+						       doc->text_bytes) };
 		if (query->kind == QUERY_OFFERS)
 			reply.offers = g_array_new(FALSE, TRUE, sizeof(offer));
 		if (query->kind == QUERY_OFFERS && doc) {
--- a/test/unit/peer_rpc_test.cc
+++ b/test/unit/peer_rpc_test.cc
@@ -344,25 +344,22 @@
 	}
 }
 
-service_doc document(std::string *text)
+std::vector<uint8_t> document_reply(const std::string &text)
 {
-	service_doc doc = {};
+	held_document document = { 5, 6,
+				   g_bytes_new(text.data(), text.size()) };
+	std::vector<uint8_t> data = take(peer_document_encode(XID, &document));
 
-	doc.version = 5;
-	doc.hash = 6;
-	doc.text = text->data();
-	doc.text_bytes = text->size();
-	return doc;
+	g_bytes_unref(document.text);
+	return data;
 }
 
 TEST(PeerRpc, DocumentComesBackOrIsAbsent)
 {
 	for (size_t bytes : { (size_t)0, (size_t)1, (size_t)DOC_BYTES_MAX }) {
 		std::string text(bytes, 'x');
-		service_doc doc = document(&text);
-		std::vector<uint8_t> data =
-			take(peer_document_encode(XID, &doc));
-		peer_document back;
+		std::vector<uint8_t> data = document_reply(text);
+		held_document back;
 		gsize length;
 
 		ASSERT_LE(data.size(), (size_t)PEER_REPLY_BYTES_MAX);
@@ -375,8 +372,9 @@
 		g_bytes_unref(back.text);
 	}
 	GError *error = nullptr;
-	peer_document back;
-	std::vector<uint8_t> data = take(peer_document_encode(XID, nullptr));
+	held_document back;
+	const held_document absent = {};
+	std::vector<uint8_t> data = take(peer_document_encode(XID, &absent));
 
 	EXPECT_FALSE(peer_document_decode(data.data(), data.size(), XID, &back,
 					  &error));
@@ -387,9 +385,8 @@
 TEST(PeerRpc, TextAboveItsBoundIsRefused)
 {
 	std::string text(DOC_BYTES_MAX + 1, 'x');
-	service_doc doc = document(&text);
-	std::vector<uint8_t> data = take(peer_document_encode(XID, &doc));
-	peer_document back;
+	std::vector<uint8_t> data = document_reply(text);
+	held_document back;
 
 	EXPECT_FALSE(peer_document_decode(data.data(), data.size(), XID, &back,
 					  nullptr));
@@ -398,9 +395,8 @@
 TEST(PeerRpc, ReplyToAnotherCallIsRefused)
 {
 	std::string text = "{}";
-	service_doc doc = document(&text);
-	std::vector<uint8_t> data = take(peer_document_encode(XID, &doc));
-	peer_document back;
+	std::vector<uint8_t> data = document_reply(text);
+	held_document back;
 
 	EXPECT_FALSE(peer_document_decode(data.data(), data.size(), XID + 1,
 					  &back, nullptr));
@@ -417,7 +413,6 @@
 	GArray *offers = g_array_new(FALSE, TRUE, sizeof(config_offer));
 	GArray *instances = g_array_new(FALSE, TRUE, sizeof(instance_doc));
 	std::string text = "{\"service\":\"gallery\"}";
-	service_doc doc = document(&text);
 	std::vector<reply_case> cases;
 
 	for (uint32_t i = 0; i < 3; i++) {
@@ -432,9 +427,9 @@
 		g_array_append_val(instances, instance);
 	}
 	cases.push_back(
-		{ "document", take(peer_document_encode(XID, &doc)),
+		{ "document", document_reply(text),
 		  [](const std::vector<uint8_t> &data, uint32_t bytes) {
-			  peer_document back;
+			  held_document back;
 			  bool ok = peer_document_decode(data.data(), bytes,
 							 XID, &back, nullptr);
 
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -103,6 +103,8 @@
 		settings.peer_listen = own.peer;
 		settings.domain = own.domain;
 		settings.worker_threads = 64;
+		settings.retry_min_ms = 1000;
+		settings.retry_max_ms = 3000;
 		settings.entries_ttl_ms = 5000;
 		settings.drain_max_ms = 30000;
 		settings.random_seed = 42;
