--- a/src/cli/log.c
+++ b/src/cli/log.c
@@ -27,7 +27,9 @@
 	line = log_line(settings->log_format, level, fields, field_count,
 			clock_now().unix_ms);
 	/* One call, so that lines of two threads never mix. */
-	written = fputs(line, stderr);
+	written = fputs(line, stdout);
+	if (written >= 0)
+		written = fflush(stdout);
 	g_free(line);
 	return written < 0 ? G_LOG_WRITER_UNHANDLED : G_LOG_WRITER_HANDLED;
 }
--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -337,6 +337,9 @@
 		if (http_field_reserved(names, field->name) ||
 		    listed_in_connection(head, field->name))
 			continue;
+		if (strcasecmp(field->name, names->request_id) == 0)
+			g_strlcpy(request->id, field->value,
+				  sizeof(request->id));
 		copy = &request->headers[request->header_count++];
 		copy->name = g_strdup(field->name);
 		copy->value = g_strdup(field->value);
--- a/src/codec/log_line.c
+++ b/src/codec/log_line.c
@@ -9,7 +9,7 @@
 static char *text_line(const char *time, const char *level, const char *message,
 		       struct json_object *audit);
 static char *json_line(const char *time, const char *level, const char *message,
-		       struct json_object *audit);
+		       const char *key, struct json_object *record);
 static const char *level_text(GLogLevelFlags level);
 static char *find_field(const GLogField *fields, gsize field_count,
 			const char *key);
@@ -21,10 +21,15 @@
 {
 	char *message = find_field(fields, field_count, "MESSAGE");
 	char *record = find_field(fields, field_count, LOG_FIELD_AUDIT);
+	const char *key = "audit";
 	char *time = time_text(unix_ms);
 	struct json_object *audit = NULL;
 	char *line = NULL;
 
+	if (!record) {
+		record = find_field(fields, field_count, LOG_FIELD_TRACE);
+		key = "request";
+	}
 	if (record)
 		audit = json_tokener_parse(record);
 	blank_controls(message);
@@ -33,7 +38,7 @@
 		line = text_line(time, level_text(level), message, audit);
 		break;
 	case LOG_JSON:
-		line = json_line(time, level_text(level), message, audit);
+		line = json_line(time, level_text(level), message, key, audit);
 		break;
 	}
 	json_object_put(audit);
@@ -64,7 +69,7 @@
 }
 
 static char *json_line(const char *time, const char *level, const char *message,
-		       struct json_object *audit)
+		       const char *key, struct json_object *record)
 {
 	struct json_object *out = json_object_new_object();
 	const char *text;
@@ -74,8 +79,8 @@
 	json_object_object_add(out, "level", json_object_new_string(level));
 	json_object_object_add(out, "message",
 			       json_object_new_string(message ? message : ""));
-	if (audit)
-		json_object_object_add(out, "audit", json_object_get(audit));
+	if (record)
+		json_object_object_add(out, key, json_object_get(record));
 	text = json_object_to_json_string_ext(
 		out, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
 	line = g_strconcat(text, "\n", NULL);
--- a/src/codec/log_line.h
+++ b/src/codec/log_line.h
@@ -9,13 +9,15 @@
 
 /* Field of a structured log event that holds an audit record's JSON. */
 #define LOG_FIELD_AUDIT "NUTMEGCRANK_AUDIT"
+/* The same for a decision on a request. */
+#define LOG_FIELD_TRACE "NUTMEGCRANK_TRACE"
 
 /**
  * log_line() - write one event as one line
  * @format: text or JSON
  * @level: its level
- * @fields: fields of GLib's structured logging; MESSAGE and LOG_FIELD_AUDIT
- *	are shown
+ * @fields: fields of GLib's structured logging; MESSAGE, LOG_FIELD_AUDIT
+ *	and LOG_FIELD_TRACE are shown
  * @field_count: entries of @fields
  * @unix_ms: when
  *
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -25,6 +25,12 @@
 	{ "debug", LOG_MASK_DEBUG },
 };
 
+static const struct field_choice log_requests[] = {
+	{ "none", LOG_REQUESTS_NONE },
+	{ "failed", LOG_REQUESTS_FAILED },
+	{ "all", LOG_REQUESTS_ALL },
+};
+
 static const struct field_choice policies[] = {
 	{ "leased", POLICY_LEASED },
 	{ "fixed", POLICY_FIXED },
@@ -47,6 +53,9 @@
 static const struct json_field log_fields[] = {
 	{ "format", FIELD_CHOICE, false, AT(log_format),
 	  .choices = { log_formats, G_N_ELEMENTS(log_formats), LOG_TEXT } },
+	{ "requests", FIELD_CHOICE, false, AT(log_requests),
+	  .choices = { log_requests, G_N_ELEMENTS(log_requests),
+		       LOG_REQUESTS_FAILED } },
 	{ "level", FIELD_CHOICE, false, AT(log_level),
 	  .choices = { log_levels, G_N_ELEMENTS(log_levels), LOG_MASK_INFO } },
 };
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -3,6 +3,7 @@
 #include "command/leave.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
+#include "command/trace.h"
 #include "query/pick.h"
 #include "query/route.h"
 
@@ -144,6 +145,8 @@
 
 	if (cause == REFUSAL_NO_SERVICE)
 		event.refuse.refusal.retry_at_unix_ms = 0;
+	trace_refusal(state, NULL, request, &event.refuse.refusal, now,
+		      out);
 	state->refused_early[cause]++;
 	event_list_add(out, &event);
 }
@@ -290,6 +293,7 @@
 	uint32_t own = doc->classes[ticket->class_index].priority;
 	GArray *victims = NULL;
 	uint32_t lowest = own;
+	struct refusal refusal;
 	GArray *queue;
 	uint32_t index;
 	uint32_t i;
@@ -308,8 +312,8 @@
 	index = g_array_index(victims, uint32_t, victims->len - 1);
 	ticket_dequeue(state, index);
 	overload_note(state, service, now, out);
-	ticket_refuse(state, index, load_refusal(state, REFUSAL_OVERLOAD, now),
-		      out);
+	refusal = load_refusal(state, REFUSAL_OVERLOAD, now);
+	ticket_refuse(state, index, refusal, now, out);
 	return true;
 }
 
@@ -319,12 +323,9 @@
 	struct refusal refusal = {
 		.cause = cause,
 		.outcome = OUTCOME_NOT_RUN,
-		.retry_at_unix_ms = now.unix_ms,
+		.retry_at_unix_ms = retry_advice_unix_ms(state, now),
 	};
 
-	refusal.retry_at_unix_ms += (uint64_t)g_rand_int_range(
-		state->rand, (gint32)state->settings->retry_min_ms,
-		(gint32)state->settings->retry_max_ms);
 	return refusal;
 }
 
@@ -337,5 +338,5 @@
 
 	if (cause != REFUSAL_DEADLINE && cause != REFUSAL_NO_BACKEND)
 		overload_note(state, ticket->service, now, out);
-	ticket_refuse(state, index, refusal, out);
+	ticket_refuse(state, index, refusal, now, out);
 }
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -3,6 +3,7 @@
 #include "command/health.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
+#include "command/trace.h"
 
 /* What one retry takes from the service's budget. */
 #define RETRY_COST_PERMILLE 1000
@@ -105,6 +106,7 @@
 	struct refusal refusal = { 0 };
 
 	if (evidence->kind == EVIDENCE_OK || evidence->head_given) {
+		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		count_outcome(ticket,
 			      evidence->kind == EVIDENCE_OK ||
 					      evidence->kind ==
@@ -121,18 +123,26 @@
 	}
 	if (may_retry(ticket, evidence, now)) {
 		if (take_budget(ticket->service)) {
+			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
+				  out);
 			retry(state, index, command->backend, evidence, now);
 			return;
 		}
 		ticket->service->counters.retries_denied++;
 	}
 	if (command->held) {
+		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		complete(state, index, command, out);
 		return;
 	}
+	trace_end(state, ticket, evidence,
+		  ticket->cancelled ? FOLLOW_NOTHING : FOLLOW_REFUSAL, now,
+		  out);
 	refusal.cause = cause_of(evidence->kind);
 	refusal.outcome = outcome_of(ticket, evidence);
-	ticket_refuse(state, index, refusal, out);
+	if (refusal.outcome == OUTCOME_NOT_RUN)
+		refusal.retry_at_unix_ms = retry_advice_unix_ms(state, now);
+	ticket_refuse(state, index, refusal, now, out);
 }
 
 /* It was too late to send, as after a pause; the slot's lease may be over. */
@@ -148,7 +158,7 @@
 	if (now.mono_us < ticket->deadline_us)
 		ticket_enqueue(state, index, now);
 	else
-		ticket_refuse(state, index, refusal, out);
+		ticket_refuse(state, index, refusal, now, out);
 }
 
 /* The backend server's own error goes to the caller as it came. */
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -2,6 +2,7 @@
 
 #include "command/lease.h"
 #include "command/ticket.h"
+#include "command/trace.h"
 #include "query/pick.h"
 
 /* One grant in so many begins with the lowest class, so that it never stops. */
@@ -181,6 +182,7 @@
 	ticket->granted_us = now.mono_us;
 	ticket->backend_index = pick->backend_index;
 	ticket->borrowed_index = pick->borrowed_index;
+	trace_grant(state, ticket, now, out);
 	occupy(service, ticket);
 	histogram_add(&service->counters.classes[ticket->class_index].queue_us,
 		      now.mono_us - ticket->queued_us);
@@ -255,6 +257,6 @@
 		else
 			refusal.outcome = OUTCOME_NOT_RUN;
 		ticket_dequeue(state, index);
-		ticket_refuse(state, index, refusal, out);
+		ticket_refuse(state, index, refusal, now, out);
 	}
 }
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -1,5 +1,7 @@
 #include "command/ticket.h"
 
+#include "command/trace.h"
+
 #include <string.h>
 
 static uint64_t order_of(const struct state *state,
@@ -106,7 +108,7 @@
 }
 
 void ticket_refuse(struct state *state, uint32_t index, struct refusal refusal,
-		   struct event_list *out)
+		   struct instant now, struct event_list *out)
 {
 	struct ticket *ticket = &state->tickets[index];
 	struct class_counters *counters =
@@ -119,10 +121,19 @@
 
 	counters->refused_requests[refusal.cause]++;
 	counters->outcome_requests[refusal.outcome]++;
+	trace_refusal(state, ticket, ticket->request, &refusal, now, out);
 	event_list_add(out, &event);
 	ticket_free(state, index);
 }
 
+uint64_t retry_advice_unix_ms(struct state *state, struct instant now)
+{
+	return now.unix_ms +
+	       (uint64_t)g_rand_int_range(state->rand,
+					  (gint32)state->settings->retry_min_ms,
+					  (gint32)state->settings->retry_max_ms);
+}
+
 GArray *queue_of(const struct state *state, const struct ticket *ticket)
 {
 	struct class_queue *queue;
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -58,10 +58,11 @@
  * @state: the state
  * @index: its index
  * @refusal: what to tell the caller
+ * @now: the time
  * @out: gets EVENT_REFUSE
  */
 void ticket_refuse(struct state *state, uint32_t index, struct refusal refusal,
-		   struct event_list *out);
+		   struct instant now, struct event_list *out);
 
 /**
  * queue_of() - the queue a ticket belongs to
@@ -72,4 +73,13 @@
  */
 GArray *queue_of(const struct state *state, const struct ticket *ticket);
 
+/**
+ * retry_advice_unix_ms() - when a refused caller may come back
+ * @state: the state
+ * @now: the time
+ *
+ * Return: wall clock, spread by chance over the span that the settings give.
+ */
+uint64_t retry_advice_unix_ms(struct state *state, struct instant now);
+
 #endif
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -173,6 +173,18 @@
  */
 enum log_format { LOG_TEXT, LOG_JSON };
 
+/**
+ * enum log_requests - which decisions on requests are logged
+ * @LOG_REQUESTS_NONE: none
+ * @LOG_REQUESTS_FAILED: those that somebody may ask for later
+ * @LOG_REQUESTS_ALL: all
+ */
+enum log_requests {
+	LOG_REQUESTS_NONE,
+	LOG_REQUESTS_FAILED,
+	LOG_REQUESTS_ALL,
+};
+
 /**
  * enum policy_choice - ways of deciding that are measured side by side
  * @POLICY_LEASED: shares of slots, unused ones are lent
@@ -243,6 +255,7 @@
  * @entries_ttl_ms: how long callers may keep an answer to entries
  * @drain_max_ms: longest planned stop
  * @log_format: text or JSON
+ * @log_requests: enum log_requests
  * @log_level: GLib log level mask that is shown
  * @random_seed: seed of the decisions' random numbers; 0 takes one and logs it
  * @policy: enum policy_choice, for measurements
@@ -272,6 +285,7 @@
 	uint32_t entries_ttl_ms;
 	uint32_t drain_max_ms;
 	enum log_format log_format;
+	uint32_t log_requests;
 	uint32_t log_level;
 	uint32_t random_seed;
 	uint32_t policy;
--- a/src/core/event.c
+++ b/src/core/event.c
@@ -41,6 +41,7 @@
 		break;
 	case EVENT_CANCEL:
 	case EVENT_AUDIT:
+	case EVENT_TRACE:
 	case EVENT_CONFIG_PULL:
 	case EVENT_CONFIG_ROLE:
 	case EVENT_LEFT:
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -10,6 +10,7 @@
 
 #include "core/audit.h"
 #include "core/command.h"
+#include "core/trace.h"
 
 enum event_kind {
 	EVENT_GRANT,
@@ -17,6 +18,7 @@
 	EVENT_DELIVER,
 	EVENT_CANCEL,
 	EVENT_AUDIT,
+	EVENT_TRACE,
 	EVENT_PEER_SEND,
 	EVENT_CONFIG_PULL,
 	EVENT_CONFIG_ROLE,
@@ -143,6 +145,7 @@
 		struct deliver_event deliver;
 		struct cancel_event cancel;
 		struct audit_record audit;
+		struct trace_record trace;
 		struct peer_send_event peer_send;
 		struct config_pull_event config_pull;
 		struct config_role_event config_role;
--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -23,3 +23,30 @@
 	}
 	return true;
 }
+
+const char *evidence_kind_text(enum evidence_kind kind)
+{
+	switch (kind) {
+	case EVIDENCE_OK:
+		return "ok";
+	case EVIDENCE_SERVER_ERROR:
+		return "server_error";
+	case EVIDENCE_SHED:
+		return "shed";
+	case EVIDENCE_CONNECT:
+		return "connect";
+	case EVIDENCE_TIMEOUT:
+		return "timeout";
+	case EVIDENCE_RESET:
+		return "reset";
+	case EVIDENCE_TRUNCATED:
+		return "truncated";
+	case EVIDENCE_BAD_ANSWER:
+		return "bad_answer";
+	case EVIDENCE_CANCELLED:
+		return "cancelled";
+	case EVIDENCE_LATE:
+		return "late";
+	}
+	return "";
+}
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -71,4 +71,12 @@
  */
 bool evidence_failed(const struct evidence *evidence);
 
+/**
+ * evidence_kind_text() - stable machine-readable word for a kind
+ * @kind: the kind
+ *
+ * Return: static text such as "timeout".
+ */
+const char *evidence_kind_text(enum evidence_kind kind);
+
 #endif
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -131,6 +131,7 @@
  * @caller_gone: set by the front when the caller is known to be gone, atomic
  * @answer_paused: set by the exchange when it waits for room in @answer, taken
  *	back by whoever sends ORDER_RESUME, atomic
+ * @id: as its caller gave it, empty when it gave none
  * @method: request method
  * @target: path and query as sent
  * @headers: end-to-end headers only
@@ -142,6 +143,7 @@
 	gint refs;
 	gint caller_gone;
 	gint answer_paused;
+	char id[NAME_BYTES_MAX];
 	enum http_method method;
 	char *target;
 	struct header headers[REQUEST_HEADERS_MAX];
--- a/src/duty/audit.c
+++ b/src/duty/audit.c
@@ -4,17 +4,46 @@
 
 #include "codec/log_line.h"
 #include "codec/report_text.h"
+#include "codec/trace_text.h"
+#include "core/clock.h"
 #include "ring/ring.h"
 
-#define AUDIT_RING_RECORDS 1024
+/* What the process believes is kept before what it did with a request. */
+#define LOG_RING_ITEMS 1024
+#define LOG_RING_RESERVE 512
+
+/**
+ * enum log_item_kind - tag of struct log_item
+ * @LOG_ITEM_AUDIT: a change of what the process believes
+ * @LOG_ITEM_TRACE: a decision on a request
+ */
+enum log_item_kind { LOG_ITEM_AUDIT, LOG_ITEM_TRACE };
+
+/**
+ * struct log_item - item of the duty's ring
+ * @kind: which member of the union holds
+ * @audit: with LOG_ITEM_AUDIT
+ * @trace: with LOG_ITEM_TRACE
+ */
+struct log_item {
+	enum log_item_kind kind;
+	union {
+		struct audit_record audit;
+		struct trace_record trace;
+	};
+};
 
 struct audit_duty {
 	struct ring *ring;
 	pthread_t thread;
+	uint64_t dropped_told;
+	uint64_t dropped_due_us;
 };
 
 static void *audit_thread(void *data);
-static void log_record(const struct audit_record *record);
+static void tell_dropped(struct audit_duty *duty);
+static void log_audit(const struct audit_record *record);
+static void log_trace(const struct trace_record *record);
 
 struct audit_duty *audit_start(const struct settings *settings,
 			       struct ring *dispatch, GError **error)
@@ -23,8 +52,8 @@
 
 	(void)settings;
 	(void)dispatch;
-	duty->ring =
-		ring_new(sizeof(struct audit_record), AUDIT_RING_RECORDS, 0);
+	duty->ring = ring_new(sizeof(struct log_item), LOG_RING_ITEMS,
+			      LOG_RING_RESERVE);
 	if (pthread_create(&duty->thread, NULL, audit_thread, duty) == 0)
 		return duty;
 	g_set_error(error, DUTY_ERROR, DUTY_ERROR_THREAD,
@@ -47,20 +76,56 @@
 enum ring_result audit_send(struct audit_duty *duty,
 			    const struct audit_record *record)
 {
-	return ring_push(duty->ring, record);
+	const struct log_item item = { .kind = LOG_ITEM_AUDIT,
+				       .audit = *record };
+
+	return ring_push_reserved(duty->ring, &item);
+}
+
+enum ring_result audit_send_trace(struct audit_duty *duty,
+				  const struct trace_record *record)
+{
+	const struct log_item item = { .kind = LOG_ITEM_TRACE,
+				       .trace = *record };
+
+	return ring_push(duty->ring, &item);
 }
 
 static void *audit_thread(void *data)
 {
 	struct audit_duty *duty = data;
-	struct audit_record record;
+	struct log_item item;
 
-	while (ring_pop(duty->ring, &record, DEADLINE_NONE_US) == RING_OK)
-		log_record(&record);
+	while (ring_pop(duty->ring, &item, DEADLINE_NONE_US) == RING_OK) {
+		switch (item.kind) {
+		case LOG_ITEM_AUDIT:
+			log_audit(&item.audit);
+			break;
+		case LOG_ITEM_TRACE:
+			log_trace(&item.trace);
+			break;
+		}
+		tell_dropped(duty);
+	}
 	return NULL;
 }
 
-static void log_record(const struct audit_record *record)
+/* A second apart at least, so that a full ring does not fill the log. */
+static void tell_dropped(struct audit_duty *duty)
+{
+	uint64_t dropped = ring_refused(duty->ring);
+	uint64_t now_us = clock_now_us();
+
+	if (dropped == duty->dropped_told || now_us < duty->dropped_due_us)
+		return;
+	g_warning("log: %" G_GUINT64_FORMAT
+		  " lines dropped since the last such line: the ring was full",
+		  dropped - duty->dropped_told);
+	duty->dropped_told = dropped;
+	duty->dropped_due_us = now_us + US_PER_S;
+}
+
+static void log_audit(const struct audit_record *record)
 {
 	char *json = audit_record_to_json(record);
 
@@ -68,3 +133,12 @@
 			 json, "MESSAGE", "%s", "audit");
 	g_free(json);
 }
+
+static void log_trace(const struct trace_record *record)
+{
+	char *json = trace_record_to_json(record);
+
+	g_log_structured(G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, LOG_FIELD_TRACE,
+			 json, "MESSAGE", "%s", "request");
+	g_free(json);
+}
--- a/src/duty/audit.h
+++ b/src/duty/audit.h
@@ -2,7 +2,7 @@
 #define DUTY_AUDIT_H
 
 /**
- * DOC: audit duty: logs the audit trail
+ * DOC: audit duty: logs the audit trail and the trace of requests
  */
 
 #include "core/error.h"
@@ -37,4 +37,14 @@
 enum ring_result audit_send(struct audit_duty *duty,
 			    const struct audit_record *record);
 
+/**
+ * audit_send_trace() - log a decision on a request
+ * @duty: the duty
+ * @record: copied
+ *
+ * Return: RING_OK, RING_FULL when it is dropped and counted, or RING_CLOSED.
+ */
+enum ring_result audit_send_trace(struct audit_duty *duty,
+				  const struct trace_record *record);
+
 #endif
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -158,6 +158,12 @@
 		check_handed(audit_send(links->audit, &event->audit), "audit",
 			     event);
 		break;
+	case EVENT_TRACE:
+		/* The duty itself says how many it had no room for. */
+		if (audit_send_trace(links->audit, &event->trace) !=
+		    RING_OK)
+			g_debug("dispatch: a trace record was dropped");
+		break;
 	case EVENT_PEER_SEND:
 		check_handed(peer_send_send(links->peer_send,
 					    &event->peer_send),
@@ -215,7 +221,8 @@
 	};
 
 	/* Only an answer that has begun could fill the ring. */
-	if (ring_push_reserved(event->refuse.request->answer, &part) != RING_OK)
+	if (ring_push_reserved(event->refuse.request->answer, &part) ==
+	    RING_FULL)
 		g_warning("dispatch: a refusal found no room");
 	event_clear(event);
 }
