--- a/src/command/health.c
+++ b/src/command/health.c
@@ -63,6 +63,7 @@
 		evidence_learn_typical(service, ticket, evidence->service_us);
 	if (ticket->granted_us < backend->health.resumed_us)
 		return;
+	evidence_caution(&backend->health, end, now);
 	evidence_count(&backend->health, end, now);
 	if (backend->health.state == HEALTH_TRICKLE)
 		observe_trickle(&change, end);
@@ -128,10 +129,6 @@
 	struct backend *backend;
 	uint32_t i;
 
-	if (old)
-		memset(service->route_typical_us, 0,
-		       (DOC_ROUTES_MAX + 1) *
-			       sizeof(*service->route_typical_us));
 	for (i = 0; i < service->backend_count; i++) {
 		backend = &service->backends[i];
 		change.backend = backend;
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -13,9 +13,12 @@
 
 /* Judgements this far apart mean that the process was paused. */
 #define PAUSE_US (1500 * US_PER_MS)
+/* After failed work others go first for this long, doubled with each more. */
+#define CAUTION_US (500 * US_PER_MS)
+#define CAUTION_DOUBLINGS_MAX 4
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
-		    struct instant now);
+		    uint32_t factor, struct instant now);
 
 void evidence_count(struct health *health, enum work_end end,
 		    struct instant now)
@@ -43,6 +46,28 @@
 	}
 }
 
+void evidence_caution(struct health *health, enum work_end end,
+		      struct instant now)
+{
+	uint32_t doublings;
+
+	switch (end) {
+	case WORK_NOTHING:
+		break;
+	case WORK_OK:
+		health->failed_in_row = 0;
+		health->caution_until_us = 0;
+		break;
+	case WORK_FAILED:
+	case WORK_SLOW:
+		doublings = MIN(health->failed_in_row, CAUTION_DOUBLINGS_MAX);
+		health->failed_in_row++;
+		health->caution_until_us =
+			now.mono_us + (CAUTION_US << doublings);
+		break;
+	}
+}
+
 enum work_end evidence_judge(const struct service *service,
 			     const struct ticket *ticket,
 			     const struct evidence *evidence)
@@ -99,8 +124,10 @@
 	struct health *health;
 	uint32_t i;
 
-	for (i = 0; i < service->backend_count; i++)
+	for (i = 0; i < service->backend_count; i++) {
 		service->backends[i].health.overdue_requests = 0;
+		service->backends[i].health.lagging_requests = 0;
+	}
 	for (i = 0; i < TICKETS_MAX && left > 0; i++) {
 		ticket = &state->tickets[i];
 		if (ticket->service != service ||
@@ -110,9 +137,11 @@
 		if (ticket->backend_index >= service->backend_count)
 			continue;
 		health = &service->backends[ticket->backend_index].health;
-		if (ticket->granted_us >= health->resumed_us &&
-		    overdue(service, ticket, now))
-			health->overdue_requests++;
+		if (ticket->granted_us < health->resumed_us)
+			continue;
+		health->overdue_requests +=
+			overdue(service, ticket, OVERDUE_FACTOR, now);
+		health->lagging_requests += overdue(service, ticket, 1, now);
 	}
 }
 
@@ -138,11 +167,12 @@
 		health->accused_us = 0;
 		health->sick_us = 0;
 		health->overdue_requests = 0;
+		health->lagging_requests = 0;
 	}
 }
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
-		    struct instant now)
+		    uint32_t factor, struct instant now)
 {
 	uint64_t slow_after_us = health_slow_after_us(
 		service->route_typical_us[ticket->route_index]);
@@ -150,5 +180,5 @@
 	if (slow_after_us == UINT64_MAX || now.mono_us < ticket->granted_us)
 		return false;
 	return now.mono_us - ticket->granted_us >
-	       slow_after_us * OVERDUE_FACTOR;
+	       slow_after_us * factor;
 }
--- a/src/command/health_evidence.h
+++ b/src/command/health_evidence.h
@@ -21,6 +21,15 @@
 void evidence_count(struct health *health, enum work_end end,
 		    struct instant now);
 
+/**
+ * evidence_caution() - be careful with a backend server after failed work
+ * @health: of the backend server
+ * @end: what a piece of work says
+ * @now: the time
+ */
+void evidence_caution(struct health *health, enum work_end end,
+		      struct instant now);
+
 /**
  * evidence_judge() - what the end of an exchange says
  * @service: gives the route's typical time
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -70,8 +70,11 @@
 /**
  * struct health - all that is known of one backend server's health
  * @state: what work it gets
+ * @failed_in_row: failed or hanging work since the last whole answer
+ * @caution_until_us: no new work before this while others have room
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
+ * @lagging_requests: running work that takes longer than it should
  
  * @views: other homes' evidence
  * @next_step_us: when a back-off, a trickle without work or a ramp step ends
@@ -102,8 +105,11 @@
  */
 struct health {
 	enum health_state state;
+	uint32_t failed_in_row;
+	uint64_t caution_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
 	uint32_t overdue_requests;
+	uint32_t lagging_requests;
 
 	struct health_view views[HOMES_MAX];
 	uint64_t next_step_us;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -7,6 +7,8 @@
 #define SUSPECTED_PART_SLOTS 4
 
 static uint32_t reduced_slots(uint32_t slots, uint32_t permille);
+static bool views_speak_against(const struct backend *backend,
+				struct instant now);
 static bool view_says_draining(const struct backend *backend,
 			       struct instant now);
 static bool view_says_cold(const struct backend *backend, struct instant now);
@@ -55,6 +57,20 @@
 	return backend->cold || view_says_cold(backend, now);
 }
 
+enum caution_level backend_caution(const struct backend *backend,
+				   struct instant now)
+{
+	const struct health *health = &backend->health;
+
+	if (health->lagging_requests > 0 ||
+	    now.mono_us < health->caution_until_us)
+		return CAUTION_AVOID;
+	if (health->failed_in_row > 0 || health->suspected ||
+	    views_speak_against(backend, now))
+		return CAUTION_TRIAL;
+	return CAUTION_NONE;
+}
+
 bool backend_idempotent_only(const struct backend *backend)
 {
 	return backend->health.state == HEALTH_TRICKLE;
@@ -136,6 +152,25 @@
 	return open > 0 ? open : MIN(slots, 1);
 }
 
+/* Whether most of what the other homes tell is bad. */
+static bool views_speak_against(const struct backend *backend,
+				struct instant now)
+{
+	const struct health_view *view;
+	uint32_t good = 0;
+	uint32_t bad = 0;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (!view_fresh(view, now))
+			continue;
+		good += view->ok_requests;
+		bad += view->failed_requests + view->slow_requests;
+	}
+	return bad > good;
+}
+
 static bool view_says_draining(const struct backend *backend,
 			       struct instant now)
 {
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -34,6 +34,28 @@
  */
 bool backend_cold(const struct backend *backend, struct instant now);
 
+/**
+ * enum caution_level - how gladly a backend server is given work
+ * @CAUTION_NONE: like any other
+ * @CAUTION_TRIAL: work that may be repeated goes there like anywhere, other work
+ *	only when nobody else has room
+ * @CAUTION_AVOID: only when nobody else has room
+ */
+enum caution_level { CAUTION_NONE, CAUTION_TRIAL, CAUTION_AVOID };
+
+/**
+ * backend_caution() - what the last work says, long before a verdict
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Orders the choice only: it takes nothing out of service, so it needs no part
+ * of the floor.
+ *
+ * Return: the level.
+ */
+enum caution_level backend_caution(const struct backend *backend,
+				   struct instant now);
+
 /**
  * backend_idempotent_only() - whether it gets idempotent work alone
  * @backend: the backend server
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -10,6 +10,10 @@
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
+static uint64_t rank_of(const struct state *state,
+			const struct backend *backend,
+			const struct ticket *ticket, uint32_t open,
+			struct instant now);
 static bool pick_borrowed(const struct service *service,
 			  const struct ticket *ticket, struct instant now,
 			  struct pick *out);
@@ -89,8 +93,8 @@
 	bool round_robin = state->policy.picking == PICKING_ROUND_ROBIN;
 	const struct backend *best = NULL;
 	const struct backend *backend;
-	uint64_t best_load = 0;
-	uint64_t load;
+	uint64_t best_rank = 0;
+	uint64_t rank;
 	uint32_t ties = 0;
 	uint32_t open;
 	uint32_t index;
@@ -104,16 +108,16 @@
 		if (!has_room(backend, open, ticket->long_work) ||
 		    !allowed(backend, ticket))
 			continue;
-		load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
-		if (best && load > best_load)
+		rank = rank_of(state, backend, ticket, open, now);
+		if (best && rank > best_rank)
 			continue;
-		/* Of equally loaded ones each is as likely as another. */
-		ties = !best || load < best_load ? 1 : ties + 1;
+		/* Of equal ones each is as likely as another. */
+		ties = !best || rank < best_rank ? 1 : ties + 1;
 		if (ties > 1 &&
 		    g_rand_int_range(state->rand, 0, (gint32)ties) != 0)
 			continue;
 		best = backend;
-		best_load = load;
+		best_rank = rank;
 		out->backend_index = index;
 		if (round_robin)
 			break;
@@ -121,6 +125,22 @@
 	return best != NULL;
 }
 
+/* The lowest goes first: by caution, then by load. */
+static uint64_t rank_of(const struct state *state,
+			const struct backend *backend,
+			const struct ticket *ticket, uint32_t open,
+			struct instant now)
+{
+	uint64_t load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
+	enum caution_level caution = CAUTION_NONE;
+
+	if (state->policy.ejecting)
+		caution = backend_caution(backend, now);
+	if (caution == CAUTION_TRIAL && ticket->idempotent)
+		caution = CAUTION_NONE;
+	return (uint64_t)caution * (PERMILLE_ONE + 1) + load;
+}
+
 static bool pick_borrowed(const struct service *service,
 			  const struct ticket *ticket, struct instant now,
 			  struct pick *out)
