--- a/src/codec/peer_rpc.c
+++ b/src/codec/peer_rpc.c
@@ -11,7 +11,10 @@
 #define DIGEST_CHARGED 2
 #define DIGEST_DRAINING 4
 #define DIGEST_COLD 8
-#define DIGEST_FLAGS 15
+#define DIGEST_AVOIDED 16
+#define DIGEST_FLAGS                                                    \
+	(DIGEST_EJECTED | DIGEST_CHARGED | DIGEST_DRAINING | DIGEST_COLD | \
+	 DIGEST_AVOIDED)
 
 /**
  * struct wire_room - what a message on the wire points at
@@ -168,6 +171,8 @@
 		flags |= DIGEST_DRAINING;
 	if (entry->cold)
 		flags |= DIGEST_COLD;
+	if (entry->avoided)
+		flags |= DIGEST_AVOIDED;
 	return flags;
 }
 
@@ -287,6 +292,7 @@
 		to->charged = (from->flags & DIGEST_CHARGED) != 0;
 		to->draining = (from->flags & DIGEST_DRAINING) != 0;
 		to->cold = (from->flags & DIGEST_COLD) != 0;
+		to->avoided = (from->flags & DIGEST_AVOIDED) != 0;
 	}
 	return true;
 }
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -77,6 +77,12 @@
 	event_list_add(out, &event);
 }
 
+bool finish_may_spend(const struct service *service)
+{
+	return !service->overload &&
+	       service->retry_budget_permille >= RETRY_COST_PERMILLE;
+}
+
 static void learn(struct service *service, const struct ticket *ticket,
 		  const struct evidence *evidence, struct instant now)
 {
@@ -193,8 +199,7 @@
 
 static bool take_budget(struct service *service)
 {
-	if (service->overload ||
-	    service->retry_budget_permille < RETRY_COST_PERMILLE)
+	if (!finish_may_spend(service))
 		return false;
 	service->retry_budget_permille -= RETRY_COST_PERMILLE;
 	service->counters.retries++;
--- a/src/command/finish.h
+++ b/src/command/finish.h
@@ -29,4 +29,12 @@
 void cancel(struct state *state, const struct cancel_command *command,
 	    struct instant now, struct event_list *out);
 
+/**
+ * finish_may_spend() - whether the service has a retry to spend
+ * @service: the service
+ *
+ * Return: false while its budget is used up or it is overloaded.
+ */
+bool finish_may_spend(const struct service *service);
+
 #endif
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -256,6 +256,7 @@
 	view->charged = entry->charged;
 	view->draining = entry->draining;
 	view->cold = entry->cold;
+	view->avoided = entry->avoided;
 	if (entry->charged && entry->ejected && !covered)
 		follow(change);
 }
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -33,6 +33,7 @@
  * @backend: to whom
  * @instance: which start of it is meant, may be empty
  * @deadline_us: absolute end of the exchange
+ * @told_deadline_us: end of the request's time, told to the backend server
  * @send_before_us: not after this, for a slot may be lent by then
  * @hold_server_error: give a 5xx answer to the decisions first
  * @connections_max: connections this instance may hold to the backend server
@@ -45,6 +46,7 @@
 	struct net_addr backend;
 	struct name instance;
 	uint64_t deadline_us;
+	uint64_t told_deadline_us;
 	uint64_t send_before_us;
 	bool hold_server_error;
 	uint32_t connections_max;
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -53,6 +53,7 @@
  * @charged: its part of the ejection budget pays for that
  * @draining: it knows that the backend server drains
  * @cold: its probe says that the backend server starts cold
+ * @avoided: it prefers others, for work there failed or hangs now
  */
 struct health_view {
 	struct net_addr home;
@@ -65,6 +66,7 @@
 	bool charged;
 	bool draining;
 	bool cold;
+	bool avoided;
 };
 
 /**
@@ -74,6 +76,7 @@
  * @caution_until_us: no new work before this while others have room
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
+ * @avoid_told: the other homes know that this one prefers others
  * @lagging_requests: running work that takes longer than it should
  
  * @views: other homes' evidence
@@ -109,6 +112,7 @@
 	uint64_t caution_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
 	uint32_t overdue_requests;
+	bool avoid_told;
 	uint32_t lagging_requests;
 
 	struct health_view views[HOMES_MAX];
--- a/src/core/peer.h
+++ b/src/core/peer.h
@@ -79,6 +79,7 @@
  * @charged: the sender's part of the ejection budget pays for that
  * @draining: the sender knows that it drains
  * @cold: the sender's probe says that it starts cold
+ * @avoided: the sender prefers others, for work there failed or hangs now
  */
 struct digest_entry {
 	struct net_addr backend;
@@ -89,6 +90,7 @@
 	bool charged;
 	bool draining;
 	bool cold;
+	bool avoided;
 };
 
 /**
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -62,8 +62,7 @@
 {
 	const struct health *health = &backend->health;
 
-	if (health->lagging_requests > 0 ||
-	    now.mono_us < health->caution_until_us)
+	if (backend_avoided_here(backend, now))
 		return CAUTION_AVOID;
 	if (health->failed_in_row > 0 || health->suspected ||
 	    views_speak_against(backend, now))
@@ -71,6 +70,12 @@
 	return CAUTION_NONE;
 }
 
+bool backend_avoided_here(const struct backend *backend, struct instant now)
+{
+	return backend->health.lagging_requests > 0 ||
+	       now.mono_us < backend->health.caution_until_us;
+}
+
 bool backend_idempotent_only(const struct backend *backend)
 {
 	return backend->health.state == HEALTH_TRICKLE;
@@ -152,7 +157,7 @@
 	return open > 0 ? open : MIN(slots, 1);
 }
 
-/* Whether most of what the other homes tell is bad. */
+/* Whether another home prefers others now, or most of what they tell is bad. */
 static bool views_speak_against(const struct backend *backend,
 				struct instant now)
 {
@@ -165,6 +170,8 @@
 		view = &backend->health.views[i];
 		if (!view_fresh(view, now))
 			continue;
+		if (view->avoided)
+			return true;
 		good += view->ok_requests;
 		bad += view->failed_requests + view->slow_requests;
 	}
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -56,6 +56,15 @@
 enum caution_level backend_caution(const struct backend *backend,
 				   struct instant now);
 
+/**
+ * backend_avoided_here() - whether this home's own work speaks for others
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true for a while after failed work and while work hangs.
+ */
+bool backend_avoided_here(const struct backend *backend, struct instant now);
+
 /**
  * backend_idempotent_only() - whether it gets idempotent work alone
  * @backend: the backend server
--- a/src/query/health_digest.c
+++ b/src/query/health_digest.c
@@ -52,7 +52,8 @@
 	struct pool own = pool_own(backend, now);
 
 	if (backend->health.out || backend->health.charged ||
-	    own_draining(backend, now) || own_cold(backend, now))
+	    own_draining(backend, now) || own_cold(backend, now) ||
+	    backend_avoided_here(backend, now))
 		return TELL_STATE;
 	if (worth_telling(service, backend, now))
 		return TELL_EVIDENCE;
@@ -122,4 +123,5 @@
 	entry->charged = backend->health.charged;
 	entry->draining = own_draining(backend, now);
 	entry->cold = own_cold(backend, now);
+	entry->avoided = backend_avoided_here(backend, now);
 }
