--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -33,6 +33,7 @@
 
 static const struct field_choice policies[] = {
 	{ "leased", POLICY_LEASED },
+	{ "domain", POLICY_DOMAIN },
 	{ "fixed", POLICY_FIXED },
 	{ "open", POLICY_OPEN },
 	{ "baseline", POLICY_BASELINE },
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -14,6 +14,7 @@
 static void refresh_service(struct state *state, struct service *service,
 			    struct instant now, struct event_list *out);
 static bool replace_homes(struct state *state, struct service *service);
+static void set_domain(const struct state *state, struct home *home);
 static void mark_dead(const struct state *state, struct home *homes,
 		      uint32_t count);
 static bool is_dead(const struct state *state, struct net_addr peer);
@@ -136,6 +137,7 @@
 			if (addr_equal(service->homes[j].peer, chosen[i]))
 				homes[i] = service->homes[j];
 		}
+		set_domain(state, &homes[i]);
 	}
 	mark_dead(state, homes, count);
 	memcpy(service->homes, homes, sizeof(homes));
@@ -148,6 +150,14 @@
 	return changed;
 }
 
+static void set_domain(const struct state *state, struct home *home)
+{
+	const struct membership *membership = &state->membership;
+	const struct member *member = membership_find(membership, home->peer);
+
+	home->domain = member ? member->listed.domain : membership->self.domain;
+}
+
 /* Only a majority takes the others for dead: in a partition one side does. */
 static void mark_dead(const struct state *state, struct home *homes,
 		      uint32_t count)
@@ -182,6 +192,7 @@
 	for (i = 0; i < service->backend_count; i++) {
 		backend = &service->backends[i];
 		backend->grown_slots = homes_share(service, backend,
+						   state->policy.sharing,
 						   service->self_home,
 						   &backend->grown_long_slots);
 		if (state->policy.sharing == SHARING_NONE)
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -132,6 +132,9 @@
 	switch (choice) {
 	case POLICY_LEASED:
 		break;
+	case POLICY_DOMAIN:
+		policy.sharing = SHARING_DOMAIN;
+		break;
 	case POLICY_FIXED:
 		policy.sharing = SHARING_FIXED;
 		break;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -25,8 +25,15 @@
  * @SHARING_NONE: every home sees all of them, the backend server sheds
  * @SHARING_FIXED: each home has a computed share
  * @SHARING_LEASED: shares, and unused ones are lent
+ * @SHARING_DOMAIN: as SHARING_LEASED, but all slots of a backend server belong
+ *	to the homes in its own failure domain, if there are any
  */
-enum sharing_kind { SHARING_NONE, SHARING_FIXED, SHARING_LEASED };
+enum sharing_kind {
+	SHARING_NONE,
+	SHARING_FIXED,
+	SHARING_LEASED,
+	SHARING_DOMAIN,
+};
 
 /**
  * enum picking_kind - how a backend server is picked
@@ -184,6 +191,7 @@
 /**
  * struct home - one instance of a service's home set
  * @peer: names it
+ * @domain: its failure domain
  * @load_permille: its last digest's load
  * @queue_requests: its last digest's queue
  * @fresh_until_us: its last digest counts until then
@@ -191,6 +199,7 @@
  */
 struct home {
 	struct net_addr peer;
+	struct name domain;
 	uint32_t load_permille;
 	uint32_t queue_requests;
 	uint64_t fresh_until_us;
--- a/src/query/homes.c
+++ b/src/query/homes.c
@@ -15,8 +15,12 @@
 	uint32_t place_in_domain;
 };
 
-static void find_owners(const struct service *service, struct net_addr backend,
-			uint32_t owners[HOMES_MAX]);
+static uint32_t find_owners(const struct service *service,
+			    const struct backend *backend,
+			    enum sharing_kind sharing,
+			    uint32_t owners[HOMES_MAX]);
+static bool in_domain(const struct service *service, uint32_t home,
+		      const struct backend *backend);
 static GArray *collect(const struct state *state, uint64_t seed);
 static void add_candidate(GArray *list, const struct instance_doc *instance,
 			  uint64_t seed);
@@ -66,20 +70,21 @@
 }
 
 uint32_t homes_share(const struct service *service,
-		     const struct backend *backend, uint32_t home,
-		     uint32_t *long_slots)
+		     const struct backend *backend, enum sharing_kind sharing,
+		     uint32_t home, uint32_t *long_slots)
 {
 	uint32_t short_only = (backend->capacity_slots + 2) / 3;
 	uint32_t owners[HOMES_MAX] = { 0 };
 	uint32_t slots = 0;
+	uint32_t count;
 	uint32_t slot;
 
 	*long_slots = 0;
 	if (service->home_count == 0 || home >= service->home_count)
 		return 0;
-	find_owners(service, backend->addr, owners);
+	count = find_owners(service, backend, sharing, owners);
 	for (slot = 0; slot < backend->capacity_slots; slot++) {
-		if (owners[slot % service->home_count] != home)
+		if (owners[slot % count] != home)
 			continue;
 		slots++;
 		if (slot >= short_only)
@@ -88,26 +93,46 @@
 	return slots;
 }
 
-/* Which home uses the slots of each rank. */
-static void find_owners(const struct service *service, struct net_addr backend,
-			uint32_t owners[HOMES_MAX])
+/*
+ * Which home uses the slots of each rank.
+ *
+ * Return: used entries of @owners, at least one.
+ */
+static uint32_t find_owners(const struct service *service,
+			    const struct backend *backend,
+			    enum sharing_kind sharing,
+			    uint32_t owners[HOMES_MAX])
 {
 	uint32_t by_rank[HOMES_MAX] = { 0 };
+	uint32_t count = service->home_count;
+	uint32_t near = 0;
 	uint32_t rank;
-	uint32_t next;
 	uint32_t i;
 
-	for (i = 0; i < service->home_count; i++)
-		by_rank[homes_rank_for_backend(service, backend, i)] = i;
-	for (rank = 0; rank < service->home_count; rank++) {
+	for (i = 0; i < count; i++)
+		by_rank[homes_rank_for_backend(service, backend->addr, i)] = i;
+	for (rank = 0; rank < count && sharing == SHARING_DOMAIN; rank++) {
+		if (in_domain(service, by_rank[rank], backend))
+			owners[near++] = by_rank[rank];
+	}
+	if (near > 0)
+		return near;
+	for (rank = 0; rank < count; rank++) {
 		owners[rank] = by_rank[rank];
-		for (i = 1; i < service->home_count; i++) {
+		for (i = 1; i < count; i++) {
 			if (!service->homes[owners[rank]].dead)
 				break;
-			next = (rank + i) % service->home_count;
-			owners[rank] = by_rank[next];
+			owners[rank] = by_rank[(rank + i) % count];
 		}
 	}
+	return count;
+}
+
+static bool in_domain(const struct service *service, uint32_t home,
+		      const struct backend *backend)
+{
+	return !service->homes[home].dead &&
+	       name_equal(&service->homes[home].domain, &backend->domain);
 }
 
 /* The published list decides, not who answers: a partition moves no share. */
--- a/src/query/homes.h
+++ b/src/query/homes.h
@@ -33,6 +33,7 @@
  * homes_share() - slots of a backend server that belong to one home
  * @service: the service with its homes
  * @backend: the backend server
+ * @sharing: how slots are dealt to homes
  * @home: index into service->homes
  * @long_slots: gets how many of them long work may use
  *
@@ -41,7 +42,7 @@
  * Return: slots.
  */
 uint32_t homes_share(const struct service *service,
-		     const struct backend *backend, uint32_t home,
-		     uint32_t *long_slots);
+		     const struct backend *backend, enum sharing_kind sharing,
+		     uint32_t home, uint32_t *long_slots);
 
 #endif
