--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -4,17 +4,26 @@
 
 /* Whatever short work needs, long work keeps this part of the slots. */
 #define LONG_SLOTS_MIN_PART 6
+/* A request waits this long for a backend server that it can trust. */
+#define TRUST_WAIT_US (200 * US_PER_MS)
 
 static bool long_fits(const struct state *state, const struct service *service,
 		      struct instant now);
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
+static enum caution_level caution_for(const struct state *state,
+				      const struct backend *backend,
+				      const struct ticket *ticket,
+				      struct instant now);
+static bool trusted(const struct state *state, const struct backend *backend,
+		    const struct ticket *ticket, struct instant now);
 static uint64_t rank_of(const struct state *state,
 			const struct backend *backend,
 			const struct ticket *ticket, uint32_t open,
 			struct instant now);
-static bool pick_borrowed(const struct service *service,
+static bool pick_borrowed(const struct state *state,
+			  const struct service *service,
 			  const struct ticket *ticket, struct instant now,
 			  struct pick *out);
 static bool allowed(const struct backend *backend, const struct ticket *ticket);
@@ -37,7 +46,7 @@
 	 */
 	if (ticket->long_work && service->self_home < service->home_count)
 		return false;
-	return pick_borrowed(service, ticket, now, out);
+	return pick_borrowed(state, service, ticket, now, out);
 }
 
 uint32_t backend_lendable_slots(const struct backend *backend,
@@ -47,7 +56,7 @@
 	uint32_t busy = backend->in_use_slots;
 	uint32_t busy_long = backend->in_use_long_slots + backend->lent_slots;
 
-	if (backend_idempotent_only(backend) || busy >= open ||
+	if (backend_caution(backend, now) != CAUTION_NONE || busy >= open ||
 	    busy_long >= backend->own_long_slots)
 		return 0;
 	return MIN(open - busy, backend->own_long_slots - busy_long);
@@ -106,7 +115,8 @@
 		backend = &service->backends[index];
 		open = open_slots(backend, now);
 		if (!has_room(backend, open, ticket->long_work) ||
-		    !allowed(backend, ticket))
+		    !allowed(backend, ticket) ||
+		    !trusted(state, backend, ticket, now))
 			continue;
 		rank = rank_of(state, backend, ticket, open, now);
 		if (best && rank > best_rank)
@@ -132,16 +142,37 @@
 			struct instant now)
 {
 	uint64_t load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
-	enum caution_level caution = CAUTION_NONE;
 
-	if (state->policy.ejecting)
-		caution = backend_caution(backend, now);
+	return (uint64_t)caution_for(state, backend, ticket, now) *
+		       (PERMILLE_ONE + 1) +
+	       load;
+}
+
+/* Another home may have a better one to lend, so it is worth a short wait. */
+static bool trusted(const struct state *state, const struct backend *backend,
+		    const struct ticket *ticket, struct instant now)
+{
+	return now.mono_us >= ticket->queued_us + TRUST_WAIT_US ||
+	       caution_for(state, backend, ticket, now) == CAUTION_NONE;
+}
+
+static enum caution_level caution_for(const struct state *state,
+				      const struct backend *backend,
+				      const struct ticket *ticket,
+				      struct instant now)
+{
+	enum caution_level caution;
+
+	if (!state->policy.ejecting)
+		return CAUTION_NONE;
+	caution = backend_caution(backend, now);
 	if (caution == CAUTION_TRIAL && ticket->idempotent)
-		caution = CAUTION_NONE;
-	return (uint64_t)caution * (PERMILLE_ONE + 1) + load;
+		return CAUTION_NONE;
+	return caution;
 }
 
-static bool pick_borrowed(const struct service *service,
+static bool pick_borrowed(const struct state *state,
+			  const struct service *service,
 			  const struct ticket *ticket, struct instant now,
 			  struct pick *out)
 {
@@ -156,7 +187,9 @@
 			continue;
 		backend = &service->backends[borrowed->backend_index];
 		if (backend->health.state != HEALTH_IN_SERVICE ||
-		    backend_draining(backend, now) || !allowed(backend, ticket))
+		    backend_draining(backend, now) ||
+		    !allowed(backend, ticket) ||
+		    !trusted(state, backend, ticket, now))
 			continue;
 		out->backend_index = borrowed->backend_index;
 		out->borrowed_index = i;
