--- a/src/command/home.c
+++ b/src/command/home.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define GROW_AFTER_US (2 * US_PER_S)
+/* Part of a far backend server's slots that anybody may use. */
+#define FAR_SLOTS_PART 3
 #define DIGEST_EVERY_US (500 * US_PER_MS)
 #define DIGEST_FRESH_US (2 * US_PER_S)
 
@@ -21,6 +23,7 @@
 static void refresh_shares(struct state *state, struct service *service,
 			   bool first, struct instant now);
 static void full_share(const struct service *service, struct backend *backend);
+static void far_share(struct backend *backend);
 static void note_cut(struct state *state, struct service *service,
 		     struct instant now, struct event_list *out);
 static void send_digests(struct state *state, struct service *service,
@@ -197,6 +200,8 @@
 						   &backend->grown_long_slots);
 		if (state->policy.sharing == SHARING_NONE)
 			full_share(service, backend);
+		if (state->policy.sharing == SHARING_DOMAIN)
+			far_share(backend);
 		if (state->policy.queueing == QUEUEING_FIFO)
 			backend->grown_long_slots = backend->grown_slots;
 		if (first) {
@@ -225,6 +230,17 @@
 		backend->capacity_slots - (backend->capacity_slots + 2) / 3;
 }
 
+/* Whoever has none of the slots may still use a few of them. */
+static void far_share(struct backend *backend)
+{
+	backend->far = backend->grown_slots == 0;
+	if (!backend->far)
+		return;
+	backend->grown_slots = MAX(backend->capacity_slots / FAR_SLOTS_PART,
+				   MIN(backend->capacity_slots, UINT32_C(1)));
+	backend->grown_long_slots = 0;
+}
+
 /* Callers shall not be sent where most of the backend servers are cut off. */
 static void note_cut(struct state *state, struct service *service,
 		     struct instant now, struct event_list *out)
--- a/src/command/lease.c
+++ b/src/command/lease.c
@@ -34,15 +34,13 @@
 static void return_unused(struct state *state, struct service *service,
 			  struct borrowed *borrowed, struct event_list *out);
 
-static bool lends(const struct policy *policy);
-
 void lease_ask(struct state *state, struct service *service, struct instant now,
 	       struct event_list *out)
 {
 	struct peer_message *message;
 	struct net_addr lender;
 
-	if (!lends(&state->policy) ||
+	if (state->policy.sharing != SHARING_LEASED ||
 	    now.mono_us < service->lease_ask_after_us)
 		return;
 	if (!next_lender(state, service, now, &lender))
@@ -203,7 +201,7 @@
 	uint32_t busy = service->running_requests + service->waiting_requests;
 	uint32_t kept = busy + usable / 4;
 
-	if (!lends(&state->policy) ||
+	if (state->policy.sharing != SHARING_LEASED ||
 	    !membership_find(&state->membership, borrower) || kept >= usable)
 		return 0;
 	return MIN(MIN(wanted_slots, usable - kept), PEER_LEASES_MAX);
@@ -303,9 +301,3 @@
 	borrowed->lender.port = 0;
 	borrowed->expires_us = 0;
 }
-
-static bool lends(const struct policy *policy)
-{
-	return policy->sharing == SHARING_LEASED ||
-	       policy->sharing == SHARING_DOMAIN;
-}
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -188,8 +188,8 @@
 /**
  * enum policy_choice - ways of deciding that are measured side by side
  * @POLICY_LEASED: shares of slots, unused ones are lent
- * @POLICY_DOMAIN: as leased, but slots go to homes of the backend server's own
- *	failure domain
+ * @POLICY_DOMAIN: slots go to homes of the backend server's own failure domain,
+ *	and a small part to everybody else
  * @POLICY_FIXED: shares of slots
  * @POLICY_OPEN: every home sees all slots, the backend servers shed
  * @POLICY_BASELINE: as open, round robin, one queue, no ejection
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -25,8 +25,9 @@
  * @SHARING_NONE: every home sees all of them, the backend server sheds
  * @SHARING_FIXED: each home has a computed share
  * @SHARING_LEASED: shares, and unused ones are lent
- * @SHARING_DOMAIN: as SHARING_LEASED, but all slots of a backend server belong
- *	to the homes in its own failure domain, if there are any
+ * @SHARING_DOMAIN: all slots of a backend server belong to the homes in its own
+ *	failure domain; every other instance may use a small part besides, so
+ *	the backend server sheds or queues what they use at the same time
  */
 enum sharing_kind {
 	SHARING_NONE,
@@ -121,6 +122,7 @@
  * @own_long_slots: part of @own_slots that long work may use
  * @grown_slots: share it will have from the service's grow_at_us on
  * @grown_long_slots: part of @grown_slots that long work may use
+ * @far: its slots belong to homes in another failure domain
  * @lent_slots: part of @own_slots lent now
  * @in_use_slots: own slots in use
  * @in_use_long_slots: own slots in use by long work
@@ -139,6 +141,7 @@
 	uint32_t own_long_slots;
 	uint32_t grown_slots;
 	uint32_t grown_long_slots;
+	bool far;
 	uint32_t lent_slots;
 	uint32_t in_use_slots;
 	uint32_t in_use_long_slots;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -135,7 +135,7 @@
 	return best != NULL;
 }
 
-/* The lowest goes first: by caution, then by load. */
+/* The lowest goes first: by caution, then the near ones, then by load. */
 static uint64_t rank_of(const struct state *state,
 			const struct backend *backend,
 			const struct ticket *ticket, uint32_t open,
@@ -143,9 +143,9 @@
 {
 	uint64_t load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
 
-	return (uint64_t)caution_for(state, backend, ticket, now) *
-		       (PERMILLE_ONE + 1) +
-	       load;
+	return (uint64_t)caution_for(state, backend, ticket, now) * 4 *
+		       PERMILLE_ONE +
+	       (backend->far ? 2 * PERMILLE_ONE : 0) + load;
 }
 
 /* Another home may have a better one to lend, so it is worth a short wait. */
