--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -16,9 +16,16 @@
 /* After failed work others go first for this long, doubled with each more. */
 #define CAUTION_US (500 * US_PER_MS)
 #define CAUTION_DOUBLINGS_MAX 4
+/* Whole answers in a row after which it is trusted again. */
+#define TRUSTED_OK_REQUESTS 2
+/* Work that takes this part longer than usual lags. */
+#define LAG_PERMILLE 1500
+#define LAG_LEAST_US (30 * US_PER_MS)
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
-		    uint32_t factor, struct instant now);
+		    struct instant now);
+static bool lags(const struct service *service, const struct ticket *ticket,
+		 struct instant now);
 
 void evidence_count(struct health *health, enum work_end end,
 		    struct instant now)
@@ -55,11 +62,15 @@
 	case WORK_NOTHING:
 		break;
 	case WORK_OK:
+		/* One that fails a part of its work has good moments too. */
+		if (++health->ok_in_row < TRUSTED_OK_REQUESTS)
+			break;
 		health->failed_in_row = 0;
 		health->caution_until_us = 0;
 		break;
 	case WORK_FAILED:
 	case WORK_SLOW:
+		health->ok_in_row = 0;
 		doublings = MIN(health->failed_in_row, CAUTION_DOUBLINGS_MAX);
 		health->failed_in_row++;
 		health->caution_until_us =
@@ -139,9 +150,8 @@
 		health = &service->backends[ticket->backend_index].health;
 		if (ticket->granted_us < health->resumed_us)
 			continue;
-		health->overdue_requests +=
-			overdue(service, ticket, OVERDUE_FACTOR, now);
-		health->lagging_requests += overdue(service, ticket, 1, now);
+		health->overdue_requests += overdue(service, ticket, now);
+		health->lagging_requests += lags(service, ticket, now);
 	}
 }
 
@@ -172,7 +182,7 @@
 }
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
-		    uint32_t factor, struct instant now)
+		    struct instant now)
 {
 	uint64_t slow_after_us = health_slow_after_us(
 		service->route_typical_us[ticket->route_index]);
@@ -180,5 +190,16 @@
 	if (slow_after_us == UINT64_MAX || now.mono_us < ticket->granted_us)
 		return false;
 	return now.mono_us - ticket->granted_us >
-	       slow_after_us * factor;
+	       slow_after_us * OVERDUE_FACTOR;
+}
+
+static bool lags(const struct service *service, const struct ticket *ticket,
+		 struct instant now)
+{
+	uint64_t typical_us = service->route_typical_us[ticket->route_index];
+
+	return typical_us > 0 && now.mono_us > ticket->granted_us &&
+	       now.mono_us - ticket->granted_us >
+		       MAX(typical_us * LAG_PERMILLE / PERMILLE_ONE,
+			   typical_us + LAG_LEAST_US);
 }
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -72,7 +72,8 @@
 /**
  * struct health - all that is known of one backend server's health
  * @state: what work it gets
- * @failed_in_row: failed or hanging work since the last whole answer
+ * @failed_in_row: failed or hanging work since it was last trusted
+ * @ok_in_row: whole answers since the last such work
  * @caution_until_us: no new work before this while others have room
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
@@ -109,6 +110,7 @@
 struct health {
 	enum health_state state;
 	uint32_t failed_in_row;
+	uint32_t ok_in_row;
 	uint64_t caution_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
 	uint32_t overdue_requests;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -4,6 +4,9 @@
 
 /* Whatever short work needs, long work keeps this part of the slots. */
 #define LONG_SLOTS_MIN_PART 6
+
+/* A far backend server without work goes after a near one this much loaded. */
+#define FAR_PERMILLE 200
 /* A request waits this long for a backend server that it can trust. */
 #define TRUST_WAIT_US (200 * US_PER_MS)
 
@@ -135,7 +138,7 @@
 	return best != NULL;
 }
 
-/* The lowest goes first: by caution, then the near ones, then by load. */
+/* The lowest goes first: by caution, then by load. */
 static uint64_t rank_of(const struct state *state,
 			const struct backend *backend,
 			const struct ticket *ticket, uint32_t open,
@@ -143,9 +146,11 @@
 {
 	uint64_t load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
 
-	return (uint64_t)caution_for(state, backend, ticket, now) * 4 *
+	if (backend->far)
+		load = load / 2 + FAR_PERMILLE;
+	return (uint64_t)caution_for(state, backend, ticket, now) * 2 *
 		       PERMILLE_ONE +
-	       (backend->far ? 2 * PERMILLE_ONE : 0) + load;
+	       load;
 }
 
 /* Another home may have a better one to lend, so it is worth a short wait. */
