--- a/src/codec/trace_text.c
+++ b/src/codec/trace_text.c
@@ -60,6 +60,11 @@
 	json_object_object_add(out, "borrowed",
 			       json_object_new_boolean(granted->borrowed));
 	add_number(out, "waited_us", granted->waited_us);
+	add_number(out, "trusted", granted->choice.trusted);
+	add_number(out, "trial", granted->choice.trial);
+	add_number(out, "avoided", granted->choice.avoided);
+	add_number(out, "full", granted->choice.full);
+	add_number(out, "closed", granted->choice.closed);
 }
 
 static void add_ended(struct json_object *out, const struct trace_end *ended)
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -188,7 +188,7 @@
 	ticket->granted_us = now.mono_us;
 	ticket->backend_index = pick->backend_index;
 	ticket->borrowed_index = pick->borrowed_index;
-	trace_grant(state, ticket, now, out);
+	trace_grant(state, ticket, &pick->choice, now, out);
 	occupy(service, ticket);
 	histogram_add(&service->counters.classes[ticket->class_index].queue_us,
 		      now.mono_us - ticket->queued_us);
--- a/src/command/trace.c
+++ b/src/command/trace.c
@@ -9,7 +9,7 @@
 		   struct event_list *out);
 
 void trace_grant(struct state *state, const struct ticket *ticket,
-		 struct instant now, struct event_list *out)
+		 const struct trace_choice *choice, struct instant now, struct event_list *out)
 {
 	const struct backend *backend =
 		&ticket->service->backends[ticket->backend_index];
@@ -22,6 +22,7 @@
 	record.granted.in_use_slots = backend->in_use_slots;
 	record.granted.borrowed = ticket->borrowed_index != TICKET_NONE;
 	record.granted.waited_us = now.mono_us - ticket->queued_us;
+	record.granted.choice = *choice;
 	append(state, &record, out);
 }
 
--- a/src/command/trace.h
+++ b/src/command/trace.h
@@ -11,11 +11,12 @@
  * trace_grant() - a request goes to a backend server
  * @state: the state
  * @ticket: the request, its slot not yet taken
+ * @choice: what there was to choose from
  * @now: the time
  * @out: gets the record
  */
 void trace_grant(struct state *state, const struct ticket *ticket,
-		 struct instant now, struct event_list *out);
+		 const struct trace_choice *choice, struct instant now, struct event_list *out);
 
 /**
  * trace_end() - an exchange has ended
--- a/src/core/trace.h
+++ b/src/core/trace.h
@@ -33,6 +33,22 @@
 	FOLLOW_NOTHING,
 };
 
+/**
+ * struct trace_choice - the backend servers of a service at the choice
+ * @trusted: had room, and nothing spoke against them
+ * @trial: had room, and get work that may be repeated only
+ * @avoided: had room, and failed or hung a moment ago
+ * @full: had no room
+ * @closed: drain, are out of service, or were tried before
+ */
+struct trace_choice {
+	uint32_t trusted;
+	uint32_t trial;
+	uint32_t avoided;
+	uint32_t full;
+	uint32_t closed;
+};
+
 /**
  * struct trace_grant - why this backend server
  * @backend: which
@@ -41,6 +57,7 @@
  * @in_use_slots: used before this request
  * @borrowed: the slot is another instance's
  * @waited_us: time in the queue
+ * @choice: what else there was
  */
 struct trace_grant {
 	struct net_addr backend;
@@ -49,6 +66,7 @@
 	uint32_t in_use_slots;
 	bool borrowed;
 	uint64_t waited_us;
+	struct trace_choice choice;
 };
 
 /**
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -1,5 +1,7 @@
 #include "query/pick.h"
 
+#include <string.h>
+
 #include "query/health.h"
 
 /* Whatever short work needs, long work keeps this part of the slots. */
@@ -15,6 +17,8 @@
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
+static void count_choice(enum caution_level caution,
+			 struct trace_choice *choice);
 static enum caution_level caution_for(const struct state *state,
 				      const struct backend *backend,
 				      const struct ticket *ticket,
@@ -38,6 +42,7 @@
 	       const struct ticket *ticket, struct instant now,
 	       struct pick *out)
 {
+	memset(out, 0, sizeof(*out));
 	out->borrowed_index = TICKET_NONE;
 	if (ticket->long_work && !long_fits(state, service, now))
 		return false;
@@ -117,9 +122,17 @@
 			service->backend_count;
 		backend = &service->backends[index];
 		open = open_slots(backend, now);
-		if (!has_room(backend, open, ticket->long_work) ||
-		    !allowed(backend, ticket) ||
-		    !trusted(state, backend, ticket, now))
+		if (open == 0 || !allowed(backend, ticket)) {
+			out->choice.closed++;
+			continue;
+		}
+		if (!has_room(backend, open, ticket->long_work)) {
+			out->choice.full++;
+			continue;
+		}
+		count_choice(caution_for(state, backend, ticket, now),
+			     &out->choice);
+		if (!trusted(state, backend, ticket, now))
 			continue;
 		rank = rank_of(state, backend, ticket, open, now);
 		if (best && rank > best_rank)
@@ -138,6 +151,22 @@
 	return best != NULL;
 }
 
+static void count_choice(enum caution_level caution,
+			 struct trace_choice *choice)
+{
+	switch (caution) {
+	case CAUTION_NONE:
+		choice->trusted++;
+		break;
+	case CAUTION_TRIAL:
+		choice->trial++;
+		break;
+	case CAUTION_AVOID:
+		choice->avoided++;
+		break;
+	}
+}
+
 /* The lowest goes first: by caution, then by load. */
 static uint64_t rank_of(const struct state *state,
 			const struct backend *backend,
--- a/src/query/pick.h
+++ b/src/query/pick.h
@@ -11,10 +11,12 @@
  * struct pick - a free slot
  * @backend_index: whose
  * @borrowed_index: entry of the service's borrowed slots, TICKET_NONE for own
+ * @choice: what there was to choose from
  */
 struct pick {
 	uint32_t backend_index;
 	uint32_t borrowed_index;
+	struct trace_choice choice;
 };
 
 /**
