--- a/bench/control_model.c
+++ b/bench/control_model.c
@@ -154,6 +154,7 @@
 	node->settings.domain = self.domain;
 	node->settings.worker_threads = 64;
 	node->settings.retry_min_ms = 1000;
+	node->settings.retry_earned_permille = 100;
 	node->settings.retry_max_ms = 3000;
 	node->settings.entries_ttl_ms = 5000;
 	node->settings.drain_max_ms = 30000;
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -82,6 +82,8 @@
 	  .range = { 1, 60000, 1000 } },
 	{ "retry_max_ms", FIELD_U32, false, AT(retry_max_ms),
 	  .range = { 2, 120000, 3000 } },
+	{ "retry_earned_permille", FIELD_U32, false, AT(retry_earned_permille),
+	  .range = { 0, 1000, 100 } },
 	{ "idle_max_ms", FIELD_U32, false, AT(idle_max_ms),
 	  .range = { 1000, 600000, 2000 } },
 	{ "worker_threads", FIELD_U32, false, AT(worker_threads),
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -13,8 +13,7 @@
 #define BUDGET_MAX_US (600 * US_PER_S)
 /* A caller is held to its share once its class is this full. */
 #define FAIR_FROM_PERMILLE 500
-/* Each request pays a tenth of a retry, up to this many. */
-#define RETRY_BUDGET_EARNED_PERMILLE 100
+/* Retries that may be saved up. */
 #define RETRY_BUDGET_MAX_PERMILLE 20000
 
 static void refuse_early(struct state *state, struct request *request,
@@ -86,7 +85,7 @@
 	}
 	service->counters.classes[ticket->class_index].admitted_requests++;
 	service->retry_budget_permille = MIN(
-		service->retry_budget_permille + RETRY_BUDGET_EARNED_PERMILLE,
+		service->retry_budget_permille + state->settings->retry_earned_permille,
 		RETRY_BUDGET_MAX_PERMILLE);
 	ticket_enqueue(state, index, now);
 	schedule_run(state, service, now, out);
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -250,6 +250,7 @@
  * @close_ends_answer: an answer without a length ends with its connection
  * @retry_min_ms: refused callers come back after this at the earliest
  * @retry_max_ms: and after this at the latest
+ * @retry_earned_permille: part of a retry that each request earns its service
  * @idle_max_ms: how long a caller's connection may be idle
  * @worker_threads: callers served at once
  * @body_max_bytes: largest request body
@@ -280,6 +281,7 @@
 	bool close_ends_answer;
 	uint32_t retry_min_ms;
 	uint32_t retry_max_ms;
+	uint32_t retry_earned_permille;
 	uint32_t idle_max_ms;
 	uint32_t worker_threads;
 	uint32_t body_max_bytes;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -200,7 +200,9 @@
 	if (!state->policy.ejecting)
 		return CAUTION_NONE;
 	caution = backend_caution(backend, now);
-	if (caution == CAUTION_TRIAL && ticket->idempotent)
+	/* The last try has nobody behind it. */
+	if (caution == CAUTION_TRIAL && ticket->idempotent &&
+	    ticket->tried_count + 1 < ticket->tries_max)
 		return CAUTION_NONE;
 	return caution;
 }
--- a/test/unit/audit_figures_test.cc
+++ b/test/unit/audit_figures_test.cc
@@ -59,6 +59,7 @@
 
 		settings.worker_threads = 8;
 		settings.retry_min_ms = 1000;
+		settings.retry_earned_permille = 100;
 		settings.retry_max_ms = 3000;
 		struct state *state = state_new(&settings);
 		struct service_doc *doc = service_doc_parse(
--- a/test/unit/listing_test.cc
+++ b/test/unit/listing_test.cc
@@ -16,6 +16,7 @@
 	settings.peer_listen = { 0x7f000001, 8081 };
 	settings.worker_threads = 8;
 	settings.retry_min_ms = 1000;
+	settings.retry_earned_permille = 100;
 	settings.retry_max_ms = 3000;
 	return settings;
 }
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -104,6 +104,7 @@
 		settings.domain = own.domain;
 		settings.worker_threads = 64;
 		settings.retry_min_ms = 1000;
+		settings.retry_earned_permille = 100;
 		settings.retry_max_ms = 3000;
 		settings.entries_ttl_ms = 5000;
 		settings.drain_max_ms = 30000;
