Let shares grow also while the fleet keeps changing

Each backend server has a time of its own now, and a change that asks for no more leaves it. HomesTest.SharesGrowAlsoWhileTheFleetKeepsChanging failed before.

--- a/src/command/home.c
+++ b/src/command/home.c
@@ -22,6 +22,9 @@
 static bool is_dead(const struct state *state, struct net_addr peer);
 static void refresh_shares(struct state *state, struct service *service,
 			   bool first, struct instant now);
+static void take_share(struct backend *backend);
+static void shrink_share(struct backend *backend, uint32_t before,
+			 struct instant now);
 static void full_share(const struct service *service, struct backend *backend);
 static void far_share(struct backend *backend);
 static void note_cut(struct state *state, struct service *service,
@@ -56,14 +59,9 @@
 {
 	uint32_t i;
 
-	if (now.mono_us >= service->grow_at_us) {
-		service->grow_at_us = DEADLINE_NONE_US;
-		for (i = 0; i < service->backend_count; i++) {
-			service->backends[i].own_slots =
-				service->backends[i].grown_slots;
-			service->backends[i].own_long_slots =
-				service->backends[i].grown_long_slots;
-		}
+	for (i = 0; i < service->backend_count; i++) {
+		if (now.mono_us >= service->backends[i].grow_at_us)
+			take_share(&service->backends[i]);
 	}
 	note_cut(state, service, now, out);
 	if (service->self_home < service->home_count &&
@@ -189,11 +187,12 @@
 			   bool first, struct instant now)
 {
 	struct backend *backend;
-	bool grows = false;
+	uint32_t before;
 	uint32_t i;
 
 	for (i = 0; i < service->backend_count; i++) {
 		backend = &service->backends[i];
+		before = backend->grown_slots + backend->grown_long_slots;
 		backend->grown_slots = homes_share(service, backend,
 						   state->policy.sharing,
 						   service->self_home,
@@ -204,20 +203,34 @@
 			far_share(backend);
 		if (state->policy.queueing == QUEUEING_FIFO)
 			backend->grown_long_slots = backend->grown_slots;
-		if (first) {
-			backend->own_slots = backend->grown_slots;
-			backend->own_long_slots = backend->grown_long_slots;
-			continue;
-		}
-		grows = grows || backend->grown_slots > backend->own_slots ||
-			backend->grown_long_slots > backend->own_long_slots;
-		backend->own_slots =
-			MIN(backend->own_slots, backend->grown_slots);
-		backend->own_long_slots =
-			MIN(backend->own_long_slots, backend->grown_long_slots);
+		/* There others may use the same slots at any time. */
+		if (first || state->policy.sharing == SHARING_DOMAIN)
+			take_share(backend);
+		else
+			shrink_share(backend, before, now);
 	}
-	service->grow_at_us = grows ? now.mono_us + GROW_AFTER_US :
-				      DEADLINE_NONE_US;
+}
+
+static void take_share(struct backend *backend)
+{
+	backend->grow_at_us = DEADLINE_NONE_US;
+	backend->own_slots = backend->grown_slots;
+	backend->own_long_slots = backend->grown_long_slots;
+}
+
+/* What is to grow waits, but not anew with each change that asks for no more. */
+static void shrink_share(struct backend *backend, uint32_t before,
+			 struct instant now)
+{
+	uint32_t wanted = backend->grown_slots + backend->grown_long_slots;
+
+	backend->own_slots = MIN(backend->own_slots, backend->grown_slots);
+	backend->own_long_slots =
+		MIN(backend->own_long_slots, backend->grown_long_slots);
+	if (wanted == backend->own_slots + backend->own_long_slots)
+		backend->grow_at_us = DEADLINE_NONE_US;
+	else if (backend->grow_at_us == DEADLINE_NONE_US || wanted > before)
+		backend->grow_at_us = now.mono_us + GROW_AFTER_US;
 }
 
 /* Without shares every home sees all slots. */
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -130,8 +130,9 @@
 		backend->cold = stated.cold;
 	backend->own_slots = MIN(old->own_slots, stated.capacity_slots);
 	backend->own_long_slots = MIN(old->own_long_slots, backend->own_slots);
-	backend->grown_slots = backend->own_slots;
-	backend->grown_long_slots = backend->own_long_slots;
+	backend->grown_slots = MIN(old->grown_slots, stated.capacity_slots);
+	backend->grown_long_slots =
+		MIN(old->grown_long_slots, backend->grown_slots);
 }
 
 static uint32_t append_retired(struct service *service,
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -120,8 +120,9 @@
  * @connections_max: connections this instance may hold
  * @own_slots: this home's share
  * @own_long_slots: part of @own_slots that long work may use
- * @grown_slots: share it will have from the service's grow_at_us on
+ * @grown_slots: share it will have from @grow_at_us on
  * @grown_long_slots: part of @grown_slots that long work may use
+ * @grow_at_us: when the share grows, DEADLINE_NONE_US for never
  * @far: its slots belong to homes in another failure domain
  * @lent_slots: part of @own_slots lent now
  * @in_use_slots: own slots in use
@@ -141,6 +142,7 @@
 	uint32_t own_long_slots;
 	uint32_t grown_slots;
 	uint32_t grown_long_slots;
+	uint64_t grow_at_us;
 	bool far;
 	uint32_t lent_slots;
 	uint32_t in_use_slots;
@@ -226,7 +228,6 @@
  * @home_count: used entries of @homes
  * @self_home: own place in @homes, HOMES_MAX when this is no home
  * @cut_off: most paths to its backend servers are cut from here alone
- * @grow_at_us: when shares that grow take force, DEADLINE_NONE_US for never
  * @borrowed: slots of other homes
  * @lent: slots given to others
  * @lease_ask_after_us: no wish for slots before this
@@ -262,7 +263,6 @@
 	uint32_t home_count;
 	uint32_t self_home;
 	bool cut_off;
-	uint64_t grow_at_us;
 	struct borrowed borrowed[BORROWED_MAX];
 	struct lent lent[LENT_MAX];
 	uint64_t lease_ask_after_us;
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -112,6 +112,24 @@
 	EXPECT_EQ(own_slots(world), 120u);
 }
 
+TEST(HomesTest, SharesGrowAlsoWhileTheFleetKeepsChanging)
+{
+	World world(0, 3);
+
+	world.list(1, 3);
+	world.accept(make_doc({ 20, 6 }));
+	world.list(3, 3);
+	EXPECT_LT(own_slots(world), 60u);
+	world.list(1, 3);
+	for (uint64_t version = 2; version < 6; version++) {
+		EXPECT_LT(own_slots(world), 60u);
+		world.accept(make_doc({ 20, 6 }, version));
+		world.pass_ms(450);
+	}
+	world.pass_ms(400);
+	EXPECT_EQ(own_slots(world), 120u);
+}
+
 struct death_case {
 	const char *name;
 	uint32_t homes;
--- a/test/unit/peer_rpc_test.cc
+++ b/test/unit/peer_rpc_test.cc
@@ -29,6 +29,9 @@
 	peer_message message = {};
 
 	message.sender = addr(0x7f000001, 8081);
+	message.caller = addr(0x7f000001, 8080);
+	message.domain = named("a");
+	message.members_digest = UINT64_C(0x8877665544332211);
 	message.incarnation = 17;
 	message.status = MEMBER_ALIVE;
 	message.config_digest = UINT64_C(0x0123456789abcdef);
@@ -52,7 +55,8 @@
 	message.status = MEMBER_LEAVING;
 	message.rumour_count = PEER_RUMOURS_MAX;
 	for (uint32_t i = 0; i < PEER_RUMOURS_MAX; i++)
-		message.rumours[i] = { addr(0x7f000100 + i, 1), i,
+		message.rumours[i] = { addr(0x7f000100 + i, 1),
+				       addr(0x7f000100 + i, 2), named("b"), i,
 				       (member_status)(i % 4) };
 	message.offer_count = PEER_OFFERS_MAX;
 	for (uint32_t i = 0; i < PEER_OFFERS_MAX; i++)
@@ -77,7 +81,8 @@
 					      i % 2 == 0,
 					      i % 3 == 0,
 					      i % 5 == 0,
-					      i % 7 == 0 };
+					      i % 7 == 0,
+					      i % 11 == 0 };
 	return message;
 }
 
