--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -128,7 +128,7 @@
 		return;
 	}
 	if (may_retry(ticket, evidence, now)) {
-		if (take_budget(ticket->service)) {
+		if (!evidence->request_sent || take_budget(ticket->service)) {
 			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
 				  out);
 			retry(state, index, command->backend, evidence, now);
@@ -192,7 +192,9 @@
 		return false;
 	if (!ticket->idempotent && !evidence_not_run(evidence))
 		return false;
-	if (ticket->tried_count + 1 >= ticket->tries_max)
+	/* One that could not be reached has not been sent the request. */
+	if (ticket->sends + evidence->request_sent >= ticket->tries_max ||
+	    ticket->tried_count + 1 >= TICKET_TRIES_MAX)
 		return false;
 	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
@@ -213,6 +215,7 @@
 
 	ticket->outcome = outcome_of(ticket, evidence);
 	ticket->tried[ticket->tried_count++] = backend;
+	ticket->sends += evidence->request_sent;
 	ticket_enqueue(state, index, now);
 }
 
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -223,7 +223,7 @@
 			      typical_us + PATIENCE_LEAST_US);
 
 	if (!ticket->idempotent || typical_us == 0 ||
-	    ticket->tried_count + 1 >= ticket->tries_max ||
+	    ticket->sends + 1 >= ticket->tries_max ||
 	    !finish_may_spend(ticket->service) ||
 	    end_us + typical_us >= ticket->deadline_us)
 		return ticket->deadline_us;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -202,7 +202,7 @@
 	caution = backend_caution(backend, now);
 	/* The last try has nobody behind it. */
 	if (caution == CAUTION_TRIAL && ticket->idempotent &&
-	    ticket->tried_count + 1 < ticket->tries_max)
+	    ticket->sends + 1 < ticket->tries_max)
 		return CAUTION_NONE;
 	return caution;
 }
