--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -21,7 +21,8 @@
 		     struct finish_command *command, struct event_list *out);
 static bool may_retry(const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now);
-static bool take_budget(struct service *service);
+static bool take_budget(struct ticket *ticket);
+static void give_back_budget(struct ticket *ticket);
 static void retry(struct state *state, uint32_t index, struct net_addr backend,
 		  const struct evidence *evidence, struct instant now);
 static enum outcome outcome_of(const struct ticket *ticket,
@@ -77,10 +78,16 @@
 	event_list_add(out, &event);
 }
 
-bool finish_may_spend(const struct service *service)
+bool retry_reserve(struct ticket *ticket)
 {
-	return !service->overload &&
-	       service->retry_budget_permille >= RETRY_COST_PERMILLE;
+	struct service *service = ticket->service;
+
+	if (service->overload ||
+	    service->retry_budget_permille < RETRY_COST_PERMILLE)
+		return false;
+	service->retry_budget_permille -= RETRY_COST_PERMILLE;
+	ticket->retry_reserved = true;
+	return true;
 }
 
 static void learn(struct service *service, const struct ticket *ticket,
@@ -111,6 +118,8 @@
 	struct ticket *ticket = &state->tickets[index];
 	struct refusal refusal = { 0 };
 
+	if (!evidence->request_sent || evidence->kind != EVIDENCE_TIMEOUT)
+		give_back_budget(ticket);
 	if (evidence->kind == EVIDENCE_OK || evidence->head_given) {
 		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		count_outcome(ticket,
@@ -128,7 +137,7 @@
 		return;
 	}
 	if (may_retry(ticket, evidence, now)) {
-		if (!evidence->request_sent || take_budget(ticket->service)) {
+		if (!evidence->request_sent || take_budget(ticket)) {
 			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
 				  out);
 			retry(state, index, command->backend, evidence, now);
@@ -136,6 +145,7 @@
 		}
 		ticket->service->counters.retries_denied++;
 	}
+	give_back_budget(ticket);
 	if (command->held) {
 		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		complete(state, index, command, out);
@@ -199,15 +209,22 @@
 	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
 
-static bool take_budget(struct service *service)
+static bool take_budget(struct ticket *ticket)
 {
-	if (!finish_may_spend(service))
+	if (!ticket->retry_reserved && !retry_reserve(ticket))
 		return false;
-	service->retry_budget_permille -= RETRY_COST_PERMILLE;
-	service->counters.retries++;
+	ticket->retry_reserved = false;
+	ticket->service->counters.retries++;
 	return true;
 }
 
+static void give_back_budget(struct ticket *ticket)
+{
+	if (ticket->retry_reserved)
+		ticket->service->retry_budget_permille += RETRY_COST_PERMILLE;
+	ticket->retry_reserved = false;
+}
+
 static void retry(struct state *state, uint32_t index, struct net_addr backend,
 		  const struct evidence *evidence, struct instant now)
 {
--- a/src/command/finish.h
+++ b/src/command/finish.h
@@ -30,11 +30,11 @@
 	    struct instant now, struct event_list *out);
 
 /**
- * finish_may_spend() - whether the service has a retry to spend
- * @service: the service
+ * retry_reserve() - pay for a retry before it is known to be needed
+ * @ticket: the request; its finish spends the retry or gives it back
  *
- * Return: false while its budget is used up or it is overloaded.
+ * Return: false when the service has none to spend or is overloaded.
  */
-bool finish_may_spend(const struct service *service);
+bool retry_reserve(struct ticket *ticket);
 
 #endif
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -26,8 +26,8 @@
 static uint32_t class_in_order(const struct service_doc *doc, uint32_t place);
 static void grant(struct state *state, uint32_t index, const struct pick *pick,
 		  struct instant now, struct event_list *out);
-static uint64_t patience_end_us(const struct ticket *ticket,
-				struct instant now);
+static uint64_t patience_end_us(const struct state *state,
+				struct ticket *ticket, struct instant now);
 static void occupy(struct service *service, struct ticket *ticket);
 static uint32_t connections_share(const struct service *service,
 				  const struct backend *backend);
@@ -198,7 +198,7 @@
 	order->backend = backend->addr;
 	order->instance = backend->instance;
 	order->told_deadline_us = ticket->deadline_us;
-	order->deadline_us = patience_end_us(ticket, now);
+	order->deadline_us = patience_end_us(state, ticket, now);
 	order->send_before_us = ticket->deadline_us;
 	if (pick->borrowed_index != TICKET_NONE)
 		order->send_before_us =
@@ -213,19 +213,21 @@
 
 /*
  * Work that may be repeated is taken away from a backend server that keeps it
- * much longer than usual, when there is a retry to spend and time for another.
+ * much longer than usual, when there is time for another. The retry is paid for
+ * now, or it could be missing when the work has been taken away.
  */
-static uint64_t patience_end_us(const struct ticket *ticket, struct instant now)
+static uint64_t patience_end_us(const struct state *state,
+				struct ticket *ticket, struct instant now)
 {
 	uint64_t typical_us = ticket_typical_us(ticket);
 	uint64_t end_us = now.mono_us +
 			  MAX(typical_us * PATIENCE_PERMILLE / PERMILLE_ONE,
 			      typical_us + PATIENCE_LEAST_US);
 
-	if (!ticket->idempotent || typical_us == 0 ||
+	if (!ticket->idempotent || state->leaving || typical_us == 0 ||
 	    ticket->sends + 1 >= ticket->tries_max ||
-	    !finish_may_spend(ticket->service) ||
-	    end_us + typical_us >= ticket->deadline_us)
+	    end_us + typical_us >= ticket->deadline_us ||
+	    !retry_reserve(ticket))
 		return ticket->deadline_us;
 	return end_us;
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -83,6 +83,7 @@
  * @on_long_slot: it holds a slot that long work may use
  * @borrowed_index: entry of the service's borrowed slots, TICKET_NONE for own
  * @tries_max: backend servers it may be sent to
+ * @retry_reserved: a retry is paid for, should this work hang
  * @sends: backend servers it was sent to before
  * @tried: backend servers tried before
  * @tried_count: used entries of @tried
@@ -106,6 +107,7 @@
 	bool on_long_slot;
 	uint32_t borrowed_index;
 	uint32_t tries_max;
+	bool retry_reserved;
 	uint32_t sends;
 	struct net_addr tried[TICKET_TRIES_MAX];
 	uint32_t tried_count;
