Stop work that hangs from the decisions, not by the transfer's own deadline

A planned stop could not call off the patience that a transfer had begun with. The tick decides now, with the retry paid at that moment, and never during a planned stop.

--- /dev/null
+++ b/src/command/patience.c
@@ -0,0 +1,46 @@
+#include "command/patience.h"
+
+#include "command/finish.h"
+#include "command/schedule.h"
+
+/* Work that takes longer than this, of the usual time, probably hangs. */
+#define PATIENCE_PERMILLE 2500
+#define PATIENCE_LEAST_US (50 * US_PER_MS)
+
+static bool hangs(const struct ticket *ticket, struct instant now);
+
+void patience_tick(struct state *state, struct instant now,
+		   struct event_list *out)
+{
+	struct event event = { .kind = EVENT_CANCEL };
+	struct ticket *ticket;
+	uint32_t i;
+
+	if (state->leaving)
+		return;
+	for (i = 0; i < TICKETS_MAX; i++) {
+		ticket = &state->tickets[i];
+		/* The retry is paid for now, so that it cannot be missing. */
+		if (ticket->state != TICKET_RUNNING || !hangs(ticket, now) ||
+		    !retry_reserve(ticket))
+			continue;
+		event.cancel.exchange.index = i;
+		event.cancel.exchange.generation = ticket->generation;
+		event.cancel.cause = CANCEL_HANGS;
+		event_list_add(out, &event);
+	}
+}
+
+static bool hangs(const struct ticket *ticket, struct instant now)
+{
+	uint64_t typical_us = ticket_typical_us(ticket);
+	uint64_t patience_us =
+		MAX(typical_us * PATIENCE_PERMILLE / PERMILLE_ONE,
+		    typical_us + PATIENCE_LEAST_US);
+
+	return ticket->idempotent && !ticket->cancelled &&
+	       !ticket->retry_reserved && typical_us > 0 &&
+	       now.mono_us > ticket->granted_us + patience_us &&
+	       ticket->sends + 1 < ticket->tries_max &&
+	       now.mono_us + typical_us < ticket->deadline_us;
+}
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -1,6 +1,5 @@
 #include "command/schedule.h"
 
-#include "command/finish.h"
 #include "command/lease.h"
 #include "command/ticket.h"
 #include "command/trace.h"
@@ -10,9 +9,6 @@
 #define LOWEST_CLASS_TURN 16
 /* Room for short work follows its peak in one or two of these. */
 #define SHORT_WINDOW_US (2 * US_PER_S)
-/* Work that takes longer than this, of the usual time, probably hangs. */
-#define PATIENCE_PERMILLE 2500
-#define PATIENCE_LEAST_US (50 * US_PER_MS)
 
 static void note_short_peak(struct service *service, struct instant now);
 static bool grant_next(struct state *state, struct service *service,
@@ -26,8 +22,6 @@
 static uint32_t class_in_order(const struct service_doc *doc, uint32_t place);
 static void grant(struct state *state, uint32_t index, const struct pick *pick,
 		  struct instant now, struct event_list *out);
-static uint64_t patience_end_us(const struct state *state,
-				struct ticket *ticket, struct instant now);
 static void occupy(struct service *service, struct ticket *ticket);
 static uint32_t connections_share(const struct service *service,
 				  const struct backend *backend);
@@ -197,8 +191,7 @@
 	order->request = request_ref(ticket->request);
 	order->backend = backend->addr;
 	order->instance = backend->instance;
-	order->told_deadline_us = ticket->deadline_us;
-	order->deadline_us = patience_end_us(state, ticket, now);
+	order->deadline_us = ticket->deadline_us;
 	order->send_before_us = ticket->deadline_us;
 	if (pick->borrowed_index != TICKET_NONE)
 		order->send_before_us =
@@ -211,27 +204,6 @@
 	event_list_add(out, &event);
 }
 
-/*
- * Work that may be repeated is taken away from a backend server that keeps it
- * much longer than usual, when there is time for another. The retry is paid for
- * now, or it could be missing when the work has been taken away.
- */
-static uint64_t patience_end_us(const struct state *state,
-				struct ticket *ticket, struct instant now)
-{
-	uint64_t typical_us = ticket_typical_us(ticket);
-	uint64_t end_us = now.mono_us +
-			  MAX(typical_us * PATIENCE_PERMILLE / PERMILLE_ONE,
-			      typical_us + PATIENCE_LEAST_US);
-
-	if (!ticket->idempotent || state->leaving || typical_us == 0 ||
-	    ticket->sends + 1 >= ticket->tries_max ||
-	    end_us + typical_us >= ticket->deadline_us ||
-	    !retry_reserve(ticket))
-		return ticket->deadline_us;
-	return end_us;
-}
-
 static void occupy(struct service *service, struct ticket *ticket)
 {
 	struct backend *backend = &service->backends[ticket->backend_index];
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -6,6 +6,7 @@
 #include "command/leave.h"
 #include "command/lease.h"
 #include "command/member.h"
+#include "command/patience.h"
 #include "command/schedule.h"
 
 static void tick_service(struct state *state, struct service *service,
@@ -24,6 +25,7 @@
 	g_hash_table_iter_init(&iter, state->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		tick_service(state, value, now, out);
+	patience_tick(state, now, out);
 	leave_tick(state, now, out);
 }
 
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -33,7 +33,6 @@
  * @backend: to whom
  * @instance: which start of it is meant, may be empty
  * @deadline_us: absolute end of the exchange
- * @told_deadline_us: end of the request's time, told to the backend server
  * @send_before_us: not after this, for a slot may be lent by then
  * @hold_server_error: give a 5xx answer to the decisions first
  * @connections_max: connections this instance may hold to the backend server
@@ -46,7 +45,6 @@
 	struct net_addr backend;
 	struct name instance;
 	uint64_t deadline_us;
-	uint64_t told_deadline_us;
 	uint64_t send_before_us;
 	bool hold_server_error;
 	uint32_t connections_max;
@@ -75,11 +73,20 @@
 };
 
 /**
- * struct cancel_event - stop an exchange, its caller is gone
+ * enum cancel_cause - why an exchange is stopped
+ * @CANCEL_CALLER_GONE: nobody waits for its answer
+ * @CANCEL_HANGS: it takes much longer than usual and shall be tried elsewhere
+ */
+enum cancel_cause { CANCEL_CALLER_GONE, CANCEL_HANGS };
+
+/**
+ * struct cancel_event - stop an exchange
  * @exchange: which
+ * @cause: why
  */
 struct cancel_event {
 	struct exchange_id exchange;
+	enum cancel_cause cause;
 };
 
 /**
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -47,7 +47,10 @@
 static bool step(struct exchange_duty *duty);
 static bool take_orders(struct exchange_duty *duty);
 static void take_grant(struct exchange_duty *duty, struct grant_event *grant);
-static void take_cancel(struct exchange_duty *duty, struct exchange_id id);
+static void take_cancel(struct exchange_duty *duty,
+			const struct cancel_event *cancel);
+static void drop_waiting(struct exchange_duty *duty, uint64_t key,
+			 enum evidence_kind kind);
 static void take_resume(struct exchange_duty *duty, struct request *request);
 static bool begin(struct exchange_duty *duty, const struct grant_event *grant);
 static CURL *take_handle(struct exchange_duty *duty);
@@ -187,7 +190,7 @@
 			take_grant(duty, &order.grant);
 			break;
 		case ORDER_CANCEL:
-			take_cancel(duty, order.cancel.exchange);
+			take_cancel(duty, &order.cancel);
 			break;
 		case ORDER_RESUME:
 			take_resume(duty, order.resume);
@@ -203,24 +206,46 @@
 		g_array_append_vals(duty->waiting, grant, 1);
 }
 
-static void take_cancel(struct exchange_duty *duty, struct exchange_id id)
+static void take_cancel(struct exchange_duty *duty,
+			const struct cancel_event *cancel)
 {
-	uint64_t key = key_of(id);
+	uint64_t key = key_of(cancel->exchange);
 	struct exchange *exchange = g_hash_table_lookup(duty->by_key, &key);
+
+	switch (cancel->cause) {
+	case CANCEL_CALLER_GONE:
+		if (exchange) {
+			exchange->stop = STOP_CALLER;
+			end(exchange, CURLE_ABORTED_BY_CALLBACK);
+			break;
+		}
+		drop_waiting(duty, key, EVIDENCE_CANCELLED);
+		break;
+	case CANCEL_HANGS:
+		/* An answer that the caller has begun to get goes on. */
+		if (exchange && !exchange->streaming) {
+			exchange->stop = STOP_HANGS;
+			end(exchange, CURLE_ABORTED_BY_CALLBACK);
+		} else if (!exchange) {
+			drop_waiting(duty, key, EVIDENCE_LATE);
+		}
+		break;
+	}
+}
+
+/* Ends an exchange that still waits for a connection. */
+static void drop_waiting(struct exchange_duty *duty, uint64_t key,
+			 enum evidence_kind kind)
+{
 	struct grant_event grant;
 	guint i;
 
-	if (exchange) {
-		exchange->stop = STOP_CALLER;
-		end(exchange, CURLE_ABORTED_BY_CALLBACK);
-		return;
-	}
 	for (i = 0; i < duty->waiting->len; i++) {
 		grant = g_array_index(duty->waiting, struct grant_event, i);
 		if (key_of(grant.exchange) != key)
 			continue;
 		g_array_remove_index(duty->waiting, i);
-		finish_unsent(duty, &grant, EVIDENCE_CANCELLED);
+		finish_unsent(duty, &grant, kind);
 		return;
 	}
 }
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -50,7 +50,7 @@
 	const struct grant_event *grant = &exchange->grant;
 	struct instant now = clock_now();
 	uint64_t left_ms =
-		(uint64_t)clock_ms_left(grant->told_deadline_us, now.mono_us);
+		(uint64_t)clock_ms_left(grant->deadline_us, now.mono_us);
 	const struct client_limits limits = {
 		.deadline_unix_ms = now.unix_ms + left_ms,
 		.left_ms = left_ms,
@@ -191,6 +191,8 @@
 		return EVIDENCE_RESET;
 	case STOP_BAD_ANSWER:
 		return EVIDENCE_BAD_ANSWER;
+	case STOP_HANGS:
+		return exchange->sent ? EVIDENCE_TIMEOUT : EVIDENCE_CONNECT;
 	case STOP_LATE:
 		return transfer_unsent_kind(&exchange->grant);
 	case STOP_NONE:
--- a/src/duty/transfer.h
+++ b/src/duty/transfer.h
@@ -22,6 +22,7 @@
  * @STOP_LATE: at the send point it was too late to begin
  * @STOP_REPLAY: libcurl was about to send the request again
  * @STOP_BAD_ANSWER: the answer is not valid or above a bound
+ * @STOP_HANGS: the answer takes much longer than usual
  * @STOP_CALLER: the caller is gone
  */
 enum stop_cause {
@@ -29,6 +30,7 @@
 	STOP_LATE,
 	STOP_REPLAY,
 	STOP_BAD_ANSWER,
+	STOP_HANGS,
 	STOP_CALLER,
 };
 
