--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -48,6 +48,7 @@
 static const struct json_field shed_fields[] = {
 	{ "header", FIELD_TOKEN, true, AT_DOC(shed.header) },
 	{ "value", FIELD_TOKEN, true, AT_DOC(shed.value) },
+	{ "any_status", FIELD_BOOL, false, AT_DOC(shed.any_status) },
 };
 
 static const struct json_field drain_fields[] = {
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -137,7 +137,7 @@
 		return;
 	}
 	if (may_retry(ticket, evidence, now)) {
-		if (!evidence->request_sent || take_budget(ticket)) {
+		if (take_budget(ticket)) {
 			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
 				  out);
 			retry(state, index, command->backend, evidence, now);
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -16,6 +16,8 @@
 /* After failed work others go first for this long, doubled with each more. */
 #define CAUTION_US (500 * US_PER_MS)
 #define CAUTION_DOUBLINGS_MAX 4
+/* Then it is tried with work that may be repeated, if there is any. */
+#define TRIAL_US (8 * US_PER_S)
 /* Whole answers in a row after which it is trusted again. */
 #define TRUSTED_OK_REQUESTS 2
 /* Work that takes this part longer than usual lags. */
@@ -67,6 +69,7 @@
 			break;
 		health->failed_in_row = 0;
 		health->caution_until_us = 0;
+		health->trial_until_us = 0;
 		break;
 	case WORK_FAILED:
 	case WORK_SLOW:
@@ -75,6 +78,7 @@
 		health->failed_in_row++;
 		health->caution_until_us =
 			now.mono_us + (CAUTION_US << doublings);
+		health->trial_until_us = health->caution_until_us + TRIAL_US;
 		break;
 	}
 }
--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -86,7 +86,8 @@
 static void tell_avoided(struct health_change *change)
 {
 	struct health *health = &change->backend->health;
-	bool avoided = backend_avoided_here(change->backend, change->now);
+	bool avoided = health->state == HEALTH_IN_SERVICE &&
+		       backend_avoided_here(change->backend, change->now);
 
 	if (avoided && !health->avoid_told)
 		change->service->digest_due_us = change->now.mono_us;
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -109,10 +109,13 @@
  * struct marker_doc - answer header by which a backend server says something
  * @header: header name, empty when the service has none
  * @value: expected value, compared without case
+ * @any_status: counts with every status from 400 on, not with 503 alone; for
+ *	the shed marker
  */
 struct marker_doc {
 	char header[NAME_BYTES_MAX];
 	char value[NAME_BYTES_MAX];
+	bool any_status;
 };
 
 /**
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -75,6 +75,7 @@
  * @failed_in_row: failed or hanging work since it was last trusted
  * @ok_in_row: whole answers since the last such work
  * @caution_until_us: no new work before this while others have room
+ * @trial_until_us: until then work that may be repeated goes there first
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
  * @avoid_told: the other homes know that this one prefers others
@@ -112,6 +113,7 @@
 	uint32_t failed_in_row;
 	uint32_t ok_in_row;
 	uint64_t caution_until_us;
+	uint64_t trial_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
 	uint32_t overdue_requests;
 	bool avoid_told;
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -31,7 +31,8 @@
 	bool named = exchange->settings->headers.instance[0] != '\0' &&
 		     grant->instance.text[0] != '\0';
 
-	exchange->shed = exchange->status >= 400 &&
+	exchange->shed = (grant->shed.any_status ? exchange->status >= 400 :
+						   exchange->status == 503) &&
 			 http_answer_marked(reader->head, &grant->shed);
 	if (exchange->status != HTTP_MISDIRECTED || !named)
 		return;
@@ -212,7 +213,9 @@
 	if (reader->framing == FRAMING_LENGTH &&
 	    exchange->body_bytes != exchange->length_bytes)
 		return EVIDENCE_TRUNCATED;
-	if (!http_answer_owned(reader, exchange->grant.request))
+	/* A head that has gone to the caller was looked at before. */
+	if (!exchange->streaming &&
+	    !http_answer_owned(reader, exchange->grant.request))
 		return EVIDENCE_BAD_ANSWER;
 	if (exchange->shed)
 		return EVIDENCE_SHED;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -64,7 +64,7 @@
 
 	if (backend_avoided_here(backend, now))
 		return CAUTION_AVOID;
-	if (health->failed_in_row > 0 || health->suspected ||
+	if (now.mono_us < health->trial_until_us || health->suspected ||
 	    views_speak_against(backend, now))
 		return CAUTION_TRIAL;
 	return CAUTION_NONE;
--- a/src/query/health_digest.c
+++ b/src/query/health_digest.c
@@ -11,7 +11,13 @@
 /**
  * enum tell - how much an entry matters when there is room for some only
  */
-enum tell { TELL_STATE, TELL_EVIDENCE, TELL_ANSWER, TELL_NOTHING };
+enum tell {
+	TELL_STATE,
+	TELL_EVIDENCE,
+	TELL_ANSWER,
+	TELL_AVOIDED,
+	TELL_NOTHING,
+};
 
 static enum tell entry_matters(const struct service *service,
 			       const struct backend *backend,
@@ -21,8 +27,8 @@
 static bool peers_suspect(const struct backend *backend, struct instant now);
 static bool own_draining(const struct backend *backend, struct instant now);
 static bool own_cold(const struct backend *backend, struct instant now);
-static void entry_fill(const struct backend *backend, struct instant now,
-		       struct digest_entry *entry);
+static void entry_fill(const struct backend *backend, enum tell tell,
+		       struct instant now, struct digest_entry *entry);
 
 void health_digest(const struct service *service, struct instant now,
 		   struct peer_digest *out)
@@ -39,7 +45,7 @@
 				continue;
 			if (out->entry_count == PEER_DIGEST_ENTRIES_MAX)
 				return;
-			entry_fill(backend, now,
+			entry_fill(backend, tell, now,
 				   &out->entries[out->entry_count++]);
 		}
 	}
@@ -52,13 +58,14 @@
 	struct pool own = pool_own(backend, now);
 
 	if (backend->health.out || backend->health.charged ||
-	    own_draining(backend, now) || own_cold(backend, now) ||
-	    backend_avoided_here(backend, now))
+	    own_draining(backend, now) || own_cold(backend, now))
 		return TELL_STATE;
 	if (worth_telling(service, backend, now))
 		return TELL_EVIDENCE;
 	if (pool_all(&own) > 0 && peers_suspect(backend, now))
 		return TELL_ANSWER;
+	if (backend_avoided_here(backend, now))
+		return TELL_AVOIDED;
 	return TELL_NOTHING;
 }
 
@@ -110,11 +117,14 @@
 	return backend->cold && now.mono_us < backend->health.cold_until_us;
 }
 
-static void entry_fill(const struct backend *backend, struct instant now,
-		       struct digest_entry *entry)
+static void entry_fill(const struct backend *backend, enum tell tell,
+		       struct instant now, struct digest_entry *entry)
 {
-	struct pool own = pool_own(backend, now);
+	struct pool own = { 0 };
 
+	/* A preference of the moment is no evidence. */
+	if (tell != TELL_AVOIDED)
+		own = pool_own(backend, now);
 	entry->backend = backend->addr;
 	entry->ok_requests = own.ok_requests;
 	entry->failed_requests = own.failed_requests;
--- a/test/unit/peer_duty_test.cc
+++ b/test/unit/peer_duty_test.cc
@@ -191,6 +191,8 @@
 	struct peer_message *message = g_new0(struct peer_message, 1);
 
 	message->sender = sender;
+	message->caller = sender;
+	name_set(&message->domain, "a");
 	message->kind = PEER_PING;
 	message->ping.sequence = 77;
 	message->ping.target = sender;
