--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -23,7 +23,6 @@
 #define COLD_MAX_US (60 * US_PER_S)
 
 static void settle_basis(struct service *service, struct instant now);
-static void tell_avoided(struct health_change *change);
 static void tick_backend(struct health_change *change);
 static void tick_drain(struct health_change *change);
 static void tick_cold(struct health_change *change);
@@ -82,23 +81,10 @@
 	service->eject_after_us = now.mono_us + BASIS_SETTLES_US;
 }
 
-/* The other homes hear at once when work begins to fail or hang here. */
-static void tell_avoided(struct health_change *change)
-{
-	struct health *health = &change->backend->health;
-	bool avoided = health->state == HEALTH_IN_SERVICE &&
-		       backend_avoided_here(change->backend, change->now);
-
-	if (avoided && !health->avoid_told)
-		change->service->digest_due_us = change->now.mono_us;
-	health->avoid_told = avoided;
-}
-
 static void tick_backend(struct health_change *change)
 {
 	struct health *health = &change->backend->health;
 
-	tell_avoided(change);
 	health->ticked_us = change->now.mono_us;
 	if (change->now.mono_us >= health->charge_ends_us)
 		health->charge_ends_us = 0;
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -78,7 +78,6 @@
  * @trial_until_us: until then work that may be repeated goes there first
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
- * @avoid_told: the other homes know that this one prefers others
  * @lagging_requests: running work that takes longer than it should
  
  * @views: other homes' evidence
@@ -116,7 +115,6 @@
 	uint64_t trial_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
 	uint32_t overdue_requests;
-	bool avoid_told;
 	uint32_t lagging_requests;
 
 	struct health_view views[HOMES_MAX];
