--- a/src/core/document.h
+++ b/src/core/document.h
@@ -240,6 +240,8 @@
  * @domain: own failure domain
  * @platform: the platform's configuration service
  * @platform_kind: enum platform_kind
+ * @platform_poll_ms: how long a reader lets the platform wait for news
+ * @platform_answer_ms: longest time to an answer, beside that
  * @directory_listen: where callers that know the platform alone ask for
  *	entries, port 0 for none
  * @ready_listen: where the platform asks whether this instance is ready, port 0
@@ -275,6 +277,8 @@
 	struct name domain;
 	struct net_addr platform;
 	uint32_t platform_kind;
+	uint32_t platform_poll_ms;
+	uint32_t platform_answer_ms;
 	struct net_addr directory_listen;
 	struct net_addr ready_listen;
 	struct net_addr seeds[SEEDS_MAX];
--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -66,6 +66,8 @@
 			     g_rand_new();
 	duty->index.kind = WATCH_INDEX;
 	duty->instances.kind = WATCH_INSTANCES;
+	duty->index.poll_ms = settings->platform_poll_ms;
+	duty->instances.poll_ms = settings->platform_poll_ms;
 	fetch_list_init(&duty->fetches);
 	duty->source = config_source_new(settings, error);
 	if (!duty->source) {
--- a/src/duty/config_watch.c
+++ b/src/duty/config_watch.c
@@ -1,6 +1,5 @@
 #include "duty/config_watch.h"
 
-#define LONG_POLL_MS 4000
 #define INDEX_EVERY_US (30 * US_PER_S)
 #define INSTANCES_EVERY_US (5 * US_PER_S)
 #define SAME_VERSION_US US_PER_S
@@ -22,7 +21,7 @@
 	/* The first read wants what there is, not what will change. */
 	if (!reader || !watch->known)
 		return 0;
-	return LONG_POLL_MS;
+	return watch->poll_ms;
 }
 
 void watch_answered(struct watch *watch, uint64_t version, bool reader,
--- a/src/duty/config_watch.h
+++ b/src/duty/config_watch.h
@@ -21,6 +21,7 @@
 /**
  * struct watch - reads of one list
  * @kind: which list
+ * @poll_ms: how long a reader lets the platform wait
  * @known: a read went well once
  * @after: version known
  * @running: a read is on its way
@@ -30,6 +31,7 @@
  */
 struct watch {
 	enum watch_kind kind;
+	uint32_t poll_ms;
 	bool known;
 	uint64_t after;
 	bool running;
--- a/src/duty/platform_get.c
+++ b/src/duty/platform_get.c
@@ -5,7 +5,6 @@
 #include "core/clock.h"
 
 #define CONNECT_MS 1000
-#define ANSWER_MS 3000
 #define KEEPALIVE_S 5
 #define URL_BYTES (PLATFORM_TARGET_BYTES + 64)
 
@@ -14,6 +13,7 @@
  * @multi: libcurl's
  * @reads: owned struct platform_read
  * @body_max_bytes: longest body that is taken
+ * @answer_ms: longest time to an answer, beside what the platform waits
  * @base: scheme and address
  * @own_ip: own address, in libcurl's words
  */
@@ -21,6 +21,7 @@
 	CURLM *multi;
 	GPtrArray *reads;
 	uint32_t body_max_bytes;
+	uint32_t answer_ms;
 	char base[ADDR_TEXT_BYTES + sizeof("http://")];
 	char own_ip[ADDR_TEXT_BYTES + sizeof("host!")];
 };
@@ -59,6 +60,7 @@
 
 	client->reads = g_ptr_array_new_with_free_func(free_read);
 	client->body_max_bytes = body_max_bytes;
+	client->answer_ms = settings->platform_answer_ms;
 	g_snprintf(client->base, sizeof(client->base), "http://%s",
 		   addr_format(settings->platform, text));
 	g_snprintf(client->own_ip, sizeof(client->own_ip), "host!%s",
@@ -154,7 +156,8 @@
 {
 	CURL *curl = read->curl;
 	char url[URL_BYTES];
-	long answer_ms = (long)read->get.wait_ms + ANSWER_MS;
+	long answer_ms =
+		(long)(read->get.wait_ms + read->client->answer_ms);
 
 	g_snprintf(url, sizeof(url), "%s%s", read->client->base,
 		   read->get.target);
--- a/test/unit/config_watch_test.cc
+++ b/test/unit/config_watch_test.cc
@@ -45,6 +45,8 @@
 		SCOPED_TRACE(c.name);
 		struct watch watch = {};
 
+		watch.poll_ms = 4000;
+
 		watch.kind = c.kind;
 		watch.known = c.known;
 		watch.after = c.after;
