--- /dev/null
+++ b/test/unit/platform_decode_test.cc
@@ -0,0 +1,312 @@
+/* What the platform's store holds, decoded once into the product's types. */
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "platform/directory.h"
+#include "platform/operator_config.h"
+#include "platform/store_wire.h"
+#include "platform/upstream.h"
+#include "platform/wire_json.h"
+}
+
+namespace
+{
+
+GBytes *bytes_of(const std::string &text)
+{
+	return g_bytes_new(text.data(), text.size());
+}
+
+struct span_case {
+	const char *text;
+	bool taken;
+	uint32_t ms;
+};
+
+const struct span_case span_cases[] = {
+	{ "1500ms", true, 1500 }, { "2.5s", true, 2500 }, { "0ms", true, 0 },
+	{ "0.2ms", true, 1 },	  { "10s", true, 10000 }, { "", false, 0 },
+	{ "1500", false, 0 },	  { "-1s", false, 0 },	  { "1 s", false, 0 },
+	{ "1sx", false, 0 },	  { "ms", false, 0 },	  { "1m", false, 0 },
+	{ "1e9s", false, 0 },	  { "nans", false, 0 },
+};
+
+TEST(PlatformDecode, Spans)
+{
+	for (const auto &c : span_cases) {
+		SCOPED_TRACE(c.text);
+		struct json_object *root = json_object_new_object();
+		uint32_t ms = 0;
+
+		json_object_object_add(root, "t",
+				       json_object_new_string(c.text));
+		EXPECT_EQ(wire_span_ms(root, "t", &ms), c.taken);
+		if (c.taken) {
+			EXPECT_EQ(ms, c.ms);
+		}
+		json_object_put(root);
+	}
+}
+
+const std::string good_info =
+	R"("info":{"service":"rolls","version":"v1","zone":"a","maxConcurrency":3})";
+const std::string good_status =
+	R"("status":{"state":"ready","sequence":4,"warmupLeft":"0ms"})";
+const std::string good_address = R"("address":"10.1.0.9:8080")";
+
+struct upstream_case {
+	const char *name;
+	const char *instance;
+	std::string value;
+	bool taken;
+	bool draining;
+	bool warming;
+	uint64_t started_unix_ms;
+};
+
+const struct upstream_case upstream_cases[] = {
+	{ "as written", "i-1",
+	  "{" + good_address + "," + good_info + "," + good_status + "}", true,
+	  false, false, 0 },
+	{ "with its start", "i-1",
+	  "{" + good_address + "," + good_info + "," + good_status +
+		  ",\"born\":1700000000123}",
+	  true, false, false, 1700000000123 },
+	{ "draining", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"draining","sequence":5}})",
+	  true, true, false, 0 },
+	{ "warming up", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"ready","warmupLeft":"1.5s"}})",
+	  true, false, true, 0 },
+	{ "a field that is not known is ignored", "i-1",
+	  "{" + good_address + "," + good_info + "," + good_status +
+		  ",\"x\":[1]}",
+	  true, false, false, 0 },
+	{ "no name", "i/1",
+	  "{" + good_address + "," + good_info + "," + good_status + "}", false,
+	  false, false, 0 },
+	{ "bytes that are no JSON", "i-1", "\xff\xfe", false, false, false, 0 },
+	{ "nothing at all", "i-1", "", false, false, false, 0 },
+	{ "a list", "i-1", "[]", false, false, false, 0 },
+	{ "no address", "i-1", "{" + good_info + "," + good_status + "}", false,
+	  false, false, 0 },
+	{ "an address of another type", "i-1",
+	  "{\"address\":8080," + good_info + "," + good_status + "}", false,
+	  false, false, 0 },
+	{ "no info", "i-1", "{" + good_address + "," + good_status + "}", false,
+	  false, false, 0 },
+	{ "slots out of range", "i-1",
+	  "{" + good_address +
+		  R"(,"info":{"service":"rolls","zone":"a","maxConcurrency":0},)" +
+		  good_status + "}",
+	  false, false, false, 0 },
+	{ "slots of another type", "i-1",
+	  "{" + good_address +
+		  R"(,"info":{"service":"rolls","zone":"a","maxConcurrency":"3"},)" +
+		  good_status + "}",
+	  false, false, false, 0 },
+	{ "no state", "i-1", "{" + good_address + "," + good_info + "}", false,
+	  false, false, 0 },
+	{ "a state that is not known", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"resting"}})",
+	  false, false, false, 0 },
+	{ "a warm-up that is no time", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"ready","warmupLeft":7}})",
+	  false, false, false, 0 },
+};
+
+TEST(PlatformDecode, Upstreams)
+{
+	for (const auto &c : upstream_cases) {
+		SCOPED_TRACE(c.name);
+		struct upstream upstream;
+		GBytes *value = bytes_of(c.value);
+		const char *wrong = upstream_read(c.instance, value, &upstream);
+
+		EXPECT_EQ(wrong == nullptr, c.taken) << (wrong ? wrong : "");
+		if (!wrong) {
+			EXPECT_STREQ(upstream.instance.text, c.instance);
+			EXPECT_STREQ(upstream.service.text, "rolls");
+			EXPECT_STREQ(upstream.domain.text, "a");
+			EXPECT_EQ(upstream.addr.port, 8080);
+			EXPECT_EQ(upstream.slots, 3u);
+			EXPECT_EQ(upstream.draining, c.draining);
+			EXPECT_EQ(upstream.warming, c.warming);
+			EXPECT_EQ(upstream.started_unix_ms, c.started_unix_ms);
+		}
+		g_bytes_unref(value);
+	}
+	struct upstream upstream;
+
+	EXPECT_NE(upstream_read("i-1", NULL, &upstream), nullptr);
+}
+
+const std::string service_text =
+	R"({"name":"rolls","healthPath":"/health","maxConnections":330})";
+
+std::string config_text(const std::string &path)
+{
+	return R"({"version":"r7","services":[)" + service_text +
+	       R"(],"limits":{},"hosts":[{"host":"H.example","paths":[)" +
+	       path + "]}]}";
+}
+
+struct config_case {
+	const char *name;
+	std::string text;
+	bool taken;
+	bool idempotent;
+	uint32_t targets;
+	uint32_t weight_sum;
+};
+
+const std::string path_head = R"({"name":"r-1","prefix":"/a/",)";
+const std::string path_tail =
+	R"("timeout":"1200ms","targetLatency":"600ms","priority":2,"maxAttempts":2)";
+
+const struct config_case config_cases[] = {
+	{ "safe",
+	  config_text(path_head + R"("routeType":"safe",)" + path_tail +
+		      R"(,"service":"rolls"})"),
+	  true, true, 1, 1 },
+	{ "unsafe",
+	  config_text(path_head + R"("routeType":"unsafe",)" + path_tail +
+		      R"(,"service":"rolls"})"),
+	  true, false, 1, 1 },
+	{ "a kind that is not known is not repeated",
+	  config_text(path_head + R"("routeType":"odd",)" + path_tail +
+		      R"(,"service":"rolls"})"),
+	  true, false, 1, 1 },
+	{ "split",
+	  config_text(path_head + R"("routeType":"safe",)" + path_tail +
+		      R"(,"trafficSplit":[{"service":"rolls","weight":90},)" +
+		      R"({"service":"desk","weight":10}]})"),
+	  true, true, 2, 100 },
+	{ "no service",
+	  config_text(path_head + R"("routeType":"safe",)" + path_tail + "}"),
+	  false, false, 0, 0 },
+	{ "a split without weight",
+	  config_text(path_head + R"("routeType":"safe",)" + path_tail +
+		      R"(,"trafficSplit":[{"service":"rolls","weight":0}]})"),
+	  false, false, 0, 0 },
+	{ "a prefix that does not end with a slash",
+	  config_text(R"({"prefix":"/a","routeType":"safe",)" + path_tail +
+		      R"(,"service":"rolls"})"),
+	  false, false, 0, 0 },
+	{ "no timeout",
+	  config_text(path_head +
+		      R"("routeType":"safe","priority":1,"maxAttempts":2,)" +
+		      R"("service":"rolls"})"),
+	  false, false, 0, 0 },
+	{ "no kind",
+	  config_text(path_head + path_tail + R"(,"service":"rolls"})"), false,
+	  false, 0, 0 },
+	{ "a version without r",
+	  R"({"version":"7","services":[],"hosts":[]})", false, false, 0, 0 },
+	{ "no hosts", R"({"version":"r7","services":[]})", false, false, 0, 0 },
+	{ "a service without connections",
+	  R"({"version":"r7","services":[{"name":"x"}],"hosts":[]})", false,
+	  false, 0, 0 },
+	{ "no JSON", "{", false, false, 0, 0 },
+};
+
+TEST(PlatformDecode, Configurations)
+{
+	for (const auto &c : config_cases) {
+		SCOPED_TRACE(c.name);
+		GBytes *value = bytes_of(c.text);
+		const char *wrong = nullptr;
+		struct operator_config *config =
+			operator_config_read(value, &wrong);
+
+		EXPECT_EQ(config != nullptr, c.taken) << (wrong ? wrong : "");
+		EXPECT_EQ(wrong == nullptr, c.taken);
+		if (config) {
+			const struct operator_route *route = &g_array_index(
+				config->routes, struct operator_route, 0);
+
+			EXPECT_EQ(config->version, 7u);
+			EXPECT_EQ(route->route.idempotent, c.idempotent);
+			EXPECT_EQ(route->route.target_count, c.targets);
+			EXPECT_EQ(route->route.weight_sum, c.weight_sum);
+			EXPECT_EQ(route->route.budget_ms, 1200u);
+			EXPECT_EQ(route->route.objective_ms, 600u);
+		}
+		operator_config_free(config);
+		g_bytes_unref(value);
+	}
+}
+
+struct page_case {
+	const char *name;
+	const char *text;
+	bool taken;
+	uint32_t items;
+	uint32_t removed;
+	bool has_more;
+	uint64_t revision;
+};
+
+const struct page_case page_cases[] = {
+	{ "a range",
+	  R"({"items":[{"key":"k","value":"YQ==","rev":3,"createdRev":3,)"
+	  R"("lease":0}],"hasMore":true,"storeRevision":9})",
+	  true, 1, 0, true, 9 },
+	{ "a watch",
+	  R"({"events":[{"key":"k","value":"YQ==","rev":3},)"
+	  R"({"key":"l","rev":4,"removed":true}],"storeRevision":4})",
+	  true, 2, 1, false, 4 },
+	{ "nothing new", R"({"events":[],"storeRevision":4})", true, 0, 0,
+	  false, 4 },
+	{ "an entry without a key takes no part",
+	  R"({"events":[{"rev":3},{"key":"k","rev":3}],"storeRevision":4})",
+	  true, 1, 0, false, 4 },
+	{ "no revision", R"({"events":[]})", false, 0, 0, false, 0 },
+	{ "neither list", R"({"storeRevision":4})", false, 0, 0, false, 0 },
+	{ "no JSON", "busy", false, 0, 0, false, 0 },
+};
+
+TEST(PlatformDecode, Pages)
+{
+	for (const auto &c : page_cases) {
+		SCOPED_TRACE(c.name);
+		struct store_page page = {};
+		uint32_t removed = 0;
+
+		ASSERT_EQ(store_page_read(c.text, strlen(c.text), &page),
+			  c.taken);
+		if (!c.taken)
+			continue;
+		EXPECT_EQ(page.items->len, c.items);
+		EXPECT_EQ(page.has_more, c.has_more);
+		EXPECT_EQ(page.revision, c.revision);
+		for (guint i = 0; i < page.items->len; i++)
+			removed += g_array_index(page.items, struct store_item,
+						 i)
+					   .removed;
+		EXPECT_EQ(removed, c.removed);
+		store_page_clear(&page);
+	}
+}
+
+TEST(PlatformDecode, EntriesInTheCallersWords)
+{
+	struct entries_reply reply = {};
+	char *json;
+
+	reply.entry_count = 2;
+	addr_parse("10.1.0.1:80", &reply.entries[0].caller);
+	addr_parse("10.1.0.2:80", &reply.entries[1].caller);
+	json = directory_entries_json(&reply, 1000);
+	EXPECT_STREQ(json, "{\"addresses\":[\"10.1.0.1:80\",\"10.1.0.2:80\"],"
+			   "\"ttl\":\"1000ms\"}");
+	g_free(json);
+}
+
+} // namespace
