--- /dev/null
+++ b/test/unit/caution_test.cc
@@ -0,0 +1,256 @@
+/* The choice after failed and hanging work, and work taken away for hanging. */
+#include "world.h"
+
+extern "C" {
+#include "command/health.h"
+#include "query/health.h"
+}
+
+namespace
+{
+
+/* Each of the two backend servers has room for all requests of a case. */
+struct doc_shape two_servers()
+{
+	struct doc_shape shape;
+
+	shape.backends = 2;
+	shape.slots = 30;
+	return shape;
+}
+
+struct choice_case {
+	const char *name;
+	enum evidence_kind kind;
+	/* Ends of work that is shown first, one after the other. */
+	uint32_t failed;
+	uint32_t ok;
+	uint64_t after_ms;
+	const char *path;
+	bool expected; /* the server that failed gets work */
+};
+
+const struct choice_case choice_cases[] = {
+	{ "nothing failed", EVIDENCE_OK, 0, 1, 0, "/s/write", true },
+	{ "a moment after a failure", EVIDENCE_RESET, 1, 0, 0, "/s/short",
+	  false },
+	{ "work that may be repeated tries it soon", EVIDENCE_RESET, 1, 0, 600,
+	  "/s/short", true },
+	{ "other work does not yet", EVIDENCE_RESET, 1, 0, 600, "/s/write",
+	  false },
+	{ "one whole answer brings no trust", EVIDENCE_RESET, 1, 1, 600,
+	  "/s/write", false },
+	{ "two do", EVIDENCE_RESET, 1, 2, 600, "/s/write", true },
+	{ "more failures last longer", EVIDENCE_RESET, 3, 0, 600, "/s/short",
+	  false },
+	{ "without any work it is forgotten", EVIDENCE_RESET, 1, 0, 9000,
+	  "/s/write", true },
+	{ "a shed is no failure", EVIDENCE_SHED, 1, 0, 0, "/s/write", true },
+	{ "a caller that left is none", EVIDENCE_CANCELLED, 1, 0, 0,
+	  "/s/write", true },
+};
+
+void show(World &world, struct backend *backend, enum evidence_kind kind)
+{
+	struct ticket ticket = {};
+	struct evidence evidence = ended(kind);
+	struct event_list list;
+
+	ticket.service = world.service();
+	ticket.granted_us = world.now.mono_us;
+	event_list_init(&list);
+	health_observe(world.state, world.service(), backend, &ticket,
+		       &evidence, world.now, &list);
+	event_list_clear(&list);
+}
+
+bool gets_work(World &world, const struct backend *wanted, const char *path)
+{
+	for (uint32_t i = 0; i < 20; i++) {
+		const struct event *event =
+			world.about(world.request(path, 1));
+
+		if (event && event->kind == EVENT_GRANT &&
+		    addr_equal(event->grant.backend, wanted->addr))
+			return true;
+	}
+	return false;
+}
+
+TEST(CautionTest, WorkGoesWhereWorkWentWell)
+{
+	for (const auto &c : choice_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.list(1);
+		world.accept(make_doc(two_servers()));
+		struct backend *backend = &world.service()->backends[0];
+
+		for (uint32_t i = 0; i < c.failed; i++)
+			show(world, backend, c.kind);
+		for (uint32_t i = 0; i < c.ok; i++)
+			show(world, backend, EVIDENCE_OK);
+		world.now.mono_us += c.after_ms * US_PER_MS;
+		EXPECT_EQ(gets_work(world, backend, c.path), c.expected);
+	}
+}
+
+/* Caution orders the choice; it never leaves a request without a server. */
+TEST(CautionTest, NobodyElseHasRoom)
+{
+	struct doc_shape shape = two_servers();
+	World world;
+
+	shape.backends = 1;
+	world.list(1);
+	world.accept(make_doc(shape));
+	show(world, &world.service()->backends[0], EVIDENCE_RESET);
+	uint32_t number = world.request("/s/write");
+
+	EXPECT_EQ(world.count(EVENT_GRANT), 0u);
+	world.pass_ms(300);
+	EXPECT_EQ(world.count(EVENT_GRANT), 1u);
+	EXPECT_EQ(world.about(number)->kind, EVENT_GRANT);
+}
+
+struct patience_case {
+	const char *name;
+	const char *path;
+	uint64_t typical_us;
+	uint64_t after_ms;
+	uint32_t budget_permille;
+	bool leaving;
+	uint32_t tries_max;
+	bool stopped;
+};
+
+const struct patience_case patience_cases[] = {
+	{ "much longer than usual", "/s/short", 50000, 200, 5000, false, 4,
+	  true },
+	{ "not long enough", "/s/short", 50000, 100, 5000, false, 4, false },
+	{ "nobody knows what is usual", "/s/short", 0, 200, 5000, false, 4,
+	  false },
+	{ "work that may run once only", "/s/write", 50000, 200, 5000, false, 4,
+	  false },
+	{ "no retry to spend", "/s/short", 50000, 200, 500, false, 4, false },
+	{ "no other try allowed", "/s/short", 50000, 200, 5000, false, 1,
+	  false },
+	{ "no time for another", "/s/short", 50000, 970, 5000, false, 4,
+	  false },
+	{ "during a planned stop", "/s/short", 50000, 200, 5000, true, 4,
+	  false },
+};
+
+TEST(CautionTest, HangingWorkIsTakenAway)
+{
+	for (const auto &c : patience_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.list(1);
+		world.accept(make_doc(two_servers()));
+		struct service *service = world.service();
+		uint32_t number = world.request(c.path);
+		struct grant_event grant = world.about(number)->grant;
+		struct ticket *ticket =
+			&world.state->tickets[grant.exchange.index];
+
+		ticket->tries_max = c.tries_max;
+		service->retry_budget_permille = c.budget_permille;
+		service->route_typical_us[ticket->route_index] = c.typical_us;
+		world.state->leaving = c.leaving;
+		world.now.mono_us += c.after_ms * US_PER_MS;
+		world.tick();
+		EXPECT_EQ(world.count(EVENT_CANCEL), c.stopped);
+		if (!c.stopped)
+			continue;
+		/* Paid once, and the next tick does not stop it again. */
+		EXPECT_EQ(service->retry_budget_permille,
+			  c.budget_permille - 1000);
+		world.now.mono_us += 100 * US_PER_MS;
+		world.tick();
+		EXPECT_EQ(world.count(EVENT_CANCEL), 1u);
+		world.finish(grant, ended(EVIDENCE_TIMEOUT));
+		EXPECT_EQ(world.count(EVENT_GRANT), 2u);
+		EXPECT_EQ(service->retry_budget_permille,
+			  c.budget_permille - 1000);
+	}
+}
+
+TEST(CautionTest, ARetryThatWasNotNeededIsGivenBack)
+{
+	World world;
+
+	world.list(1);
+	world.accept(make_doc(two_servers()));
+	struct service *service = world.service();
+	uint32_t number = world.request("/s/short");
+	struct grant_event grant = world.about(number)->grant;
+
+	service->retry_budget_permille = 5000;
+	service->route_typical_us[0] = 50000;
+	world.now.mono_us += 200 * US_PER_MS;
+	world.tick();
+	ASSERT_EQ(world.count(EVENT_CANCEL), 1u);
+	world.finish(grant, ended(EVIDENCE_OK));
+	EXPECT_EQ(service->retry_budget_permille, 5000u);
+}
+
+/* One that could not be reached uses up no try of a route that allows two. */
+TEST(CautionTest, AnUnreachedServerUsesUpNoTry)
+{
+	World world;
+
+	world.list(1);
+	world.accept(make_doc(doc_shape()));
+	uint32_t number = world.request("/s/short");
+	struct grant_event grant = world.about(number)->grant;
+
+	world.state->tickets[grant.exchange.index].tries_max = 2;
+	world.finish(grant, ended(EVIDENCE_CONNECT, false));
+	ASSERT_EQ(world.count(EVENT_GRANT), 2u);
+	world.finish(world.about(number)->grant, ended(EVIDENCE_RESET));
+	ASSERT_EQ(world.count(EVENT_GRANT), 3u);
+	world.finish(world.about(number)->grant, ended(EVIDENCE_RESET));
+	EXPECT_EQ(world.count(EVENT_GRANT), 3u);
+	EXPECT_EQ(world.about(number)->kind, EVENT_REFUSE);
+}
+
+struct policy_case {
+	const char *name;
+	enum policy_choice policy;
+	uint32_t near_slots; /* of six, at the home in the same domain */
+	uint32_t far_slots;
+};
+
+const struct policy_case policy_cases[] = {
+	{ "all slots near, a third far", POLICY_DOMAIN, 6, 2 },
+	{ "all slots everywhere", POLICY_OPEN, 6, 6 },
+};
+
+TEST(CautionTest, SlotsByFailureDomain)
+{
+	for (const auto &c : policy_cases) {
+		SCOPED_TRACE(c.name);
+		World world(0, 2);
+		struct policy policy = world.state->policy;
+
+		policy.sharing = c.policy == POLICY_DOMAIN ? SHARING_DOMAIN :
+							     SHARING_NONE;
+		world.state->policy = policy;
+		world.list(2, 2);
+		world.accept(make_doc(doc_shape()));
+		for (uint32_t i = 0; i < world.service()->backend_count; i++) {
+			const struct backend *backend =
+				&world.service()->backends[i];
+			bool near = name_equal(&backend->domain,
+					       &world.settings.domain);
+
+			EXPECT_EQ(backend->own_slots,
+				  near ? c.near_slots : c.far_slots);
+		}
+	}
+}
+
+} // namespace
