--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -614,6 +614,129 @@
 	}
 }
 
+/* Answers as the users' header fields tell them apart. */
+struct named_case {
+	const char *name;
+	std::string reply;
+	bool shed_any_status;
+	enum evidence_kind kind;
+	bool draining;
+};
+
+const std::string own_id = "X-Id: r1\r\n";
+const std::string signature = "X-Signature: s\r\n";
+
+std::string reply_of(const char *status, const std::string &fields)
+{
+	return std::string("HTTP/1.1 ") + status + "\r\n" + fields +
+	       "Content-Length: 2\r\n\r\nok";
+}
+
+const struct named_case named_cases[] = {
+	{ "a signed success with the request's id",
+	  reply_of("200 OK", own_id + signature), false, EVIDENCE_OK, false },
+	{ "another request's success",
+	  reply_of("200 OK", "X-Id: r2\r\n" + signature), false,
+	  EVIDENCE_BAD_ANSWER, false },
+	{ "a success without an id", reply_of("200 OK", signature), false,
+	  EVIDENCE_BAD_ANSWER, false },
+	{ "a success without a signature", reply_of("200 OK", own_id), false,
+	  EVIDENCE_BAD_ANSWER, false },
+	{ "a success with a coding of its own",
+	  reply_of("200 OK", own_id + signature + "Content-Encoding: gzip\r\n"),
+	  false, EVIDENCE_BAD_ANSWER, false },
+	{ "an error needs no signature",
+	  reply_of("500 Internal Server Error", own_id), false,
+	  EVIDENCE_SERVER_ERROR, false },
+	{ "another request's error",
+	  reply_of("500 Internal Server Error", "X-Id: r2\r\n"), false,
+	  EVIDENCE_BAD_ANSWER, false },
+	{ "another start of the server has the address",
+	  reply_of("421 Misdirected Request", own_id), false, EVIDENCE_SHED,
+	  true },
+	{ "shed with a status of its own",
+	  reply_of("429 Too Many Requests", own_id + "X-Shed: 1\r\n"), true,
+	  EVIDENCE_SHED, false },
+	{ "the marker counts with 503 alone unless the document says more",
+	  reply_of("429 Too Many Requests", own_id + "X-Shed: 1\r\n"), false,
+	  EVIDENCE_OK, false },
+	{ "a success is never shed",
+	  reply_of("200 OK", own_id + signature + "X-Shed: 1\r\n"), true,
+	  EVIDENCE_OK, false },
+	{ "an answer that ends with its connection",
+	  "HTTP/1.1 200 OK\r\n" + own_id + signature + "\r\nok", false,
+	  EVIDENCE_OK, false },
+};
+
+int field_number(const std::string &text, const std::string &field)
+{
+	size_t at = text.find(field);
+
+	return at == std::string::npos ? -1 :
+					 atoi(text.c_str() + at + field.size());
+}
+
+TEST_F(ExchangeDuty, HeaderFieldsOfTheUsers)
+{
+	g_strlcpy(settings_.headers.request_id, "X-Id", NAME_BYTES_MAX);
+	g_strlcpy(settings_.headers.signature, "X-Signature", NAME_BYTES_MAX);
+	g_strlcpy(settings_.headers.instance, "X-Instance", NAME_BYTES_MAX);
+	g_strlcpy(settings_.headers.time_left_ms, "X-Left", NAME_BYTES_MAX);
+	settings_.close_ends_answer = true;
+	for (const auto &c : named_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({ { c.reply, AFTER_CLOSE, 0, "" } });
+		struct request *request = make_request(METHOD_GET);
+		struct grant_event ordered = grant(server.port(), request, 300);
+		struct finish_command finish = {};
+		struct header *id = &request->headers[request->header_count++];
+
+		id->name = g_strdup("x-id");
+		id->value = g_strdup("r1");
+		name_set(&ordered.instance, "i-7");
+		g_strlcpy(ordered.shed.header, "X-Shed", NAME_BYTES_MAX);
+		g_strlcpy(ordered.shed.value, "1", NAME_BYTES_MAX);
+		ordered.shed.any_status = c.shed_any_status;
+		order(ordered);
+		ASSERT_TRUE(take_finish(&finish));
+		EXPECT_EQ(finish.evidence.kind, c.kind);
+		EXPECT_EQ(finish.evidence.draining, c.draining);
+		EXPECT_NE(server.last_request().find("X-Instance: i-7\r\n"),
+			  std::string::npos);
+		EXPECT_GT(field_number(server.last_request(), "X-Left: "), 0);
+		EXPECT_LE(field_number(server.last_request(), "X-Left: "), 300);
+		EXPECT_EQ(server.last_request().find("Nutmegcrank-Deadline"),
+			  std::string::npos);
+		answer_held_free(finish.held);
+		request_unref(request);
+	}
+}
+
+/* Work that hangs is stopped and may have run; the caller hears nothing yet. */
+TEST_F(ExchangeDuty, HangingWorkIsStopped)
+{
+	ScriptServer server({ { "", AFTER_STALL, 0, "" } });
+	struct request *request = make_request(METHOD_GET);
+	struct grant_event ordered = grant(server.port(), request, 2000);
+	struct exchange_order stop = {};
+	struct finish_command finish = {};
+	std::string body;
+
+	order(ordered);
+	while (server.reads() == 0)
+		g_usleep(1000);
+	stop.kind = ORDER_CANCEL;
+	stop.cancel.exchange = ordered.exchange;
+	stop.cancel.cause = CANCEL_HANGS;
+	ASSERT_EQ(exchange_send(duty_, &stop), RING_OK);
+	ASSERT_TRUE(take_finish(&finish));
+	EXPECT_EQ(finish.evidence.kind, EVIDENCE_TIMEOUT);
+	EXPECT_TRUE(finish.evidence.request_sent);
+	EXPECT_FALSE(finish.evidence.head_given);
+	EXPECT_EQ(take_parts(request, &body), "");
+	request_unref(request);
+}
+
 struct own_connection_case {
 	const char *name;
 	std::string reply;
--- /dev/null
+++ b/test/unit/http_names_test.cc
@@ -0,0 +1,173 @@
+/* Header names, deadlines and refusals as the settings want them. */
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "codec/http_answer.h"
+#include "codec/http_request.h"
+}
+
+namespace
+{
+
+struct settings named_settings()
+{
+	struct settings settings = {};
+
+	settings.body_max_bytes = 1000;
+	g_strlcpy(settings.headers.request_id, "Nutmegcrank-Id",
+		  NAME_BYTES_MAX);
+	g_strlcpy(settings.headers.signature, "Nutmegcrank-Sign",
+		  NAME_BYTES_MAX);
+	g_strlcpy(settings.headers.instance, "Meant", NAME_BYTES_MAX);
+	g_strlcpy(settings.headers.time_left_ms, "Left", NAME_BYTES_MAX);
+	return settings;
+}
+
+struct reserved_case {
+	const char *field;
+	bool unnamed; /* reserved when the settings name nothing */
+	bool named;
+};
+
+const struct reserved_case reserved_cases[] = {
+	{ "Nutmegcrank-Id", true, false },
+	{ "nutmegcrank-sign", true, false },
+	{ "Nutmegcrank-Outcome", true, true },
+	{ "Meant", false, true },
+	{ "left", false, true },
+	{ "Connection", true, true },
+	{ "X-Other", false, false },
+};
+
+TEST(HttpNames, FieldsThatPass)
+{
+	const struct settings named = named_settings();
+	const struct header_names none = {};
+
+	for (const auto &c : reserved_cases) {
+		SCOPED_TRACE(c.field);
+		EXPECT_EQ(http_field_reserved(&none, c.field), c.unnamed);
+		EXPECT_EQ(http_field_reserved(&named.headers, c.field),
+			  c.named);
+	}
+}
+
+struct left_case {
+	const char *value;
+	bool taken;
+	uint64_t deadline_us;
+};
+
+const struct left_case left_cases[] = {
+	{ "2000", true, 1000 * US_PER_S + 2 * US_PER_S },
+	{ "0", true, 1000 * US_PER_S },
+	{ "-1", false, 0 },
+	{ "2s", false, 0 },
+	{ "", false, 0 },
+};
+
+TEST(HttpNames, TimeThatIsLeft)
+{
+	const struct settings settings = named_settings();
+	const struct instant now = { 1000 * US_PER_S, 1700000000000 };
+
+	for (const auto &c : left_cases) {
+		SCOPED_TRACE(c.value);
+		struct http_field fields[] = {
+			{ "Host", "h" },
+			{ "Left", c.value },
+			{ "Nutmegcrank-Id", "r1" },
+		};
+		struct http_request_head head = { "GET", "/a", nullptr, "1.1",
+						  fields, 3, "127.0.0.1" };
+		struct request *request = request_new();
+		struct request_facts facts;
+		struct http_body_plan plan;
+		enum refusal_cause cause;
+
+		EXPECT_EQ(http_request_read(&head, &settings, now, request,
+					    &facts, &plan, &cause),
+			  c.taken);
+		if (c.taken) {
+			EXPECT_EQ(facts.deadline_us, c.deadline_us);
+			EXPECT_STREQ(request->id, "r1");
+			EXPECT_EQ(request->header_count, 2u);
+		}
+		request_unref(request);
+	}
+}
+
+struct status_case {
+	enum refusal_cause cause;
+	enum outcome outcome;
+	uint32_t by_cause;
+	uint32_t uniform;
+};
+
+/* With one status for all that did not run, 503 promises just that. */
+const struct status_case status_cases[] = {
+	{ REFUSAL_DEADLINE, OUTCOME_NOT_RUN, 504, 503 },
+	{ REFUSAL_DEADLINE, OUTCOME_UNKNOWN, 504, 504 },
+	{ REFUSAL_CONNECT, OUTCOME_NOT_RUN, 502, 503 },
+	{ REFUSAL_CONNECT, OUTCOME_UNKNOWN, 502, 502 },
+	{ REFUSAL_SHED, OUTCOME_NOT_RUN, 503, 503 },
+	{ REFUSAL_SHED, OUTCOME_UNKNOWN, 503, 502 },
+	{ REFUSAL_CALLER_GONE, OUTCOME_UNKNOWN, 503, 502 },
+	{ REFUSAL_BACKEND_TIMEOUT, OUTCOME_UNKNOWN, 504, 504 },
+	{ REFUSAL_QUEUE_FULL, OUTCOME_NOT_RUN, 503, 503 },
+	{ REFUSAL_NOT_READY, OUTCOME_NOT_RUN, 503, 503 },
+	{ REFUSAL_NO_SERVICE, OUTCOME_NOT_RUN, 404, 404 },
+	{ REFUSAL_BAD_REQUEST, OUTCOME_NOT_RUN, 400, 400 },
+	{ REFUSAL_TOO_LARGE, OUTCOME_NOT_RUN, 413, 413 },
+};
+
+TEST(HttpNames, StatusOfRefusals)
+{
+	struct settings settings = {};
+
+	for (const auto &c : status_cases) {
+		const struct refusal refusal = { c.cause, c.outcome, 0 };
+
+		SCOPED_TRACE(refusal_cause_text(c.cause));
+		settings.not_run_is_503 = false;
+		EXPECT_EQ(http_refusal_status(&settings, &refusal),
+			  c.by_cause);
+		settings.not_run_is_503 = true;
+		EXPECT_EQ(http_refusal_status(&settings, &refusal), c.uniform);
+	}
+}
+
+struct retry_case {
+	uint64_t retry_at_unix_ms;
+	const char *seconds; /* NULL for no advice */
+	const char *parts;
+};
+
+const struct retry_case retry_cases[] = {
+	{ 0, nullptr, nullptr },      { 10000, "1", "0.000" },
+	{ 10150, "1", "0.150" },      { 11000, "1", "1.000" },
+	{ 12345, "3", "2.345" },      { 9000, "1", "0.000" },
+};
+
+TEST(HttpNames, WhenToComeBack)
+{
+	struct settings settings = {};
+	char text[HTTP_RETRY_TEXT_BYTES];
+
+	for (const auto &c : retry_cases) {
+		const struct refusal refusal = { REFUSAL_SHED, OUTCOME_NOT_RUN,
+						 c.retry_at_unix_ms };
+
+		SCOPED_TRACE(c.retry_at_unix_ms);
+		settings.not_run_is_503 = false;
+		EXPECT_STREQ(http_retry_after(&settings, &refusal, 10000, text),
+			     c.seconds);
+		settings.not_run_is_503 = true;
+		EXPECT_STREQ(http_retry_after(&settings, &refusal, 10000, text),
+			     c.parts);
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/store_source_test.cc
@@ -0,0 +1,221 @@
+/* Reads of the platform's store: pages, watches, lost history, failures. */
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "script_server.h"
+
+extern "C" {
+#include "codec/document_json.h"
+#include "core/clock.h"
+#include "platform/store_source.h"
+}
+
+namespace
+{
+
+std::string reply(const std::string &status, const std::string &body)
+{
+	return "HTTP/1.1 " + status +
+	       "\r\nContent-Length: " + std::to_string(body.size()) +
+	       "\r\n\r\n" + body;
+}
+
+std::string item(const std::string &key, const std::string &value,
+		 uint64_t revision)
+{
+	gchar *coded = g_base64_encode((const guchar *)value.data(),
+				       value.size());
+	std::string text = "{\"key\":\"" + key + "\",\"value\":\"" + coded +
+			   "\",\"rev\":" + std::to_string(revision) + "}";
+
+	g_free(coded);
+	return text;
+}
+
+const std::string config_item = item(
+	"op/config",
+	"{\"version\":\"r1\",\"services\":[{\"name\":\"rolls\","
+	"\"maxConnections\":9}],\"hosts\":[]}",
+	1);
+
+std::string upstream_item(const std::string &id, uint64_t revision)
+{
+	return item("servers/" + id,
+		    "{\"address\":\"10.0.0." + id.substr(2) +
+			    ":80\",\"info\":{\"service\":\"rolls\",\"zone\":"
+			    "\"a\",\"maxConcurrency\":3},\"status\":{"
+			    "\"state\":\"ready\"}}",
+		    revision);
+}
+
+std::string page(const std::string &items, bool more, uint64_t revision)
+{
+	return reply("200 OK", "{\"items\":[" + items + "],\"hasMore\":" +
+				       (more ? "true" : "false") +
+				       ",\"storeRevision\":" +
+				       std::to_string(revision) + "}");
+}
+
+std::string changes(const std::string &events, uint64_t revision)
+{
+	return reply("200 OK", "{\"events\":[" + events +
+				       "],\"storeRevision\":" +
+				       std::to_string(revision) + "}");
+}
+
+/* One read of the index: what came of it. */
+struct read_step {
+	bool fails;
+	uint64_t version; /* of the index */
+	uint32_t upstreams;
+	std::string last_target; /* what the server was asked last */
+};
+
+struct source_case {
+	const char *name;
+	std::vector<struct script_reply> script;
+	std::vector<struct read_step> reads;
+};
+
+const std::string first = config_item + "," + upstream_item("i-1", 2);
+
+const struct source_case source_cases[] = {
+	{ "all at once, then a change",
+	  { { page(first, false, 5), AFTER_KEEP, 0, "" },
+	    { changes(upstream_item("i-2", 6), 6), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { false, 6, 2, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "page by page, then what changed meanwhile",
+	  { { page(config_item, true, 5), AFTER_KEEP, 0, "" },
+	    { page(upstream_item("i-1", 7), false, 7), AFTER_KEEP, 0, "" },
+	    { changes("{\"key\":\"servers/i-1\",\"rev\":8,\"removed\":true}",
+		      8),
+	      AFTER_KEEP, 0, "" } },
+	  { { false, 8, 0, "/kv-watch?prefix=&after=5&waitMs=0" } } },
+	{ "the history is gone: all is read again",
+	  { { page(first, false, 5), AFTER_KEEP, 0, "" },
+	    { reply("410 Gone", ""), AFTER_KEEP, 0, "" },
+	    { page(config_item, false, 90), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { false, 90, 0, "/kv-range?prefix=" } } },
+	{ "too many calls, then again",
+	  { { reply("429 Too Many Requests", ""), AFTER_KEEP, 0, "" },
+	    { page(first, false, 5), AFTER_KEEP, 0, "" } },
+	  { { true, 0, 0, "/kv-range?prefix=" },
+	    { false, 5, 1, "/kv-range?prefix=" } } },
+	{ "down, with what was known held",
+	  { { page(first, false, 5), AFTER_KEEP, 0, "" },
+	    { reply("503 Service Unavailable", ""), AFTER_KEEP, 0, "" },
+	    { changes("", 5), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { true, 0, 0, "/kv-watch?prefix=&after=5&waitMs=50" },
+	    { false, 5, 1, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "a watch that is cut",
+	  { { page(first, false, 5), AFTER_KEEP, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" },
+	    { changes(upstream_item("i-2", 6), 6), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { true, 0, 0, "" },
+	    { false, 6, 2, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "a store that falls silent",
+	  { { page(first, false, 5), AFTER_KEEP, 0, "" },
+	    { "", AFTER_STALL, 0, "" },
+	    { changes(upstream_item("i-2", 6), 6), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { true, 0, 0, "" },
+	    { false, 6, 2, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "an answer that cannot be read",
+	  { { reply("200 OK", "busy"), AFTER_KEEP, 0, "" },
+	    { page(first, false, 5), AFTER_KEEP, 0, "" } },
+	  { { true, 0, 0, "/kv-range?prefix=" },
+	    { false, 5, 1, "/kv-range?prefix=" } } },
+};
+
+void wait_for(struct store_source *source, struct source_answer *answer)
+{
+	uint64_t until_us = clock_now_us() + 3 * US_PER_S;
+
+	while (clock_now_us() < until_us) {
+		if (store_source_wait(source, until_us, answer))
+			return;
+	}
+	FAIL() << "no answer";
+}
+
+uint32_t count_upstreams(struct store_source *source)
+{
+	struct source_request request = {};
+	struct source_answer answer = {};
+	uint32_t count = 0;
+
+	request.kind = SOURCE_DOCUMENT;
+	name_set(&request.key, "rolls");
+	EXPECT_TRUE(store_source_begin(source, &request));
+	wait_for(source, &answer);
+	EXPECT_TRUE(answer.found);
+	struct service_doc *doc = service_doc_parse(
+		"rolls", (const char *)answer.text->data, answer.text->len,
+		answer.version, nullptr);
+
+	EXPECT_NE(doc, nullptr);
+	if (doc)
+		count = doc->backend_count;
+	service_doc_unref(doc);
+	source_answer_clear(&answer);
+	return count;
+}
+
+TEST(StoreSource, Reads)
+{
+	for (const auto &c : source_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server(c.script);
+		struct settings settings = {};
+
+		addr_ip_parse("127.0.0.1", &settings.platform.ip);
+		settings.platform.port = server.port();
+		settings.peer_bind.ip = settings.platform.ip;
+		settings.platform_answer_ms = 200;
+		struct store_source *source =
+			store_source_new(&settings, nullptr);
+
+		ASSERT_NE(source, nullptr);
+		for (const auto &step : c.reads) {
+			struct source_request request = {};
+			struct source_answer answer = {};
+
+			request.kind = SOURCE_INDEX;
+			request.watch.wait_ms = 50;
+			ASSERT_TRUE(store_source_begin(source, &request));
+			wait_for(source, &answer);
+			EXPECT_EQ(answer.error != nullptr, step.fails);
+			if (!step.last_target.empty()) {
+				EXPECT_EQ(server.last_request().find(
+						  "GET " + step.last_target +
+						  " "),
+					  0u)
+					<< server.last_request();
+			}
+			if (!answer.error) {
+				uint64_t version = 0;
+				GArray *list = nullptr;
+
+				ASSERT_TRUE(index_parse(
+					(const char *)answer.text->data,
+					answer.text->len, &version, &list,
+					nullptr));
+				EXPECT_EQ(version, step.version);
+				g_array_unref(list);
+				EXPECT_EQ(count_upstreams(source),
+					  step.upstreams);
+			}
+			source_answer_clear(&answer);
+		}
+		store_source_free(source);
+	}
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/trace_test.cc
@@ -0,0 +1,146 @@
+/* The trace of a request: what is recorded, what is kept, how it is written. */
+#include "world.h"
+
+extern "C" {
+#include "codec/trace_text.h"
+}
+
+namespace
+{
+
+struct kept_case {
+	const char *name;
+	enum log_requests log_requests;
+	enum evidence_kind kind;
+	/* Letters in order: Granted, Ended, Refused. */
+	const char *records;
+};
+
+const struct kept_case kept_cases[] = {
+	{ "none", LOG_REQUESTS_NONE, EVIDENCE_RESET, "" },
+	{ "all of one that went well", LOG_REQUESTS_ALL, EVIDENCE_OK, "GE" },
+	{ "all of one that failed", LOG_REQUESTS_ALL, EVIDENCE_RESET, "GER" },
+	{ "nothing of one that went well", LOG_REQUESTS_FAILED, EVIDENCE_OK,
+	  "" },
+	{ "the end of one that failed", LOG_REQUESTS_FAILED, EVIDENCE_RESET,
+	  "ER" },
+};
+
+std::string records_of(const World &world)
+{
+	std::string letters;
+
+	for (const struct event &event : world.events) {
+		if (event.kind != EVENT_TRACE)
+			continue;
+		switch (event.trace.kind) {
+		case TRACE_GRANTED:
+			letters += 'G';
+			break;
+		case TRACE_ENDED:
+			letters += 'E';
+			break;
+		case TRACE_REFUSED:
+			letters += 'R';
+			break;
+		}
+	}
+	return letters;
+}
+
+TEST(TraceTest, WhatIsKept)
+{
+	for (const auto &c : kept_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.settings.log_requests = c.log_requests;
+		world.list(1);
+		world.accept(make_doc(doc_shape()));
+		uint32_t number = world.request("/s/write");
+
+		world.finish(world.about(number)->grant, ended(c.kind));
+		EXPECT_EQ(records_of(world), c.records);
+	}
+}
+
+TEST(TraceTest, ARefusalBeforeAnyServiceIsKept)
+{
+	World world;
+
+	world.settings.log_requests = LOG_REQUESTS_FAILED;
+	world.request("/s/write");
+	EXPECT_EQ(records_of(world), "R");
+}
+
+struct trace_record record_of(enum trace_kind kind)
+{
+	struct trace_record record = {};
+
+	record.kind = kind;
+	record.unix_ms = 1700000000123;
+	g_strlcpy(record.request_id, "r\"1", NAME_BYTES_MAX);
+	name_set(&record.service, "rolls");
+	record.routes_version = 3;
+	record.document_version = 4;
+	record.left_us = 5;
+	record.tries = 1;
+	record.waiting_requests = 6;
+	record.running_requests = 7;
+	return record;
+}
+
+const std::string head =
+	R"({"time":"2023-11-14T22:13:20.123Z","request":"r\"1","decision":)";
+const std::string common =
+	R"("service":"rolls","routes_version":3,"document_version":4,)"
+	R"("left_us":5,"tries":1,"waiting":6,"running":7,)";
+
+TEST(TraceTest, RecordsAsJson)
+{
+	struct trace_record granted = record_of(TRACE_GRANTED);
+	struct trace_record ended_ = record_of(TRACE_ENDED);
+	struct trace_record refused = record_of(TRACE_REFUSED);
+
+	granted.granted.backend = { 0x0a000001, 80 };
+	name_set(&granted.granted.instance, "i-1");
+	granted.granted.own_slots = 2;
+	granted.granted.choice = { 1, 2, 3, 4, 5 };
+	ended_.ended.backend = { 0x0a000001, 80 };
+	ended_.ended.kind = EVIDENCE_TIMEOUT;
+	ended_.ended.sent = true;
+	ended_.ended.service_us = 9;
+	ended_.ended.follow = FOLLOW_RETRY;
+	refused.refused = { REFUSAL_SHED, OUTCOME_NOT_RUN, 150 };
+	const struct {
+		const char *name;
+		struct trace_record record;
+		std::string text;
+	} cases[] = {
+		{ "granted", granted,
+		  head + R"("granted",)" + common +
+			  R"("backend":"10.0.0.1:80","instance":"i-1",)"
+			  R"("own_slots":2,"in_use":0,"borrowed":false,)"
+			  R"("waited_us":0,"trusted":1,"trial":2,"avoided":3,)"
+			  R"("full":4,"closed":5})" },
+		{ "ended", ended_,
+		  head + R"("ended",)" + common +
+			  R"("backend":"10.0.0.1:80","evidence":"timeout",)"
+			  R"("sent":true,"status":0,"service_us":9,)"
+			  R"("next":"retry"})" },
+		{ "refused", refused,
+		  head + R"("refused",)" + common +
+			  R"("cause":"shed","outcome":"not-run",)"
+			  R"("retry_ms":150})" },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		char *json = trace_record_to_json(&c.record);
+
+		EXPECT_EQ(json, c.text);
+		g_free(json);
+	}
+}
+
+} // namespace
