--- a/src/main.c
+++ b/src/main.c
@@ -48,17 +48,21 @@
 
 static int run(const struct run_order *order)
 {
-	struct settings settings;
+	/* The log reads them until the process has ended. */
+	static struct settings settings;
 	GError *error = NULL;
+	int status;
 
-	if (!settings_load(order->settings_path, &settings, &error)) {
+	if (!settings_load(order->settings_path, &settings, &error) ||
+	    !log_setup(&settings, &error)) {
 		fprintf(stderr, "%s\n", error->message);
 		g_error_free(error);
 		return EXIT_FAILURE;
 	}
 	if (settings.random_seed == 0)
 		settings.random_seed = g_random_int();
-	log_setup(&settings);
 	g_message("settings accepted, random seed %u", settings.random_seed);
-	return run_main(&settings, order->settings_path);
+	status = run_main(&settings, order->settings_path);
+	log_flush();
+	return status;
 }
