--- a/test/process/harness.cc
+++ b/test/process/harness.cc
@@ -110,10 +110,15 @@
 
 } // namespace
 
+std::string program_path(const std::string &name)
+{
+	return build_dir() + "/" + name;
+}
+
 child::child(const std::string &name, const std::vector<std::string> &args)
     : name(name), pid(-1), output_fd(-1), ended(false)
 {
-	std::string program = build_dir() + "/" + args[0];
+	std::string program = program_path(args[0]);
 	std::vector<char *> argv;
 	pid_t parent = getpid();
 
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -12,6 +12,14 @@
 #include <string>
 #include <vector>
 
+/**
+ * program_path() - a program of the build folder
+ * @name: its name
+ *
+ * Return: its path.
+ */
+std::string program_path(const std::string &name);
+
 /**
  * class child - a process that ends with the test
  *
