--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -221,9 +221,8 @@
 	if (refusal->retry_at_unix_ms > now_unix_ms)
 		left_ms = refusal->retry_at_unix_ms - now_unix_ms;
 	if (settings->not_run_is_503)
-		g_snprintf(out, HTTP_RETRY_TEXT_BYTES,
-			   "%" PRIu64 ".%03" PRIu64, left_ms / MS_PER_S,
-			   left_ms % MS_PER_S);
+		g_snprintf(out, HTTP_RETRY_TEXT_BYTES, "%" PRIu64 ".%03" PRIu64,
+			   left_ms / MS_PER_S, left_ms % MS_PER_S);
 	else
 		g_snprintf(out, HTTP_RETRY_TEXT_BYTES, "%" PRIu64,
 			   MAX((left_ms + MS_PER_S - 1) / MS_PER_S,
--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -234,8 +234,7 @@
 		{ "Content-Length", &framing->length, &framing->length_count },
 		{ "Transfer-Encoding", &framing->coding,
 		  &framing->coding_count },
-		{ deadline, &framing->deadline,
-		  &framing->deadline_count },
+		{ deadline, &framing->deadline, &framing->deadline_count },
 		{ "Expect", &framing->expect, &framing->expect_count },
 	};
 	uint32_t i;
--- a/src/codec/peer_rpc.c
+++ b/src/codec/peer_rpc.c
@@ -12,7 +12,7 @@
 #define DIGEST_DRAINING 4
 #define DIGEST_COLD 8
 #define DIGEST_AVOIDED 16
-#define DIGEST_FLAGS                                                    \
+#define DIGEST_FLAGS                                                       \
 	(DIGEST_EJECTED | DIGEST_CHARGED | DIGEST_DRAINING | DIGEST_COLD | \
 	 DIGEST_AVOIDED)
 
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -32,10 +32,8 @@
 };
 
 static const struct field_choice policies[] = {
-	{ "leased", POLICY_LEASED },
-	{ "domain", POLICY_DOMAIN },
-	{ "fixed", POLICY_FIXED },
-	{ "open", POLICY_OPEN },
+	{ "leased", POLICY_LEASED },	 { "domain", POLICY_DOMAIN },
+	{ "fixed", POLICY_FIXED },	 { "open", POLICY_OPEN },
 	{ "baseline", POLICY_BASELINE },
 };
 
@@ -172,8 +170,8 @@
 	if (!json_items_begin(place, &list, &items, error))
 		return false;
 	while (json_items_next(&items)) {
-		if (!json_read_addr(&items.item,
-				    &settings->seeds[items.index], error))
+		if (!json_read_addr(&items.item, &settings->seeds[items.index],
+				    error))
 			return false;
 		settings->seed_count = items.index + 1;
 	}
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -84,9 +84,10 @@
 		return;
 	}
 	service->counters.classes[ticket->class_index].admitted_requests++;
-	service->retry_budget_permille = MIN(
-		service->retry_budget_permille + state->settings->retry_earned_permille,
-		RETRY_BUDGET_MAX_PERMILLE);
+	service->retry_budget_permille =
+		MIN(service->retry_budget_permille +
+			    state->settings->retry_earned_permille,
+		    RETRY_BUDGET_MAX_PERMILLE);
 	ticket_enqueue(state, index, now);
 	schedule_run(state, service, now, out);
 }
@@ -144,8 +145,7 @@
 
 	if (cause == REFUSAL_NO_SERVICE)
 		event.refuse.refusal.retry_at_unix_ms = 0;
-	trace_refusal(state, NULL, request, &event.refuse.refusal, now,
-		      out);
+	trace_refusal(state, NULL, request, &event.refuse.refusal, now, out);
 	state->refused_early[cause]++;
 	event_list_add(out, &event);
 }
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -161,8 +161,8 @@
 		membership->list_pulls++;
 	event.config_pull.from = message->sender;
 	event.config_pull.instances =
-		membership->seeded ? message->members_digest !=
-					     membership->members_digest :
-				     !membership->list_known;
+		membership->seeded ?
+			message->members_digest != membership->members_digest :
+			!membership->list_known;
 	event_list_add(out, &event);
 }
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -195,9 +195,8 @@
 			find_route(remap->service->doc, &old->routes[i]);
 	/* Those of the routing table keep their names. */
 	for (; i <= DOC_ROUTES_MAX; i++)
-		remap->routes[i] = remap->service->doc->routed ?
-					   i :
-					   DOC_ROUTES_MAX;
+		remap->routes[i] = remap->service->doc->routed ? i :
+								 DOC_ROUTES_MAX;
 }
 
 static uint32_t find_route(const struct service_doc *doc,
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -128,10 +128,10 @@
 
 uint64_t retry_advice_unix_ms(struct state *state, struct instant now)
 {
-	return now.unix_ms +
-	       (uint64_t)g_rand_int_range(state->rand,
-					  (gint32)state->settings->retry_min_ms,
-					  (gint32)state->settings->retry_max_ms);
+	return now.unix_ms + (uint64_t)g_rand_int_range(
+				     state->rand,
+				     (gint32)state->settings->retry_min_ms,
+				     (gint32)state->settings->retry_max_ms);
 }
 
 GArray *queue_of(const struct state *state, const struct ticket *ticket)
--- a/src/command/trace.c
+++ b/src/command/trace.c
@@ -9,7 +9,8 @@
 		   struct event_list *out);
 
 void trace_grant(struct state *state, const struct ticket *ticket,
-		 const struct trace_choice *choice, struct instant now, struct event_list *out)
+		 const struct trace_choice *choice, struct instant now,
+		 struct event_list *out)
 {
 	const struct backend *backend =
 		&ticket->service->backends[ticket->backend_index];
@@ -46,9 +47,8 @@
 }
 
 void trace_refusal(struct state *state, const struct ticket *ticket,
-		   const struct request *request,
-		   const struct refusal *refusal, struct instant now,
-		   struct event_list *out)
+		   const struct request *request, const struct refusal *refusal,
+		   struct instant now, struct event_list *out)
 {
 	struct trace_record record = { .kind = TRACE_REFUSED };
 
--- a/src/command/trace.h
+++ b/src/command/trace.h
@@ -16,7 +16,8 @@
  * @out: gets the record
  */
 void trace_grant(struct state *state, const struct ticket *ticket,
-		 const struct trace_choice *choice, struct instant now, struct event_list *out);
+		 const struct trace_choice *choice, struct instant now,
+		 struct event_list *out);
 
 /**
  * trace_end() - an exchange has ended
@@ -41,8 +42,7 @@
  * @out: gets the record
  */
 void trace_refusal(struct state *state, const struct ticket *ticket,
-		   const struct request *request,
-		   const struct refusal *refusal, struct instant now,
-		   struct event_list *out);
+		   const struct request *request, const struct refusal *refusal,
+		   struct instant now, struct event_list *out);
 
 #endif
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -160,8 +160,7 @@
 		break;
 	case EVENT_TRACE:
 		/* The duty itself says how many it had no room for. */
-		if (audit_send_trace(links->audit, &event->trace) !=
-		    RING_OK)
+		if (audit_send_trace(links->audit, &event->trace) != RING_OK)
 			g_debug("dispatch: a trace record was dropped");
 		break;
 	case EVENT_PEER_SEND:
--- a/src/duty/front.c
+++ b/src/duty/front.c
@@ -202,8 +202,7 @@
 		 front->settings->worker_threads);
 	snprintf(head, sizeof(head), "%u", front->settings->head_max_bytes);
 	snprintf(head_ms, sizeof(head_ms), "%d", HEAD_MAX_MS);
-	snprintf(keep_ms, sizeof(keep_ms), "%u",
-		 front->settings->idle_max_ms);
+	snprintf(keep_ms, sizeof(keep_ms), "%u", front->settings->idle_max_ms);
 	/* CivetWeb has no setting for its workers' stacks. */
 	if (pthread_getattr_default_np(&before) != 0 ||
 	    pthread_attr_init(&small) != 0 ||
@@ -685,11 +684,10 @@
 	uint32_t status = http_refusal_status(settings, refusal);
 	char *json = refusal_to_json(refusal);
 	char retry[HTTP_RETRY_TEXT_BYTES];
-	GString *text =
-		http_json_text(status, json, refusal->outcome,
-			       http_retry_after(settings, refusal,
-						clock_now().unix_ms, retry),
-			       !call->head_only, call->close);
+	GString *text = http_json_text(
+		status, json, refusal->outcome,
+		http_retry_after(settings, refusal, clock_now().unix_ms, retry),
+		!call->head_only, call->close);
 
 	caller_watch_limit(call->front->watch, call->caller,
 			   clock_now_us() + WRITE_MARGIN_US);
--- a/src/duty/platform_get.c
+++ b/src/duty/platform_get.c
@@ -156,8 +156,7 @@
 {
 	CURL *curl = read->curl;
 	char url[URL_BYTES];
-	long answer_ms =
-		(long)(read->get.wait_ms + read->client->answer_ms);
+	long answer_ms = (long)read->get.wait_ms + read->client->answer_ms;
 
 	g_snprintf(url, sizeof(url), "%s%s", read->client->base,
 		   read->get.target);
--- a/src/query/entries.c
+++ b/src/query/entries.c
@@ -34,10 +34,10 @@
 
 	out->entry_count = 0;
 	out->expires_unix_ms = now.unix_ms + state->settings->entries_ttl_ms;
-	out->known = query->host.text[0] != '\0' ?
-			     add_homes_of_host(state, query, now, list) :
-			     add_homes(state, &query->service, query, now,
-				       list);
+	out->known =
+		query->host.text[0] != '\0' ?
+			add_homes_of_host(state, query, now, list) :
+			add_homes(state, &query->service, query, now, list);
 	if (out->known && list->len == 0) {
 		g_array_unref(list);
 		list = usable_instances(state, query);
@@ -149,9 +149,9 @@
 
 	/* The services of a host share homes. */
 	for (i = 0; i < list->len; i++) {
-		if (addr_equal(g_array_index(list, struct choice, i)
-				       .entry.caller,
-			       instance->caller))
+		if (addr_equal(
+			    g_array_index(list, struct choice, i).entry.caller,
+			    instance->caller))
 			return;
 	}
 	g_array_append_val(list, choice);
--- a/test/process/log_test.cc
+++ b/test/process/log_test.cc
@@ -22,9 +22,8 @@
 class LoggedProcess {
     public:
 	explicit LoggedProcess(const std::string &seeds)
-	    : callers_(address(free_port()))
-	    , operators_(address(free_port()))
-	    , path_(testing::TempDir() + "/nutmegcrank-log-" +
+	    : callers_(address(free_port())), operators_(address(free_port())),
+	      path_(testing::TempDir() + "/nutmegcrank-log-" +
 		    std::to_string(getpid()) + ".json")
 	{
 		int ends[2];
--- a/test/unit/caution_test.cc
+++ b/test/unit/caution_test.cc
@@ -46,8 +46,8 @@
 	{ "without any work it is forgotten", EVIDENCE_RESET, 1, 0, 9000,
 	  "/s/write", true },
 	{ "a shed is no failure", EVIDENCE_SHED, 1, 0, 0, "/s/write", true },
-	{ "a caller that left is none", EVIDENCE_CANCELLED, 1, 0, 0,
-	  "/s/write", true },
+	{ "a caller that left is none", EVIDENCE_CANCELLED, 1, 0, 0, "/s/write",
+	  true },
 };
 
 void show(World &world, struct backend *backend, enum evidence_kind kind)
@@ -67,8 +67,7 @@
 bool gets_work(World &world, const struct backend *wanted, const char *path)
 {
 	for (uint32_t i = 0; i < 20; i++) {
-		const struct event *event =
-			world.about(world.request(path, 1));
+		const struct event *event = world.about(world.request(path, 1));
 
 		if (event && event->kind == EVENT_GRANT &&
 		    addr_equal(event->grant.backend, wanted->addr))
--- a/test/unit/docs_test.cc
+++ b/test/unit/docs_test.cc
@@ -70,6 +70,7 @@
 		"src/codec/settings_json.c",
 		"src/codec/document_json.c",
 		"src/codec/platform_json.c",
+		"src/codec/routing_json.c",
 	};
 
 	for (const char *path : sources)
--- a/test/unit/fleet_sim.h
+++ b/test/unit/fleet_sim.h
@@ -33,8 +33,7 @@
 
 	/* With seeds the instances find each other, else all read one list. */
 	FleetSim(uint32_t count, uint32_t seed, uint32_t seeds_ = 0)
-	    : seeds(seeds_)
-	    , rand(g_rand_new_with_seed(seed))
+	    : seeds(seeds_), rand(g_rand_new_with_seed(seed))
 	{
 		paused.assign(count, false);
 		inboxes.resize(count);
--- a/test/unit/http_names_test.cc
+++ b/test/unit/http_names_test.cc
@@ -80,8 +80,9 @@
 			{ "Left", c.value },
 			{ "Nutmegcrank-Id", "r1" },
 		};
-		struct http_request_head head = { "GET", "/a", nullptr, "1.1",
-						  fields, 3, "127.0.0.1" };
+		struct http_request_head head = { "GET",      "/a",   nullptr,
+						  "1.1",      fields, 3,
+						  "127.0.0.1" };
 		struct request *request = request_new();
 		struct request_facts facts;
 		struct http_body_plan plan;
@@ -132,8 +133,7 @@
 
 		SCOPED_TRACE(refusal_cause_text(c.cause));
 		settings.not_run_is_503 = false;
-		EXPECT_EQ(http_refusal_status(&settings, &refusal),
-			  c.by_cause);
+		EXPECT_EQ(http_refusal_status(&settings, &refusal), c.by_cause);
 		settings.not_run_is_503 = true;
 		EXPECT_EQ(http_refusal_status(&settings, &refusal), c.uniform);
 	}
@@ -146,9 +146,9 @@
 };
 
 const struct retry_case retry_cases[] = {
-	{ 0, nullptr, nullptr },      { 10000, "1", "0.000" },
-	{ 10150, "1", "0.150" },      { 11000, "1", "1.000" },
-	{ 12345, "3", "2.345" },      { 9000, "1", "0.000" },
+	{ 0, nullptr, nullptr }, { 10000, "1", "0.000" },
+	{ 10150, "1", "0.150" }, { 11000, "1", "1.000" },
+	{ 12345, "3", "2.345" }, { 9000, "1", "0.000" },
 };
 
 TEST(HttpNames, WhenToComeBack)
--- a/test/unit/member_join_test.cc
+++ b/test/unit/member_join_test.cc
@@ -127,8 +127,8 @@
 	sim.pass_ms(8000);
 	EXPECT_EQ(sim.seen(0, 5), MEMBER_DEAD);
 	for (uint32_t i = 0; i < sim.worlds[0]->service()->home_count; i++)
-		EXPECT_FALSE(addr_equal(
-			sim.worlds[0]->service()->homes[i].peer, gone));
+		EXPECT_FALSE(addr_equal(sim.worlds[0]->service()->homes[i].peer,
+					gone));
 	ASSERT_NE(membership_find(&sim.worlds[0]->state->membership, gone),
 		  nullptr);
 	sim.worlds[0]->now.mono_us += 700 * US_PER_S;
--- a/test/unit/platform_decode_test.cc
+++ b/test/unit/platform_decode_test.cc
@@ -207,8 +207,8 @@
 	{ "no kind",
 	  config_text(path_head + path_tail + R"(,"service":"rolls"})"), false,
 	  false, 0, 0 },
-	{ "a version without r",
-	  R"({"version":"7","services":[],"hosts":[]})", false, false, 0, 0 },
+	{ "a version without r", R"({"version":"7","services":[],"hosts":[]})",
+	  false, false, 0, 0 },
 	{ "no hosts", R"({"version":"r7","services":[]})", false, false, 0, 0 },
 	{ "a service without connections",
 	  R"({"version":"r7","services":[{"name":"x"}],"hosts":[]})", false,
@@ -287,9 +287,9 @@
 		EXPECT_EQ(page.has_more, c.has_more);
 		EXPECT_EQ(page.revision, c.revision);
 		for (guint i = 0; i < page.items->len; i++)
-			removed += g_array_index(page.items, struct store_item,
-						 i)
-					   .removed;
+			removed +=
+				g_array_index(page.items, struct store_item, i)
+					.removed;
 		EXPECT_EQ(removed, c.removed);
 		store_page_clear(&page);
 	}
--- a/test/unit/routing_test.cc
+++ b/test/unit/routing_test.cc
@@ -33,8 +33,7 @@
 };
 
 const struct parse_case parse_cases[] = {
-	{ "one route", table_text(route_text("/a/")), true,
-	  SETTINGS_ERROR_IO },
+	{ "one route", table_text(route_text("/a/")), true, SETTINGS_ERROR_IO },
 	{ "no host", R"({"hosts":[]})", true, SETTINGS_ERROR_IO },
 	{ "hosts are missing", "{}", false, SETTINGS_ERROR_MISSING },
 	{ "a host twice",
@@ -67,8 +66,8 @@
 		EXPECT_EQ(table != nullptr, c.taken)
 			<< (error ? error->message : "");
 		if (!c.taken) {
-			EXPECT_TRUE(g_error_matches(error, SETTINGS_ERROR,
-						    c.code))
+			EXPECT_TRUE(
+				g_error_matches(error, SETTINGS_ERROR, c.code))
 				<< error->message;
 		}
 		g_clear_error(&error);
@@ -93,8 +92,8 @@
 {
 	std::string text =
 		table_text(route_text("/a/") + "," + route_text("/a/b/"));
-	struct routing_table *table = routing_table_parse(
-		"t", text.data(), text.size(), 1, nullptr);
+	struct routing_table *table =
+		routing_table_parse("t", text.data(), text.size(), 1, nullptr);
 
 	ASSERT_NE(table, nullptr);
 	for (const auto &c : find_cases) {
@@ -151,8 +150,8 @@
 		doc->routed = true;
 		if (c.table)
 			accept_table(world,
-				     table_text(route_text(
-					     "/a/", R"(,"priority":1)")),
+				     table_text(route_text("/a/",
+							   R"(,"priority":1)")),
 				     1);
 		if (c.document)
 			world.accept(doc);
@@ -188,8 +187,7 @@
 	g_strlcpy(facts.host, "h.example", sizeof(facts.host));
 	g_strlcpy(facts.path, "/a/x", sizeof(facts.path));
 	for (int i = 0; i < 10000; i++) {
-		ASSERT_EQ(route_find(world.state, &facts, &match),
-			  ROUTE_FOUND);
+		ASSERT_EQ(route_find(world.state, &facts, &match), ROUTE_FOUND);
 		first += match.service == world.service();
 	}
 	EXPECT_NEAR(first, 9000, 300);
@@ -203,7 +201,7 @@
 };
 
 const struct version_case version_cases[] = {
-	{ "the first", 5, false, 5 },	 { "an older one", 4, false, 5 },
+	{ "the first", 5, false, 5 },	   { "an older one", 4, false, 5 },
 	{ "an older peer's", 3, true, 5 }, { "a newer peer's", 8, true, 8 },
 	{ "the same again", 8, false, 8 },
 };
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -25,8 +25,8 @@
 std::string item(const std::string &key, const std::string &value,
 		 uint64_t revision)
 {
-	gchar *coded = g_base64_encode((const guchar *)value.data(),
-				       value.size());
+	gchar *coded =
+		g_base64_encode((const guchar *)value.data(), value.size());
 	std::string text = "{\"key\":\"" + key + "\",\"value\":\"" + coded +
 			   "\",\"rev\":" + std::to_string(revision) + "}";
 
@@ -34,11 +34,11 @@
 	return text;
 }
 
-const std::string config_item = item(
-	"op/config",
-	"{\"version\":\"r1\",\"services\":[{\"name\":\"rolls\","
-	"\"maxConnections\":9}],\"hosts\":[]}",
-	1);
+const std::string config_item =
+	item("op/config",
+	     "{\"version\":\"r1\",\"services\":[{\"name\":\"rolls\","
+	     "\"maxConnections\":9}],\"hosts\":[]}",
+	     1);
 
 std::string upstream_item(const std::string &id, uint64_t revision)
 {
@@ -52,10 +52,11 @@
 
 std::string page(const std::string &items, bool more, uint64_t revision)
 {
-	return reply("200 OK", "{\"items\":[" + items + "],\"hasMore\":" +
-				       (more ? "true" : "false") +
-				       ",\"storeRevision\":" +
-				       std::to_string(revision) + "}");
+	return reply("200 OK",
+		     "{\"items\":[" + items +
+			     "],\"hasMore\":" + (more ? "true" : "false") +
+			     ",\"storeRevision\":" + std::to_string(revision) +
+			     "}");
 }
 
 std::string changes(const std::string &events, uint64_t revision)
@@ -90,8 +91,7 @@
 	{ "page by page, then what changed meanwhile",
 	  { { page(config_item, true, 5), AFTER_KEEP, 0, "" },
 	    { page(upstream_item("i-1", 7), false, 7), AFTER_KEEP, 0, "" },
-	    { changes("{\"key\":\"servers/i-1\",\"rev\":8,\"removed\":true}",
-		      8),
+	    { changes("{\"key\":\"servers/i-1\",\"rev\":8,\"removed\":true}", 8),
 	      AFTER_KEEP, 0, "" } },
 	  { { false, 8, 0, "/kv-watch?prefix=&after=5&waitMs=0" } } },
 	{ "the history is gone: all is read again",
@@ -156,9 +156,9 @@
 	EXPECT_TRUE(store_source_begin(source, &request));
 	wait_for(source, &answer);
 	EXPECT_TRUE(answer.found);
-	struct service_doc *doc = service_doc_parse(
-		"rolls", (const char *)answer.text->data, answer.text->len,
-		answer.version, nullptr);
+	struct service_doc *doc =
+		service_doc_parse("rolls", (const char *)answer.text->data,
+				  answer.text->len, answer.version, nullptr);
 
 	EXPECT_NE(doc, nullptr);
 	if (doc)
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -83,9 +83,9 @@
 	if (!document)
 		return nullptr;
 	GError *error = nullptr;
-	struct service_doc *doc = service_doc_parse(
-		service, document->text, strlen(document->text),
-		document->version, &error);
+	struct service_doc *doc = service_doc_parse(service, document->text,
+						    strlen(document->text),
+						    document->version, &error);
 
 	EXPECT_NE(doc, nullptr) << (error ? error->message : "");
 	g_clear_error(&error);
@@ -241,12 +241,11 @@
 	std::vector<struct step> steps = { first_config };
 
 	for (int i = 0; i < 12; i++)
-		steps.push_back({ PUT, "servers/i-" + std::to_string(i),
-				  entry(i % 2 ? "rolls" : "desk",
-					"10.0.0." + std::to_string(i + 1) +
-						":80",
-					1),
-				  (uint64_t)(3 + i) });
+		steps.push_back(
+			{ PUT, "servers/i-" + std::to_string(i),
+			  entry(i % 2 ? "rolls" : "desk",
+				"10.0.0." + std::to_string(i + 1) + ":80", 1),
+			  (uint64_t)(3 + i) });
 	struct store_view *forward = store_view_new();
 	struct store_view *backward = store_view_new();
 
@@ -293,8 +292,8 @@
 
 	char *index = store_view_index(view);
 
-	ASSERT_TRUE(index_parse(index, strlen(index), &version, &list,
-				nullptr));
+	ASSERT_TRUE(
+		index_parse(index, strlen(index), &version, &list, nullptr));
 	EXPECT_EQ(version, 3u);
 	EXPECT_EQ(list->len, 3u);
 	g_array_unref(list);
