--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -37,7 +37,7 @@
 		      struct http_body_plan *plan, enum refusal_cause *cause);
 static bool host_parse(const char *value, char out[NAME_BYTES_MAX]);
 static bool deadline_parse(const struct framing *framing, struct instant now,
-			   bool relative, uint64_t *out);
+			   const struct settings *settings, uint64_t *out);
 static void copy_fields(const struct http_request_head *head,
 			const struct header_names *names,
 			struct request *request);
@@ -60,9 +60,7 @@
 	read_framing(head, &settings->headers, &framing);
 	if (framing.host_count != 1 || !host_parse(framing.host, facts->host))
 		return false;
-	if (!deadline_parse(&framing, now,
-			    settings->headers.time_left_ms[0] != '\0',
-			    &facts->deadline_us))
+	if (!deadline_parse(&framing, now, settings, &facts->deadline_us))
 		return false;
 	if (!plan_body(&framing, settings->body_max_bytes, plan, cause))
 		return false;
@@ -303,7 +301,7 @@
 }
 
 static bool deadline_parse(const struct framing *framing, struct instant now,
-			   bool relative, uint64_t *out)
+			   const struct settings *settings, uint64_t *out)
 {
 	uint64_t number_ms;
 	uint64_t left_us = 0;
@@ -315,10 +313,12 @@
 	    !http_number_parse(framing->deadline, UINT64_MAX / US_PER_MS,
 			       &number_ms))
 		return false;
-	if (relative)
+	if (settings->headers.time_left_ms[0] != '\0')
 		left_us = number_ms * US_PER_MS;
 	else if (number_ms > now.unix_ms)
 		left_us = (number_ms - now.unix_ms) * US_PER_MS;
+	/* An answer takes a moment to its caller. */
+	left_us -= MIN(left_us, settings->answer_margin_ms * US_PER_MS);
 	*out = now.mono_us + MIN(left_us, CALLER_DEADLINE_MAX_US);
 	return true;
 }
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -79,6 +79,8 @@
 	{ "headers", FIELD_OBJECT, false,
 	  .table = { header_fields, G_N_ELEMENTS(header_fields) } },
 	{ "not_run_is_503", FIELD_BOOL, false, AT(not_run_is_503) },
+	{ "answer_margin_ms", FIELD_U32, false, AT(answer_margin_ms),
+	  .range = { 0, 1000, 0 } },
 	{ "close_ends_answer", FIELD_BOOL, false, AT(close_ends_answer) },
 	{ "retry_min_ms", FIELD_U32, false, AT(retry_min_ms),
 	  .range = { 1, 60000, 1000 } },
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -252,6 +252,7 @@
  * @headers: header fields with names of the users' choice
  * @not_run_is_503: every refusal of proper requests that did not run has status
  *	503 and says when to come back, to the millisecond
+ * @answer_margin_ms: answers go out this long before their caller gives up
  * @close_ends_answer: an answer without a length ends with its connection
  * @retry_min_ms: refused callers come back after this at the earliest
  * @retry_max_ms: and after this at the latest
@@ -285,6 +286,7 @@
 	uint32_t seed_count;
 	struct header_names headers;
 	bool not_run_is_503;
+	uint32_t answer_margin_ms;
 	bool close_ends_answer;
 	uint32_t retry_min_ms;
 	uint32_t retry_max_ms;
--- a/test/unit/http_names_test.cc
+++ b/test/unit/http_names_test.cc
@@ -56,21 +56,24 @@
 
 struct left_case {
 	const char *value;
+	uint32_t margin_ms;
 	bool taken;
 	uint64_t deadline_us;
 };
 
 const struct left_case left_cases[] = {
-	{ "2000", true, 1000 * US_PER_S + 2 * US_PER_S },
-	{ "0", true, 1000 * US_PER_S },
-	{ "-1", false, 0 },
-	{ "2s", false, 0 },
-	{ "", false, 0 },
+	{ "2000", 0, true, 1000 * US_PER_S + 2 * US_PER_S },
+	{ "0", 0, true, 1000 * US_PER_S },
+	{ "2000", 25, true, 1000 * US_PER_S + 1975 * US_PER_MS },
+	{ "20", 25, true, 1000 * US_PER_S },
+	{ "-1", 0, false, 0 },
+	{ "2s", 0, false, 0 },
+	{ "", 0, false, 0 },
 };
 
 TEST(HttpNames, TimeThatIsLeft)
 {
-	const struct settings settings = named_settings();
+	struct settings settings = named_settings();
 	const struct instant now = { 1000 * US_PER_S, 1700000000000 };
 
 	for (const auto &c : left_cases) {
@@ -88,6 +91,7 @@
 		struct http_body_plan plan;
 		enum refusal_cause cause;
 
+		settings.answer_margin_ms = c.margin_ms;
 		EXPECT_EQ(http_request_read(&head, &settings, now, request,
 					    &facts, &plan, &cause),
 			  c.taken);
