Work that reached nobody is tried elsewhere without a retry's price

The budget bounds what arrives at backend servers beyond the first time, and what could not connect has not arrived.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -137,7 +137,8 @@
 		return;
 	}
 	if (may_retry(ticket, evidence, now)) {
-		if (take_budget(ticket)) {
+		/* What was never reached costs its service nothing. */
+		if (!evidence->request_sent || take_budget(ticket)) {
 			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
 				  out);
 			retry(state, index, command->backend, evidence, now);
