Lend no slots of one that is tried; begin alone where a store publishes no list

Found in reading: caution had taken the place of the check for a trickle, and with an empty list of seeds an instance over a store waited for a list that nobody publishes. CautionTest.OnlySlotsThatCanBeTrustedAreLent and MemberJoinTest.OneWithoutSeeds failed before.

--- a/src/core/document.c
+++ b/src/core/document.c
@@ -36,3 +36,9 @@
 	}
 	return service_doc_slots(doc);
 }
+
+bool settings_list_published(const struct settings *settings)
+{
+	return settings->platform_kind == PLATFORM_DOCUMENTS &&
+	       settings->seed_count == 0;
+}
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -305,6 +305,14 @@
 	uint32_t policy;
 };
 
+/**
+ * settings_list_published() - whether the platform publishes who is there
+ * @settings: the settings
+ *
+ * Return: false where instances find each other.
+ */
+bool settings_list_published(const struct settings *settings);
+
 /**
  * enum instance_status - what the platform's list says of an instance
  */
--- a/src/core/member.c
+++ b/src/core/member.c
@@ -8,7 +8,7 @@
 	membership->self.caller = settings->caller_listen;
 	membership->self.peer = settings->peer_listen;
 	membership->self.domain = settings->domain;
-	membership->seeded = settings->seed_count > 0;
+	membership->seeded = !settings_list_published(settings);
 	membership->seed_count = settings->seed_count;
 	memcpy(membership->seeds, settings->seeds, sizeof(settings->seeds));
 	membership->list_known = membership->seeded;
--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -140,7 +140,7 @@
 
 static void begin_reads(struct config_duty *duty)
 {
-	if (!duty->settings->seed_count)
+	if (settings_list_published(duty->settings))
 		begin_watch(duty, &duty->instances, SOURCE_INSTANCES);
 	if (index_wanted(duty))
 		begin_watch(duty, &duty->index, SOURCE_INDEX);
@@ -150,7 +150,8 @@
 /* A published list tells first whether there are peers to learn from. */
 static bool index_wanted(const struct config_duty *duty)
 {
-	return duty->settings->seed_count || watch_tried(&duty->instances);
+	return !settings_list_published(duty->settings) ||
+	       watch_tried(&duty->instances);
 }
 
 static void begin_watch(struct config_duty *duty, struct watch *watch,
@@ -207,7 +208,7 @@
 {
 	uint64_t due_us = DEADLINE_NONE_US;
 
-	if (!duty->settings->seed_count && !duty->instances.running)
+	if (settings_list_published(duty->settings) && !duty->instances.running)
 		due_us = duty->instances.due_us;
 	if (!duty->index.running && index_wanted(duty))
 		due_us = MIN(due_us, duty->index.due_us);
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -64,7 +64,8 @@
 	uint32_t busy = backend->in_use_slots;
 	uint32_t busy_long = backend->in_use_long_slots + backend->lent_slots;
 
-	if (backend_caution(backend, now) != CAUTION_NONE || busy >= open ||
+	if (backend_idempotent_only(backend) ||
+	    backend_caution(backend, now) != CAUTION_NONE || busy >= open ||
 	    busy_long >= backend->own_long_slots)
 		return 0;
 	return MIN(open - busy, backend->own_long_slots - busy_long);
--- a/test/unit/caution_test.cc
+++ b/test/unit/caution_test.cc
@@ -4,6 +4,7 @@
 extern "C" {
 #include "command/health.h"
 #include "query/health.h"
+#include "query/pick.h"
 }
 
 namespace
@@ -216,6 +217,37 @@
 	EXPECT_EQ(world.about(number)->kind, EVENT_REFUSE);
 }
 
+struct lend_case {
+	const char *name;
+	enum health_state state;
+	bool failed;
+	uint32_t slots;
+};
+
+const struct lend_case lend_cases[] = {
+	{ "well", HEALTH_IN_SERVICE, false, 4 },
+	{ "failed a moment ago", HEALTH_IN_SERVICE, true, 0 },
+	{ "tried with a trickle", HEALTH_TRICKLE, false, 0 },
+	{ "ejected", HEALTH_EJECTED, false, 0 },
+};
+
+TEST(CautionTest, OnlySlotsThatCanBeTrustedAreLent)
+{
+	for (const auto &c : lend_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.list(1);
+		world.accept(make_doc(doc_shape()));
+		struct backend *backend = &world.service()->backends[0];
+
+		if (c.failed)
+			show(world, backend, EVIDENCE_RESET);
+		backend->health.state = c.state;
+		EXPECT_EQ(backend_lendable_slots(backend, world.now), c.slots);
+	}
+}
+
 struct policy_case {
 	const char *name;
 	enum policy_choice policy;
--- a/test/unit/member_join_test.cc
+++ b/test/unit/member_join_test.cc
@@ -94,6 +94,33 @@
 	}
 }
 
+struct alone_case {
+	const char *name;
+	uint32_t platform_kind;
+	bool ready;
+};
+
+const struct alone_case alone_cases[] = {
+	{ "a store publishes no list, so one alone begins", PLATFORM_STORE,
+	  true },
+	{ "a published list has to come first", PLATFORM_DOCUMENTS, false },
+};
+
+TEST(MemberJoinTest, OneWithoutSeeds)
+{
+	for (const auto &c : alone_cases) {
+		SCOPED_TRACE(c.name);
+		struct settings settings = {};
+		struct membership membership = {};
+
+		settings.platform_kind = c.platform_kind;
+		membership_init(&membership, &settings);
+		EXPECT_EQ(membership.list_known, c.ready);
+		EXPECT_EQ(membership.self_listed, c.ready);
+		membership_clear(&membership);
+	}
+}
+
 TEST(MemberJoinTest, HomeSetsAgreeOnceAllAreKnown)
 {
 	FleetSim sim(fleet, 7, seeds);
