Give a reserved retry back where the ticket ends, and in one place

Found in reading: a retry reserved for hanging work was lost when the answer had already begun to go out, since two special cases gave it back and that path met neither. ticket_free() does it now. The two rules for work that takes too long share one function. The new row of ARetryThatWasNotNeededIsGivenBack failed before.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -5,8 +5,6 @@
 #include "command/ticket.h"
 #include "command/trace.h"
 
-/* What one retry takes from the service's budget. */
-#define RETRY_COST_PERMILLE 1000
 /* A mean moves by this part of the distance to a new value. */
 #define MEAN_SHARE 8
 
@@ -22,7 +20,6 @@
 static bool may_retry(const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now);
 static bool take_budget(struct ticket *ticket);
-static void give_back_budget(struct ticket *ticket);
 static void retry(struct state *state, uint32_t index, struct net_addr backend,
 		  const struct evidence *evidence, struct instant now);
 static enum outcome outcome_of(const struct ticket *ticket,
@@ -78,18 +75,6 @@
 	event_list_add(out, &event);
 }
 
-bool retry_reserve(struct ticket *ticket)
-{
-	struct service *service = ticket->service;
-
-	if (service->overload ||
-	    service->retry_budget_permille < RETRY_COST_PERMILLE)
-		return false;
-	service->retry_budget_permille -= RETRY_COST_PERMILLE;
-	ticket->retry_reserved = true;
-	return true;
-}
-
 static void learn(struct service *service, const struct ticket *ticket,
 		  const struct evidence *evidence, struct instant now)
 {
@@ -118,8 +103,6 @@
 	struct ticket *ticket = &state->tickets[index];
 	struct refusal refusal = { 0 };
 
-	if (!evidence->request_sent || evidence->kind != EVIDENCE_TIMEOUT)
-		give_back_budget(ticket);
 	if (evidence->kind == EVIDENCE_OK || evidence->head_given) {
 		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		count_outcome(ticket,
@@ -146,7 +129,6 @@
 		}
 		ticket->service->counters.retries_denied++;
 	}
-	give_back_budget(ticket);
 	if (command->held) {
 		trace_end(state, ticket, evidence, FOLLOW_ANSWER, now, out);
 		complete(state, index, command, out);
@@ -172,6 +154,7 @@
 		.outcome = ticket->outcome,
 	};
 
+	retry_give_back(ticket);
 	if (now.mono_us < ticket->deadline_us)
 		ticket_enqueue(state, index, now);
 	else
@@ -219,13 +202,6 @@
 	return true;
 }
 
-static void give_back_budget(struct ticket *ticket)
-{
-	if (ticket->retry_reserved)
-		ticket->service->retry_budget_permille += RETRY_COST_PERMILLE;
-	ticket->retry_reserved = false;
-}
-
 static void retry(struct state *state, uint32_t index, struct net_addr backend,
 		  const struct evidence *evidence, struct instant now)
 {
--- a/src/command/finish.h
+++ b/src/command/finish.h
@@ -29,12 +29,4 @@
 void cancel(struct state *state, const struct cancel_command *command,
 	    struct instant now, struct event_list *out);
 
-/**
- * retry_reserve() - pay for a retry before it is known to be needed
- * @ticket: the request; its finish spends the retry or gives it back
- *
- * Return: false when the service has none to spend or is overloaded.
- */
-bool retry_reserve(struct ticket *ticket);
-
 #endif
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "command/ticket.h"
 #include "query/health_verdict.h"
 
 /* The typical time moves by a sixteenth towards each answer. */
@@ -26,8 +27,6 @@
 
 static bool overdue(const struct service *service, const struct ticket *ticket,
 		    struct instant now);
-static bool lags(const struct service *service, const struct ticket *ticket,
-		 struct instant now);
 
 void evidence_count(struct health *health, enum work_end end,
 		    struct instant now)
@@ -155,7 +154,8 @@
 		if (ticket->granted_us < health->resumed_us)
 			continue;
 		health->overdue_requests += overdue(service, ticket, now);
-		health->lagging_requests += lags(service, ticket, now);
+		health->lagging_requests += ticket_outlasts(
+			ticket, LAG_PERMILLE, LAG_LEAST_US, now);
 	}
 }
 
@@ -196,14 +196,3 @@
 	return now.mono_us - ticket->granted_us >
 	       slow_after_us * OVERDUE_FACTOR;
 }
-
-static bool lags(const struct service *service, const struct ticket *ticket,
-		 struct instant now)
-{
-	uint64_t typical_us = service->route_typical_us[ticket->route_index];
-
-	return typical_us > 0 && now.mono_us > ticket->granted_us &&
-	       now.mono_us - ticket->granted_us >
-		       MAX(typical_us * LAG_PERMILLE / PERMILLE_ONE,
-			   typical_us + LAG_LEAST_US);
-}
--- a/src/command/patience.c
+++ b/src/command/patience.c
@@ -1,7 +1,6 @@
 #include "command/patience.h"
 
-#include "command/finish.h"
-#include "command/schedule.h"
+#include "command/ticket.h"
 
 /* Work that takes longer than this, of the usual time, probably hangs. */
 #define PATIENCE_PERMILLE 2500
@@ -33,14 +32,10 @@
 
 static bool hangs(const struct ticket *ticket, struct instant now)
 {
-	uint64_t typical_us = ticket_typical_us(ticket);
-	uint64_t patience_us =
-		MAX(typical_us * PATIENCE_PERMILLE / PERMILLE_ONE,
-		    typical_us + PATIENCE_LEAST_US);
-
 	return ticket->idempotent && !ticket->cancelled &&
-	       !ticket->retry_reserved && typical_us > 0 &&
-	       now.mono_us > ticket->granted_us + patience_us &&
+	       !ticket->retry_reserved &&
+	       ticket_outlasts(ticket, PATIENCE_PERMILLE, PATIENCE_LEAST_US,
+			       now) &&
 	       ticket->sends + 1 < ticket->tries_max &&
-	       now.mono_us + typical_us < ticket->deadline_us;
+	       now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -72,11 +72,6 @@
 	ticket->on_long_slot = false;
 }
 
-uint64_t ticket_typical_us(const struct ticket *ticket)
-{
-	return ticket->service->route_typical_us[ticket->route_index];
-}
-
 static void note_short_peak(struct service *service, struct instant now)
 {
 	uint32_t requests =
--- a/src/command/schedule.h
+++ b/src/command/schedule.h
@@ -34,12 +34,4 @@
  */
 void schedule_release(struct state *state, uint32_t index);
 
-/**
- * ticket_typical_us() - time its work usually takes on a slot
- * @ticket: the ticket
- *
- * Return: microseconds; 0 when nothing is known yet.
- */
-uint64_t ticket_typical_us(const struct ticket *ticket);
-
 #endif
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -2,6 +2,9 @@
 
 #include "command/trace.h"
 
+/* What one retry takes from the service's budget. */
+#define RETRY_COST_PERMILLE 1000
+
 #include <string.h>
 
 static uint64_t order_of(const struct state *state,
@@ -44,6 +47,7 @@
 {
 	struct ticket *ticket = &state->tickets[index];
 
+	retry_give_back(ticket);
 	state->admitted_requests--;
 	if (ticket->long_work)
 		state->long_requests--;
@@ -126,6 +130,40 @@
 	ticket_free(state, index);
 }
 
+bool retry_reserve(struct ticket *ticket)
+{
+	struct service *service = ticket->service;
+
+	if (service->overload ||
+	    service->retry_budget_permille < RETRY_COST_PERMILLE)
+		return false;
+	service->retry_budget_permille -= RETRY_COST_PERMILLE;
+	ticket->retry_reserved = true;
+	return true;
+}
+
+void retry_give_back(struct ticket *ticket)
+{
+	if (ticket->retry_reserved)
+		ticket->service->retry_budget_permille += RETRY_COST_PERMILLE;
+	ticket->retry_reserved = false;
+}
+
+uint64_t ticket_typical_us(const struct ticket *ticket)
+{
+	return ticket->service->route_typical_us[ticket->route_index];
+}
+
+bool ticket_outlasts(const struct ticket *ticket, uint32_t permille,
+		     uint64_t least_us, struct instant now)
+{
+	uint64_t typical_us = ticket_typical_us(ticket);
+	uint64_t usual_us = MAX(typical_us * permille / PERMILLE_ONE,
+				typical_us + least_us);
+
+	return typical_us > 0 && now.mono_us > ticket->granted_us + usual_us;
+}
+
 uint64_t retry_advice_unix_ms(struct state *state, struct instant now)
 {
 	return now.unix_ms + (uint64_t)g_rand_int_range(
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -73,6 +73,40 @@
  */
 GArray *queue_of(const struct state *state, const struct ticket *ticket);
 
+/**
+ * retry_reserve() - pay for a retry, also before it is known to be needed
+ * @ticket: the request; ticket_free() gives back what it did not use
+ *
+ * Return: false when the service has none to spend or is overloaded.
+ */
+bool retry_reserve(struct ticket *ticket);
+
+/**
+ * retry_give_back() - give a reserved retry back, if there is one
+ * @ticket: the request
+ */
+void retry_give_back(struct ticket *ticket);
+
+/**
+ * ticket_typical_us() - time its work usually takes on a slot
+ * @ticket: the ticket
+ *
+ * Return: microseconds; 0 when nothing is known yet.
+ */
+uint64_t ticket_typical_us(const struct ticket *ticket);
+
+/**
+ * ticket_outlasts() - whether its work takes longer than usual by now
+ * @ticket: a running ticket
+ * @permille: of the usual time
+ * @least_us: at least this much longer, for the shortest work
+ * @now: the time
+ *
+ * Return: false also when nothing is known yet.
+ */
+bool ticket_outlasts(const struct ticket *ticket, uint32_t permille,
+		     uint64_t least_us, struct instant now);
+
 /**
  * retry_advice_unix_ms() - when a refused caller may come back
  * @state: the state
--- a/test/unit/caution_test.cc
+++ b/test/unit/caution_test.cc
@@ -178,23 +178,43 @@
 	}
 }
 
+struct unneeded_case {
+	const char *name;
+	enum evidence_kind kind;
+	bool sent;
+	bool head_given;
+};
+
+const struct unneeded_case unneeded_cases[] = {
+	{ "the answer came after all", EVIDENCE_OK, true, false },
+	{ "the answer had begun and never ended", EVIDENCE_TIMEOUT, true,
+	  true },
+	{ "the caller left", EVIDENCE_CANCELLED, true, false },
+	{ "it had not been sent and waits again", EVIDENCE_LATE, false, false },
+};
+
 TEST(CautionTest, ARetryThatWasNotNeededIsGivenBack)
 {
-	World world;
+	for (const auto &c : unneeded_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
 
-	world.list(1);
-	world.accept(make_doc(two_servers()));
-	struct service *service = world.service();
-	uint32_t number = world.request("/s/short");
-	struct grant_event grant = world.about(number)->grant;
+		world.list(1);
+		world.accept(make_doc(two_servers()));
+		struct service *service = world.service();
+		uint32_t number = world.request("/s/short");
+		struct grant_event grant = world.about(number)->grant;
+		struct evidence evidence = ended(c.kind, c.sent);
 
-	service->retry_budget_permille = 5000;
-	service->route_typical_us[0] = 50000;
-	world.now.mono_us += 200 * US_PER_MS;
-	world.tick();
-	ASSERT_EQ(world.count(EVENT_CANCEL), 1u);
-	world.finish(grant, ended(EVIDENCE_OK));
-	EXPECT_EQ(service->retry_budget_permille, 5000u);
+		evidence.head_given = c.head_given;
+		service->retry_budget_permille = 5000;
+		service->route_typical_us[0] = 50000;
+		world.now.mono_us += 200 * US_PER_MS;
+		world.tick();
+		ASSERT_EQ(world.count(EVENT_CANCEL), 1u);
+		world.finish(grant, evidence);
+		EXPECT_EQ(service->retry_budget_permille, 5000u);
+	}
 }
 
 /* One that could not be reached uses up no try of a route that allows two. */
