Look at whose answer it is once, and at caution once for each choice

The owner of an answer was judged in two places, with a special case for a head that had gone out; it is judged when the head is whole. The choice worked caution out three times for each backend server.

--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -213,10 +213,6 @@
 	if (reader->framing == FRAMING_LENGTH &&
 	    exchange->body_bytes != exchange->length_bytes)
 		return EVIDENCE_TRUNCATED;
-	/* A head that has gone to the caller was looked at before. */
-	if (!exchange->streaming &&
-	    !http_answer_owned(reader, exchange->grant.request))
-		return EVIDENCE_BAD_ANSWER;
 	if (exchange->shed)
 		return EVIDENCE_SHED;
 	return exchange->status >= 500 ? EVIDENCE_SERVER_ERROR : EVIDENCE_OK;
@@ -299,6 +295,11 @@
 	if (reader->complete && !before) {
 		exchange->status = reader->head->status;
 		exchange->length_bytes = reader->head->body_bytes;
+		/* What another request's answer says is about another one. */
+		valid = valid &&
+			http_answer_owned(reader, exchange->grant.request);
+	}
+	if (valid && reader->complete && !before) {
 		exchange->draining = http_answer_marked(reader->head,
 							&exchange->grant.drain);
 		judge_shed(exchange);
@@ -326,11 +327,6 @@
 		exchange->body_bytes += length;
 		return length;
 	}
-	if (!exchange->streaming &&
-	    !http_answer_owned(&exchange->reader, exchange->grant.request)) {
-		exchange->stop = STOP_BAD_ANSWER;
-		return 0;
-	}
 	if (!exchange->streaming && !begin_streaming(exchange)) {
 		exchange->stop = STOP_CALLER;
 		return 0;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -23,12 +23,10 @@
 				      const struct backend *backend,
 				      const struct ticket *ticket,
 				      struct instant now);
-static bool trusted(const struct state *state, const struct backend *backend,
-		    const struct ticket *ticket, struct instant now);
-static uint64_t rank_of(const struct state *state,
-			const struct backend *backend,
-			const struct ticket *ticket, uint32_t open,
-			struct instant now);
+static bool worth_it(enum caution_level caution, const struct ticket *ticket,
+		     struct instant now);
+static uint64_t rank_of(const struct backend *backend,
+			enum caution_level caution, uint32_t open);
 static bool pick_borrowed(const struct state *state,
 			  const struct service *service,
 			  const struct ticket *ticket, struct instant now,
@@ -111,6 +109,7 @@
 	bool round_robin = state->policy.picking == PICKING_ROUND_ROBIN;
 	const struct backend *best = NULL;
 	const struct backend *backend;
+	enum caution_level caution;
 	uint64_t best_rank = 0;
 	uint64_t rank;
 	uint32_t ties = 0;
@@ -131,11 +130,11 @@
 			out->choice.full++;
 			continue;
 		}
-		count_choice(caution_for(state, backend, ticket, now),
-			     &out->choice);
-		if (!trusted(state, backend, ticket, now))
+		caution = caution_for(state, backend, ticket, now);
+		count_choice(caution, &out->choice);
+		if (!worth_it(caution, ticket, now))
 			continue;
-		rank = rank_of(state, backend, ticket, open, now);
+		rank = rank_of(backend, caution, open);
 		if (best && rank > best_rank)
 			continue;
 		/* Of equal ones each is as likely as another. */
@@ -169,26 +168,22 @@
 }
 
 /* The lowest goes first: by caution, then by load. */
-static uint64_t rank_of(const struct state *state,
-			const struct backend *backend,
-			const struct ticket *ticket, uint32_t open,
-			struct instant now)
+static uint64_t rank_of(const struct backend *backend,
+			enum caution_level caution, uint32_t open)
 {
 	uint64_t load = (uint64_t)backend->in_use_slots * PERMILLE_ONE / open;
 
 	if (backend->far)
 		load = load / 2 + FAR_PERMILLE;
-	return (uint64_t)caution_for(state, backend, ticket, now) * 2 *
-		       PERMILLE_ONE +
-	       load;
+	return (uint64_t)caution * 2 * PERMILLE_ONE + load;
 }
 
-/* Another home may have a better one to lend, so it is worth a short wait. */
-static bool trusted(const struct state *state, const struct backend *backend,
-		    const struct ticket *ticket, struct instant now)
+/* A better one may get room, here or lent, so it is worth a short wait. */
+static bool worth_it(enum caution_level caution, const struct ticket *ticket,
+		     struct instant now)
 {
-	return now.mono_us >= ticket->queued_us + TRUST_WAIT_US ||
-	       caution_for(state, backend, ticket, now) == CAUTION_NONE;
+	return caution == CAUTION_NONE ||
+	       now.mono_us >= ticket->queued_us + TRUST_WAIT_US;
 }
 
 static enum caution_level caution_for(const struct state *state,
@@ -226,7 +221,8 @@
 		if (backend->health.state != HEALTH_IN_SERVICE ||
 		    backend_draining(backend, now) ||
 		    !allowed(backend, ticket) ||
-		    !trusted(state, backend, ticket, now))
+		    !worth_it(caution_for(state, backend, ticket, now), ticket,
+			      now))
 			continue;
 		out->backend_index = borrowed->backend_index;
 		out->borrowed_index = i;
