--- a/src/cli/entries.c
+++ b/src/cli/entries.c
@@ -3,12 +3,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "cli/fetch.h"
 #include "cli/show.h"
 #include "codec/time_text.h"
 
-#define LIMIT_MS 5000
-
 static void print_entries(struct json_object *answer);
 
 int entries_main(const struct entries_order *order)
@@ -16,20 +13,14 @@
 	char *target = g_strdup_printf("/.nutmegcrank/entries?service=%s",
 				       order->service.text);
 	GError *error = NULL;
-	GString *body = fetch(order->addr, target, LIMIT_MS, &error);
-	struct json_object *answer;
+	struct json_object *answer =
+		show_fetch(order->addr, target, order->json, &error);
 
 	g_free(target);
-	if (!body)
-		return show_error(error);
-	answer = show_parse(body, &error);
-	if (answer && order->json)
-		printf("%s\n", body->str);
-	else if (answer)
-		print_entries(answer);
-	g_string_free(body, TRUE);
 	if (!answer)
 		return show_error(error);
+	if (!order->json)
+		print_entries(answer);
 	json_object_put(answer);
 	return show_end();
 }
--- a/src/cli/show.c
+++ b/src/cli/show.c
@@ -6,12 +6,29 @@
 #include "cli/fetch.h"
 #include "codec/json_text.h"
 
+#define LIMIT_MS 5000
+
 struct json_object *show_parse(const GString *body, GError **error)
 {
 	return json_text_parse("answer", body->str, body->len, FETCH_MAX_BYTES,
 			       error);
 }
 
+struct json_object *show_fetch(struct net_addr addr, const char *target,
+			       bool json, GError **error)
+{
+	GString *body = fetch(addr, target, LIMIT_MS, error);
+	struct json_object *answer;
+
+	if (!body)
+		return NULL;
+	answer = show_parse(body, error);
+	if (answer && json)
+		printf("%s\n", body->str);
+	g_string_free(body, TRUE);
+	return answer;
+}
+
 int show_end(void)
 {
 	return fflush(stdout) == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- a/src/cli/show.h
+++ b/src/cli/show.h
@@ -8,7 +8,8 @@
 #include <glib.h>
 #include <json-c/json.h>
 
-#include "core/units.h"
+#include "core/ids.h"
+
 
 /**
  * show_parse() - read an answer
@@ -34,6 +35,18 @@
  */
 int show_error(GError *error);
 
+/**
+ * show_fetch() - get an instance's answer, and print it when JSON is wanted
+ * @addr: the instance's operators' or callers' address
+ * @target: path and query
+ * @json: print it as it came
+ * @error: set on failure
+ *
+ * Return: the answer, to be freed with json_object_put(), or NULL.
+ */
+struct json_object *show_fetch(struct net_addr addr, const char *target,
+			       bool json, GError **error);
+
 /**
  * show_member() - find a member of an object
  * @object: the object
--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -3,11 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "cli/fetch.h"
 #include "cli/show.h"
 
-#define LIMIT_MS 5000
-
 static void print_status(struct json_object *answer);
 static void print_service(struct json_object *service);
 static void print_backend(struct json_object *backend);
@@ -18,7 +15,6 @@
 {
 	char *target = g_strdup("/status");
 	GError *error = NULL;
-	GString *body;
 	struct json_object *answer;
 
 	if (order->service.text[0]) {
@@ -26,18 +22,12 @@
 		target = g_strdup_printf("/status?service=%s",
 					 order->service.text);
 	}
-	body = fetch(order->addr, target, LIMIT_MS, &error);
+	answer = show_fetch(order->addr, target, order->json, &error);
 	g_free(target);
-	if (!body)
-		return show_error(error);
-	answer = show_parse(body, &error);
-	if (answer && order->json)
-		printf("%s\n", body->str);
-	else if (answer)
-		print_status(answer);
-	g_string_free(body, TRUE);
 	if (!answer)
 		return show_error(error);
+	if (!order->json)
+		print_status(answer);
 	json_object_put(answer);
 	return show_end();
 }
--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -233,8 +233,7 @@
 	if (!json_read_name(place, host, error))
 		return false;
 	/* Host names compare without case, requests carry them lowered. */
-	for (i = 0; host->text[i]; i++)
-		host->text[i] = g_ascii_tolower(host->text[i]);
+	name_lower(host);
 	for (i = 0; i < index; i++) {
 		if (name_equal(&doc->hosts[i], host))
 			return json_fail(place, NULL, SETTINGS_ERROR_DUPLICATE,
--- a/src/codec/report_text.c
+++ b/src/codec/report_text.c
@@ -1,8 +1,7 @@
 /* Status, audit records, entries and refusals as JSON. */
 #include "codec/report_text.h"
 
-#include <json-c/json.h>
-
+#include "codec/json_add.h"
 #include "codec/time_text.h"
 
 static struct json_object *service_json(const struct service_report *service);
@@ -19,17 +18,9 @@
 static void add_queue(struct json_object *out, const struct audit_queue *queue);
 static const char *health_text(enum health_state state);
 static const char *status_text(enum member_status status);
-static void add_text(struct json_object *out, const char *key,
-		     const char *text);
-static void add_flag(struct json_object *out, const char *key, bool flag);
-static void add_number(struct json_object *out, const char *key,
-		       uint64_t number);
 static void add_hash(struct json_object *out, const char *key, uint64_t hash);
-static void add_addr(struct json_object *out, const char *key,
-		     struct net_addr addr);
 static void add_time(struct json_object *out, const char *key,
 		     uint64_t unix_ms);
-static char *take_text(struct json_object *object);
 
 char *status_to_json(const struct status_report *report)
 {
@@ -44,15 +35,15 @@
 	for (i = 0; i < report->member_count; i++)
 		json_object_array_add(members,
 				      member_json(&report->members[i]));
-	add_addr(out, "instance", report->self);
-	add_text(out, "failure_domain", report->domain.text);
-	add_flag(out, "ready", report->ready);
-	add_flag(out, "leaving", report->leaving);
-	add_flag(out, "platform_reachable", report->platform_reachable);
-	add_flag(out, "config_reader", report->config_reader);
+	json_add_addr(out, "instance", report->self);
+	json_add_text(out, "failure_domain", report->domain.text);
+	json_add_flag(out, "ready", report->ready);
+	json_add_flag(out, "leaving", report->leaving);
+	json_add_flag(out, "platform_reachable", report->platform_reachable);
+	json_add_flag(out, "config_reader", report->config_reader);
 	json_object_object_add(out, "services", services);
 	json_object_object_add(out, "instances", members);
-	return take_text(out);
+	return json_take_text(out);
 }
 
 char *audit_to_json(const GArray *records)
@@ -74,7 +65,7 @@
 
 char *audit_record_to_json(const struct audit_record *record)
 {
-	return take_text(record_json(record));
+	return json_take_text(record_json(record));
 }
 
 char *entries_to_json(const struct name *service,
@@ -88,38 +79,39 @@
 
 	for (i = 0; i < reply->entry_count; i++) {
 		entry = json_object_new_object();
-		add_text(entry, "ip",
-			 addr_ip_format(reply->entries[i].caller.ip, ip));
-		add_number(entry, "port", reply->entries[i].caller.port);
-		add_text(entry, "failure_domain",
-			 reply->entries[i].domain.text);
+		json_add_text(entry, "ip",
+			      addr_ip_format(reply->entries[i].caller.ip, ip));
+		json_add_number(entry, "port", reply->entries[i].caller.port);
+		json_add_text(entry, "failure_domain",
+			      reply->entries[i].domain.text);
 		json_object_array_add(entries, entry);
 	}
-	add_text(out, "service", service->text);
+	json_add_text(out, "service", service->text);
 	json_object_object_add(out, "entries", entries);
-	add_number(out, "expires_unix_ms", reply->expires_unix_ms);
-	return take_text(out);
+	json_add_number(out, "expires_unix_ms", reply->expires_unix_ms);
+	return json_take_text(out);
 }
 
 char *ready_to_json(const struct ready_reply *reply)
 {
 	struct json_object *out = json_object_new_object();
 
-	add_flag(out, "ready", reply->ready);
-	add_flag(out, "leaving", reply->leaving);
-	add_flag(out, "idle", reply->idle);
-	return take_text(out);
+	json_add_flag(out, "ready", reply->ready);
+	json_add_flag(out, "leaving", reply->leaving);
+	json_add_flag(out, "idle", reply->idle);
+	return json_take_text(out);
 }
 
 char *refusal_to_json(const struct refusal *refusal)
 {
 	struct json_object *out = json_object_new_object();
 
-	add_text(out, "error", refusal_cause_text(refusal->cause));
-	add_text(out, "outcome", outcome_text(refusal->outcome));
+	json_add_text(out, "error", refusal_cause_text(refusal->cause));
+	json_add_text(out, "outcome", outcome_text(refusal->outcome));
 	if (refusal->retry_at_unix_ms != 0)
-		add_number(out, "retry_at_unix_ms", refusal->retry_at_unix_ms);
-	return take_text(out);
+		json_add_number(out, "retry_at_unix_ms",
+				refusal->retry_at_unix_ms);
+	return json_take_text(out);
 }
 
 static struct json_object *service_json(const struct service_report *service)
@@ -136,17 +128,17 @@
 	for (i = 0; i < service->backend_count; i++)
 		json_object_array_add(backends,
 				      backend_json(&service->backends[i]));
-	add_text(out, "service", service->service.text);
-	add_number(out, "version", service->version);
+	json_add_text(out, "service", service->service.text);
+	json_add_number(out, "version", service->version);
 	add_hash(out, "hash", service->hash);
-	add_flag(out, "home", service->home);
-	add_flag(out, "overload", service->overload);
-	add_number(out, "waiting_requests", service->waiting_requests);
-	add_number(out, "running_requests", service->running_requests);
-	add_number(out, "borrowed_slots", service->borrowed_slots);
-	add_number(out, "lent_slots", service->lent_slots);
-	add_number(out, "in_service_slots", service->in_service_slots);
-	add_number(out, "floor_slots", service->floor_slots);
+	json_add_flag(out, "home", service->home);
+	json_add_flag(out, "overload", service->overload);
+	json_add_number(out, "waiting_requests", service->waiting_requests);
+	json_add_number(out, "running_requests", service->running_requests);
+	json_add_number(out, "borrowed_slots", service->borrowed_slots);
+	json_add_number(out, "lent_slots", service->lent_slots);
+	json_add_number(out, "in_service_slots", service->in_service_slots);
+	json_add_number(out, "floor_slots", service->floor_slots);
 	json_object_object_add(out, "homes", homes);
 	json_object_object_add(out, "backends", backends);
 	return out;
@@ -156,19 +148,19 @@
 {
 	struct json_object *out = json_object_new_object();
 
-	add_addr(out, "backend", backend->addr);
-	add_text(out, "failure_domain", backend->domain.text);
-	add_text(out, "state", health_text(backend->state));
-	add_text(out, "cause", audit_cause_text(backend->state_cause));
-	add_flag(out, "draining", backend->draining);
-	add_flag(out, "cold", backend->cold);
-	add_number(out, "slots", backend->capacity_slots);
-	add_number(out, "own_slots", backend->own_slots);
-	add_number(out, "in_use_slots", backend->in_use_slots);
-	add_number(out, "lent_slots", backend->lent_slots);
-	add_number(out, "ok_requests", backend->ok_requests);
-	add_number(out, "failed_requests", backend->failed_requests);
-	add_number(out, "slow_requests", backend->slow_requests);
+	json_add_addr(out, "backend", backend->addr);
+	json_add_text(out, "failure_domain", backend->domain.text);
+	json_add_text(out, "state", health_text(backend->state));
+	json_add_text(out, "cause", audit_cause_text(backend->state_cause));
+	json_add_flag(out, "draining", backend->draining);
+	json_add_flag(out, "cold", backend->cold);
+	json_add_number(out, "slots", backend->capacity_slots);
+	json_add_number(out, "own_slots", backend->own_slots);
+	json_add_number(out, "in_use_slots", backend->in_use_slots);
+	json_add_number(out, "lent_slots", backend->lent_slots);
+	json_add_number(out, "ok_requests", backend->ok_requests);
+	json_add_number(out, "failed_requests", backend->failed_requests);
+	json_add_number(out, "slow_requests", backend->slow_requests);
 	return out;
 }
 
@@ -176,12 +168,12 @@
 {
 	struct json_object *out = json_object_new_object();
 
-	add_addr(out, "peer", member->peer);
-	add_addr(out, "caller", member->caller);
-	add_text(out, "failure_domain", member->domain.text);
-	add_text(out, "status", status_text(member->status));
-	add_number(out, "incarnation", member->incarnation);
-	add_flag(out, "in_list", member->in_list);
+	json_add_addr(out, "peer", member->peer);
+	json_add_addr(out, "caller", member->caller);
+	json_add_text(out, "failure_domain", member->domain.text);
+	json_add_text(out, "status", status_text(member->status));
+	json_add_number(out, "incarnation", member->incarnation);
+	json_add_flag(out, "in_list", member->in_list);
 	return out;
 }
 
@@ -189,14 +181,14 @@
 {
 	struct json_object *out = json_object_new_object();
 
-	add_number(out, "sequence", record->sequence);
+	json_add_number(out, "sequence", record->sequence);
 	add_time(out, "time", record->unix_ms);
-	add_text(out, "kind", audit_kind_text(record->kind));
-	add_text(out, "cause", audit_cause_text(record->cause));
+	json_add_text(out, "kind", audit_kind_text(record->kind));
+	json_add_text(out, "cause", audit_cause_text(record->cause));
 	if (record->service.text[0])
-		add_text(out, "service", record->service.text);
+		json_add_text(out, "service", record->service.text);
 	if (record->subject.port != 0)
-		add_addr(out, "subject", record->subject);
+		json_add_addr(out, "subject", record->subject);
 	switch (record->figures_kind) {
 	case FIGURES_NONE:
 		break;
@@ -222,12 +214,12 @@
 static void add_evidence(struct json_object *out,
 			 const struct audit_evidence *evidence)
 {
-	add_number(out, "ok_requests", evidence->ok_requests);
-	add_number(out, "failed_requests", evidence->failed_requests);
-	add_number(out, "slow_requests", evidence->slow_requests);
-	add_number(out, "observers", evidence->observers);
-	add_number(out, "in_service_slots", evidence->in_service_slots);
-	add_number(out, "floor_slots", evidence->floor_slots);
+	json_add_number(out, "ok_requests", evidence->ok_requests);
+	json_add_number(out, "failed_requests", evidence->failed_requests);
+	json_add_number(out, "slow_requests", evidence->slow_requests);
+	json_add_number(out, "observers", evidence->observers);
+	json_add_number(out, "in_service_slots", evidence->in_service_slots);
+	json_add_number(out, "floor_slots", evidence->floor_slots);
 	if (evidence->until_unix_ms != 0)
 		add_time(out, "until", evidence->until_unix_ms);
 }
@@ -235,30 +227,30 @@
 static void add_config(struct json_object *out,
 		       const struct audit_config *config)
 {
-	add_number(out, "version", config->version);
-	add_number(out, "in_force", config->in_force);
+	json_add_number(out, "version", config->version);
+	json_add_number(out, "in_force", config->in_force);
 	add_hash(out, "hash", config->hash);
 }
 
 static void add_member(struct json_object *out,
 		       const struct audit_member *member)
 {
-	add_text(out, "status", status_text(member->status));
-	add_number(out, "incarnation", member->incarnation);
+	json_add_text(out, "status", status_text(member->status));
+	json_add_number(out, "incarnation", member->incarnation);
 }
 
 static void add_homes(struct json_object *out, const struct audit_homes *homes)
 {
 	json_object_object_add(out, "home",
 			       json_object_new_boolean(homes->home));
-	add_number(out, "home_count", homes->home_count);
+	json_add_number(out, "home_count", homes->home_count);
 }
 
 static void add_queue(struct json_object *out, const struct audit_queue *queue)
 {
-	add_number(out, "queue_requests", queue->queue_requests);
-	add_number(out, "slots_in_use", queue->slots_in_use);
-	add_number(out, "refused_requests", queue->refused_requests);
+	json_add_number(out, "queue_requests", queue->queue_requests);
+	json_add_number(out, "slots_in_use", queue->slots_in_use);
+	json_add_number(out, "refused_requests", queue->refused_requests);
 }
 
 static const char *health_text(enum health_state state)
@@ -293,53 +285,19 @@
 	return "invalid";
 }
 
-static void add_text(struct json_object *out, const char *key, const char *text)
-{
-	json_object_object_add(out, key, json_object_new_string(text));
-}
-
-static void add_flag(struct json_object *out, const char *key, bool flag)
-{
-	json_object_object_add(out, key, json_object_new_boolean(flag));
-}
-
-static void add_number(struct json_object *out, const char *key,
-		       uint64_t number)
-{
-	json_object_object_add(out, key, json_object_new_uint64(number));
-}
-
 /* A string, for many readers keep no integer of 64 bits whole. */
 static void add_hash(struct json_object *out, const char *key, uint64_t hash)
 {
 	char text[17];
 
 	g_snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", hash);
-	add_text(out, key, text);
-}
-
-static void add_addr(struct json_object *out, const char *key,
-		     struct net_addr addr)
-{
-	char text[ADDR_TEXT_BYTES];
-
-	add_text(out, key, addr_format(addr, text));
+	json_add_text(out, key, text);
 }
 
 static void add_time(struct json_object *out, const char *key, uint64_t unix_ms)
 {
 	char *text = time_text(unix_ms);
 
-	add_text(out, key, text);
+	json_add_text(out, key, text);
 	g_free(text);
 }
-
-static char *take_text(struct json_object *object)
-{
-	const int flags = JSON_C_TO_STRING_PLAIN |
-			  JSON_C_TO_STRING_NOSLASHESCAPE;
-	char *text = g_strdup(json_object_to_json_string_ext(object, flags));
-
-	json_object_put(object);
-	return text;
-}
--- a/src/codec/routing_json.c
+++ b/src/codec/routing_json.c
@@ -122,13 +122,11 @@
 	struct host_parts parts = { 0 };
 	struct json_items items;
 	struct table_host *host;
-	uint32_t i;
 
 	if (!json_read_fields(place, fields, &parts, error))
 		return false;
 	/* Host names compare without case, requests carry them lowered. */
-	for (i = 0; parts.name.text[i]; i++)
-		parts.name.text[i] = g_ascii_tolower(parts.name.text[i]);
+	name_lower(&parts.name);
 	host = routing_table_add_host(table, parts.name.text);
 	if (!host)
 		return json_fail(place, "host", SETTINGS_ERROR_DUPLICATE, error,
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <ctype.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,14 @@
 	return true;
 }
 
+void name_lower(struct name *name)
+{
+	char *at;
+
+	for (at = name->text; *at != '\0'; at++)
+		*at = g_ascii_tolower(*at);
+}
+
 bool name_equal(const struct name *a, const struct name *b)
 {
 	return strcmp(a->text, b->text) == 0;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -54,6 +54,12 @@
  */
 bool name_set(struct name *name, const char *text);
 
+/**
+ * name_lower() - write a name in lower case, as host names are compared
+ * @name: changed
+ */
+void name_lower(struct name *name);
+
 /**
  * name_equal() - compare two names
  * @a: one
--- a/test/unit/platform_decode_test.cc
+++ b/test/unit/platform_decode_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "platform/directory.h"
@@ -243,6 +244,80 @@
 	}
 }
 
+struct group_case {
+	const char *name;
+	/* Each host with the services of its routes. */
+	std::vector<std::pair<std::string, std::vector<std::string>>> hosts;
+	/* Of the services a, b, c and d. */
+	std::vector<std::string> groups;
+};
+
+const struct group_case group_cases[] = {
+	{ "no host", {}, { "a", "b", "c", "d" } },
+	{ "one host of two services",
+	  { { "x", { "b", "d" } } },
+	  { "a", "b", "c", "b" } },
+	{ "another host of the same moves nothing",
+	  { { "0", { "d" } }, { "x", { "d", "b" } } },
+	  { "a", "b", "c", "b" } },
+	{ "two hosts joined by a service",
+	  { { "x", { "c", "d" } }, { "y", { "b", "c" } } },
+	  { "a", "b", "b", "b" } },
+	{ "joined the other way round",
+	  { { "x", { "d", "c" } },
+	    { "y", { "c", "a" } },
+	    { "z", { "b", "d" } } },
+	  { "a", "a", "a", "a" } },
+	{ "a service that is not configured joins nothing",
+	  { { "x", { "a", "?" } }, { "y", { "b", "?" } } },
+	  { "a", "b", "c", "d" } },
+};
+
+std::string group_text(const struct group_case &c)
+{
+	std::string services;
+	std::string hosts;
+
+	for (const char *name : { "a", "b", "c", "d" })
+		services += std::string(services.empty() ? "" : ",") +
+			    "{\"name\":\"" + name + "\",\"maxConnections\":9}";
+	for (const auto &host : c.hosts) {
+		std::string paths;
+
+		for (const auto &service : host.second)
+			paths += std::string(paths.empty() ? "" : ",") +
+				 "{\"prefix\":\"/" + service +
+				 "/\",\"routeType\":\"safe\"," + path_tail +
+				 ",\"service\":\"" +
+				 (service == "?" ? "none" : service) + "\"}";
+		hosts += std::string(hosts.empty() ? "" : ",") +
+			 "{\"host\":\"" + host.first + "\",\"paths\":[" +
+			 paths + "]}";
+	}
+	return "{\"version\":\"r1\",\"services\":[" + services +
+	       "],\"hosts\":[" + hosts + "]}";
+}
+
+TEST(PlatformDecode, ServicesThatShareAHostAreOneGroup)
+{
+	for (const auto &c : group_cases) {
+		SCOPED_TRACE(c.name);
+		GBytes *value = bytes_of(group_text(c));
+		const char *wrong = nullptr;
+		struct operator_config *config =
+			operator_config_read(value, &wrong);
+
+		ASSERT_NE(config, nullptr) << wrong;
+		for (size_t i = 0; i < c.groups.size(); i++)
+			EXPECT_EQ(c.groups[i],
+				  g_array_index(config->services,
+						struct operator_service, i)
+					  .home_group.text);
+		operator_config_free(config);
+		g_bytes_unref(value);
+	}
+}
+
 struct page_case {
 	const char *name;
 	const char *text;
