--- a/src/cli/show.h
+++ b/src/cli/show.h
@@ -10,7 +10,6 @@
 
 #include "core/ids.h"
 
-
 /**
  * show_parse() - read an answer
  * @body: JSON text as it came
