--- a/bench/control_model.c
+++ b/bench/control_model.c
@@ -152,7 +152,7 @@
 	node->settings.caller_listen = self.caller;
 	node->settings.peer_listen = self.peer;
 	node->settings.domain = self.domain;
-	node->settings.worker_threads = 64;
+	node->settings.requests_max = 64;
 	node->settings.retry_min_ms = 1000;
 	node->settings.retry_earned_permille = 100;
 	node->settings.retry_max_ms = 3000;
--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -1,5 +1,6 @@
 #include "codec/http_answer.h"
 
+#include <http_parser.h>
 #include <inttypes.h>
 
 #include <string.h>
@@ -29,7 +30,7 @@
 			       const char *name);
 
 void http_answer_reader_init(struct http_answer_reader *reader,
-			     enum http_method method,
+			     enum request_method method,
 			     const struct settings *settings)
 {
 	memset(reader, 0, sizeof(*reader));
@@ -109,7 +110,7 @@
 					     names->signature) != NULL;
 }
 
-GString *http_answer_text(const struct answer_head *head, const char *reason,
+GString *http_answer_text(const struct answer_head *head,
 			  enum http_framing framing, uint64_t body_bytes,
 			  bool close)
 {
@@ -117,7 +118,7 @@
 	uint32_t i;
 
 	g_string_append_printf(text, "HTTP/1.1 %u %s\r\n", head->status,
-			       reason);
+			       reason_text(head->status));
 	for (i = 0; i < head->header_count; i++)
 		g_string_append_printf(text, "%s: %s\r\n",
 				       head->headers[i].name,
@@ -384,22 +385,7 @@
 
 static const char *reason_text(uint32_t status)
 {
-	switch (status) {
-	case 200:
-		return "OK";
-	case 400:
-		return "Bad Request";
-	case 404:
-		return "Not Found";
-	case 413:
-		return "Content Too Large";
-	case 502:
-		return "Bad Gateway";
-	case 503:
-		return "Service Unavailable";
-	case 504:
-		return "Gateway Timeout";
-	default:
-		return "";
-	}
+	const char *text = http_status_str((enum http_status)status);
+
+	return strcmp(text, "<unknown>") == 0 ? "" : text;
 }
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -45,7 +45,7 @@
 	struct answer_head *head;
 	const struct settings *settings;
 	uint64_t head_bytes;
-	enum http_method method;
+	enum request_method method;
 	char *connection;
 	bool has_length;
 	bool chunked;
@@ -62,7 +62,7 @@
  * @settings: must outlive the reader
  */
 void http_answer_reader_init(struct http_answer_reader *reader,
-			     enum http_method method,
+			     enum request_method method,
 			     const struct settings *settings);
 
 /**
@@ -110,14 +110,13 @@
 /**
  * http_answer_text() - write an answer's head for a caller
  * @head: the answer
- * @reason: reason phrase
  * @framing: how the body goes out
  * @body_bytes: with FRAMING_LENGTH
  * @close: the connection ends after this answer
  *
  * Return: owned text, ended by the empty line.
  */
-GString *http_answer_text(const struct answer_head *head, const char *reason,
+GString *http_answer_text(const struct answer_head *head,
 			  enum http_framing framing, uint64_t body_bytes,
 			  bool close);
 
--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -24,7 +24,7 @@
 	uint32_t expect_count;
 };
 
-static bool method_parse(const char *text, enum http_method *out);
+static bool method_parse(const char *text, enum request_method *out);
 static bool path_valid(const char *path);
 static bool segment_is_dots(const char *segment, size_t length);
 static bool decode_path(const char *path, GString *out);
@@ -102,7 +102,7 @@
 	return valid && out->service.text[0] != '\0';
 }
 
-const char *http_method_text(enum http_method method)
+const char *http_method_text(enum request_method method)
 {
 	switch (method) {
 	case METHOD_GET:
@@ -125,13 +125,14 @@
 	g_assert_not_reached();
 }
 
-static bool method_parse(const char *text, enum http_method *out)
+static bool method_parse(const char *text, enum request_method *out)
 {
 	uint32_t i;
 
 	for (i = 0; i < METHOD_COUNT; i++) {
-		if (strcmp(text, http_method_text((enum http_method)i)) == 0) {
-			*out = (enum http_method)i;
+		if (strcmp(text, http_method_text((enum request_method)i)) ==
+		    0) {
+			*out = (enum request_method)i;
 			return true;
 		}
 	}
--- a/src/codec/http_request.h
+++ b/src/codec/http_request.h
@@ -77,6 +77,6 @@
  *
  * Return: static text.
  */
-const char *http_method_text(enum http_method method);
+const char *http_method_text(enum request_method method);
 
 #endif
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -90,8 +90,11 @@
 	  .range = { 0, 1000, 100 } },
 	{ "idle_max_ms", FIELD_U32, false, AT(idle_max_ms),
 	  .range = { 1000, 600000, 2000 } },
-	{ "worker_threads", FIELD_U32, false, AT(worker_threads),
+	/* Its name is older than the front's one thread. */
+	{ "worker_threads", FIELD_U32, false, AT(requests_max),
 	  .range = { 4, 4096, 64 } },
+	{ "connections_max", FIELD_U32, false, AT(connections_max),
+	  .range = { 16, 65536, 1024 } },
 	{ "body_max_bytes", FIELD_U32, false, AT(body_max_bytes),
 	  .range = { 1024, 67108864, 1048576 } },
 	{ "head_max_bytes", FIELD_U32, false, AT(head_max_bytes),
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -212,7 +212,7 @@
 static bool over_workers(const struct state *state, const struct ticket *ticket)
 {
 	const struct service_doc *doc = ticket->service->doc;
-	uint32_t workers = state->settings->worker_threads;
+	uint32_t workers = state->settings->requests_max;
 	uint32_t own = doc->classes[ticket->class_index].priority;
 	uint32_t higher = 0;
 	uint32_t i;
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -118,21 +118,27 @@
 	return ring_push(dispatch, &message);
 }
 
-enum ring_result ask_query(struct ring *dispatch, struct query *query,
-			   struct query_reply *reply, uint64_t deadline_us)
+enum ring_result send_query(struct ring *dispatch, const struct query *query,
+			    struct query_port *port)
 {
-	struct query_port *port = query_port_new();
-	struct message message = { .kind = MESSAGE_QUERY };
+	struct message message = { .kind = MESSAGE_QUERY, .query = *query };
 	enum ring_result result;
 
-	query->reply = query_port_ref(port);
-	message.query = *query;
+	message.query.reply = query_port_ref(port);
 	result = ring_push(dispatch, &message);
+	if (result != RING_OK)
+		query_port_unref(port);
+	return result;
+}
+
+enum ring_result ask_query(struct ring *dispatch, const struct query *query,
+			   struct query_reply *reply, uint64_t deadline_us)
+{
+	struct query_port *port = query_port_new();
+	enum ring_result result = send_query(dispatch, query, port);
+
 	if (result == RING_OK)
 		result = ring_pop(port->ring, reply, deadline_us);
-	else
-		query_port_unref(query->reply);
-	query->reply = NULL;
 	query_port_unref(port);
 	return result;
 }
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -340,6 +340,17 @@
 enum ring_result send_command(struct ring *dispatch,
 			      const struct command *command);
 
+/**
+ * send_query() - put a query to the dispatch duty
+ * @dispatch: its ring
+ * @query: everything but its reply port
+ * @port: where the reply comes; the query takes a reference of its own
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED.
+ */
+enum ring_result send_query(struct ring *dispatch, const struct query *query,
+			    struct query_port *port);
+
 /**
  * ask_query() - put a query to the dispatch duty and wait for its reply
  * @dispatch: its ring
@@ -349,7 +360,7 @@
  *
  * Return: RING_OK, RING_FULL, RING_TIMEOUT or RING_CLOSED.
  */
-enum ring_result ask_query(struct ring *dispatch, struct query *query,
+enum ring_result ask_query(struct ring *dispatch, const struct query *query,
 			   struct query_reply *reply, uint64_t deadline_us);
 
 #endif
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -22,9 +22,9 @@
 #define SEEDS_MAX 8
 
 /**
- * enum http_method - request methods that are passed on
+ * enum request_method - request methods that are passed on
  */
-enum http_method {
+enum request_method {
 	METHOD_GET,
 	METHOD_HEAD,
 	METHOD_OPTIONS,
@@ -59,7 +59,7 @@
 /**
  * struct route_doc - how requests of one kind are treated
  * @path_prefix: longest matching prefix wins
- * @method_mask: bit (1 << enum http_method) for each method it covers
+ * @method_mask: bit (1 << enum request_method) for each method it covers
  * @class_index: index into the document's classes
  * @budget_ms: time a request has when its caller names no deadline
  * @idempotent: may run more than once
@@ -258,7 +258,8 @@
  * @retry_max_ms: and after this at the latest
  * @retry_earned_permille: part of a retry that each request earns its service
  * @idle_max_ms: how long a caller's connection may be idle
- * @worker_threads: callers served at once
+ * @requests_max: callers' requests in progress at once
+ * @connections_max: callers' connections at once
  * @body_max_bytes: largest request body
  * @head_max_bytes: largest request head
  * @hold_max_bytes: answers up to this are held whole before they go out
@@ -292,7 +293,8 @@
 	uint32_t retry_max_ms;
 	uint32_t retry_earned_permille;
 	uint32_t idle_max_ms;
-	uint32_t worker_threads;
+	uint32_t requests_max;
+	uint32_t connections_max;
 	uint32_t body_max_bytes;
 	uint32_t head_max_bytes;
 	uint32_t hold_max_bytes;
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -144,7 +144,7 @@
 	gint caller_gone;
 	gint answer_paused;
 	char id[NAME_BYTES_MAX];
-	enum http_method method;
+	enum request_method method;
 	char *target;
 	struct header headers[REQUEST_HEADERS_MAX];
 	uint32_t header_count;
@@ -163,7 +163,7 @@
 struct request_facts {
 	char host[NAME_BYTES_MAX];
 	char path[PATH_BYTES_MAX];
-	enum http_method method;
+	enum request_method method;
 	uint64_t caller_hash;
 	uint64_t deadline_us;
 };
--- /dev/null
+++ b/src/duty/caller.h
@@ -0,0 +1,211 @@
+#ifndef DUTY_CALLER_H
+#define DUTY_CALLER_H
+
+/**
+ * DOC: one caller's connection, as the front duty's thread serves it
+ *
+ * Nothing here waits: the front tells of readiness, notices and deadlines, and
+ * the connection goes on as far as it can.
+ */
+
+#include "codec/http_answer.h"
+#include "codec/http_reader.h"
+#include "duty/exchange.h"
+
+/**
+ * enum caller_state - what a connection is at
+ * @CALLER_IDLE: no byte of a next request has come
+ * @CALLER_READS_HEAD: a head comes
+ * @CALLER_READS_BODY: a body comes
+ * @CALLER_ASKS: waits for the reply to a query
+ * @CALLER_WAITS: waits for the first part of an answer
+ * @CALLER_ANSWERS: the answer goes out as its parts come
+ * @CALLER_WRITES: the last bytes of an answer go out
+ * @CALLER_LINGERS: all is sent; what the caller still sends is dropped, for
+ *	unread bytes would make its system drop the answer
+ * @CALLER_ENDED: to be freed
+ */
+enum caller_state {
+	CALLER_IDLE,
+	CALLER_READS_HEAD,
+	CALLER_READS_BODY,
+	CALLER_ASKS,
+	CALLER_WAITS,
+	CALLER_ANSWERS,
+	CALLER_WRITES,
+	CALLER_LINGERS,
+	CALLER_ENDED,
+};
+
+/**
+ * struct caller_links - what all connections of a front share
+ * @settings: not owned
+ * @dispatch: ring of struct message
+ * @exchange: is told when a paused answer may go on
+ * @board: tells which connection has something to take
+ * @epoll_fd: watches the sockets
+ * @crowded: connections run short, so answers end theirs
+ */
+struct caller_links {
+	const struct settings *settings;
+	struct ring *dispatch;
+	struct exchange_duty *exchange;
+	struct notice_board *board;
+	int32_t epoll_fd;
+	bool crowded;
+};
+
+/**
+ * struct caller - one connection
+ * @links: not owned
+ * @id: its number with the front, on the board and in epoll
+ * @fd: its socket, not blocking
+ * @ip: text of the caller's address
+ * @state: what it is at
+ * @deadline_us: what it is at ends then
+ * @watched: epoll events that are watched
+ * @reader: reads requests
+ * @unread: bytes that came and are not read yet
+ * @out: bytes that go out
+ * @out_sent: how many of @out are sent
+ * @request: with CALLER_WAITS and CALLER_ANSWERS, holds a reference
+ * @facts: of the request that is read
+ * @port: with CALLER_ASKS, holds a reference
+ * @service: with CALLER_ASKS, whose entries are asked for
+ * @until_us: the answer's last moment
+ * @framing: with CALLER_ANSWERS
+ * @head_only: the method is HEAD
+ * @close: the connection ends after this answer
+ * @body_begun: the answer's head goes out, for some of its body is there
+ * @begun: bytes of an answer were sent
+ */
+struct caller {
+	const struct caller_links *links;
+	uint64_t id;
+	int32_t fd;
+	char ip[ADDR_TEXT_BYTES];
+	enum caller_state state;
+	uint64_t deadline_us;
+	uint32_t watched;
+	struct http_reader *reader;
+	GByteArray *unread;
+	GByteArray *out;
+	size_t out_sent;
+	struct request *request;
+	struct request_facts facts;
+	struct query_port *port;
+	struct name service;
+	uint64_t until_us;
+	enum http_framing framing;
+	bool head_only;
+	bool close;
+	bool body_begun;
+	bool begun;
+};
+
+/**
+ * caller_open() - begin to serve a connection
+ * @links: must outlive the connection
+ * @id: its number
+ * @fd: its socket, taken over
+ * @ip: text of the caller's address
+ *
+ * Return: the connection, or NULL when it cannot be watched.
+ */
+struct caller *caller_open(const struct caller_links *links, uint64_t id,
+			   int32_t fd, const char *ip);
+
+/**
+ * caller_free() - end a connection; work for it is cancelled
+ * @caller: the connection
+ */
+void caller_free(struct caller *caller);
+
+/**
+ * caller_ready() - its socket is ready
+ * @caller: the connection
+ * @events: epoll's word
+ */
+void caller_ready(struct caller *caller, uint32_t events);
+
+/**
+ * caller_noticed() - the board has a notice for it
+ * @caller: the connection
+ */
+void caller_noticed(struct caller *caller);
+
+/**
+ * caller_late() - its deadline is past
+ * @caller: the connection
+ */
+void caller_late(struct caller *caller);
+
+/**
+ * caller_gone() - the other side is gone: cancel its work and end
+ * @caller: the connection
+ */
+void caller_gone(struct caller *caller);
+
+/**
+ * caller_cancel() - take no more of an answer and tell the decisions
+ * @caller: the connection; gives its request up
+ */
+void caller_cancel(struct caller *caller);
+
+/**
+ * caller_enter() - go to a state
+ * @caller: the connection
+ * @state: the state
+ * @deadline_us: when it ends
+ */
+void caller_enter(struct caller *caller, enum caller_state state,
+		  uint64_t deadline_us);
+
+/**
+ * caller_flush() - send what the socket takes
+ * @caller: the connection
+ *
+ * The connection goes on when the last bytes of an answer are sent.
+ */
+void caller_flush(struct caller *caller);
+
+/**
+ * caller_read_on() - read requests from bytes that came
+ * @caller: the connection
+ */
+void caller_read_on(struct caller *caller);
+
+/**
+ * caller_take_reply() - take the reply to a query, if it is there
+ * @caller: a connection in CALLER_ASKS
+ */
+void caller_take_reply(struct caller *caller);
+
+/**
+ * caller_take_answer() - take the parts of an answer that are there
+ * @caller: a connection in CALLER_WAITS or CALLER_ANSWERS
+ */
+void caller_take_answer(struct caller *caller);
+
+/**
+ * caller_refuse() - answer a refusal
+ * @caller: the connection
+ * @refusal: what to say
+ */
+void caller_refuse(struct caller *caller, const struct refusal *refusal);
+
+/**
+ * caller_refuse_early() - answer a request that was not handed on
+ * @caller: the connection
+ * @cause: why
+ */
+void caller_refuse_early(struct caller *caller, enum refusal_cause cause);
+
+/**
+ * caller_finish() - the answer is made: send the rest of it
+ * @caller: the connection
+ * @text: goes out last, not owned
+ */
+void caller_finish(struct caller *caller, const GString *text);
+
+#endif
--- /dev/null
+++ b/src/duty/caller_request.c
@@ -0,0 +1,188 @@
+#include <string.h>
+
+#include "codec/report_text.h"
+#include "core/clock.h"
+#include "duty/caller.h"
+
+#define OWN_PATH_PREFIX "/.nutmegcrank/"
+#define ENTRIES_PATH "/.nutmegcrank/entries"
+#define HEAD_MAX_MS 3000
+#define BODY_MAX_MS 3000
+#define ANSWER_MARGIN_MS 500
+#define ANSWER_MAX_MS 600000
+#define ENTRIES_MAX_MS 500
+
+static bool reads(const struct caller *caller);
+static void take_step(struct caller *caller, enum http_reader_step step);
+static void take_head(struct caller *caller);
+static bool own_path(const struct http_request_head *head);
+static void serve(struct caller *caller);
+static void ask_entries(struct caller *caller,
+			const struct http_request_head *head);
+static void admit(struct caller *caller);
+
+void caller_read_on(struct caller *caller)
+{
+	GByteArray *unread = caller->unread;
+	enum http_reader_step step;
+	size_t used;
+
+	while (unread->len > 0 && reads(caller)) {
+		if (caller->state == CALLER_IDLE)
+			caller_enter(caller, CALLER_READS_HEAD,
+				     clock_now_us() + HEAD_MAX_MS * US_PER_MS);
+		step = http_reader_feed(caller->reader,
+					(const char *)unread->data, unread->len,
+					&used);
+		g_byte_array_remove_range(unread, 0,
+					  (guint)MIN(used, unread->len));
+		take_step(caller, step);
+	}
+}
+
+void caller_take_reply(struct caller *caller)
+{
+	struct query_reply reply;
+	GString *text;
+	char *json;
+
+	if (ring_pop(caller->port->ring, &reply, 0) != RING_OK)
+		return;
+	g_clear_pointer(&caller->port, query_port_unref);
+	if (!reply.entries.known) {
+		caller_refuse_early(caller, REFUSAL_NO_SERVICE);
+		return;
+	}
+	json = entries_to_json(&caller->service, &reply.entries);
+	text = http_json_text(200, json, OUTCOME_COMPLETE, NULL, true,
+			      caller->close);
+	caller_finish(caller, text);
+	g_string_free(text, TRUE);
+	g_free(json);
+}
+
+static bool reads(const struct caller *caller)
+{
+	return caller->state == CALLER_IDLE ||
+	       caller->state == CALLER_READS_HEAD ||
+	       caller->state == CALLER_READS_BODY;
+}
+
+static void take_step(struct caller *caller, enum http_reader_step step)
+{
+	switch (step) {
+	case HTTP_READER_MORE:
+		break;
+	case HTTP_READER_HEAD:
+		take_head(caller);
+		break;
+	case HTTP_READER_DONE:
+		serve(caller);
+		break;
+	case HTTP_READER_BAD:
+		/* Where the next request would begin is not known. */
+		caller->close = true;
+		caller_refuse_early(caller, http_reader_cause(caller->reader));
+		break;
+	}
+}
+
+/* Checks a head before its body is read. */
+static void take_head(struct caller *caller)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	const struct settings *settings = caller->links->settings;
+	struct http_request_head head;
+	struct http_body_plan plan;
+	enum refusal_cause cause;
+	uint32_t i;
+
+	http_reader_head(caller->reader, &head);
+	head.caller_ip = caller->ip;
+	caller->head_only = strcmp(head.method, "HEAD") == 0;
+	caller->close = caller->links->crowded;
+	for (i = 0; i < head.field_count; i++) {
+		if (g_ascii_strcasecmp(head.fields[i].name, "Connection") == 0)
+			caller->close |=
+				http_list_has(head.fields[i].value, "close");
+	}
+	caller->request = request_new();
+	if (!http_request_read(&head, settings, clock_now(), caller->request,
+			       &caller->facts, &plan, &cause)) {
+		/* What is left of the body must not be read as a request. */
+		caller->close = true;
+		caller_refuse_early(caller, cause);
+		return;
+	}
+	caller_enter(caller, CALLER_READS_BODY,
+		     clock_now_us() + BODY_MAX_MS * US_PER_MS);
+	if (!plan.expects_continue || (!plan.chunked && plan.length_bytes == 0))
+		return;
+	g_byte_array_append(caller->out, (const guint8 *)go_on,
+			    sizeof(go_on) - 1);
+	caller_flush(caller);
+}
+
+static bool own_path(const struct http_request_head *head)
+{
+	return g_str_has_prefix(head->path, OWN_PATH_PREFIX);
+}
+
+static void serve(struct caller *caller)
+{
+	struct http_request_head head;
+
+	http_reader_head(caller->reader, &head);
+	head.caller_ip = caller->ip;
+	caller->begun = false;
+	if (own_path(&head)) {
+		g_clear_pointer(&caller->request, request_unref);
+		ask_entries(caller, &head);
+		return;
+	}
+	caller->request->body = http_reader_take_body(caller->reader);
+	admit(caller);
+}
+
+static void ask_entries(struct caller *caller,
+			const struct http_request_head *head)
+{
+	const struct caller_links *links = caller->links;
+	struct query query;
+
+	if (strcmp(head->method, "GET") != 0 ||
+	    strcmp(head->path, ENTRIES_PATH) != 0 ||
+	    !http_entries_read(head->query, head->caller_ip, &query)) {
+		caller_refuse_early(caller, REFUSAL_BAD_REQUEST);
+		return;
+	}
+	caller->service = query.service;
+	caller->port = query_port_new();
+	ring_announce(caller->port->ring, links->board, caller->id);
+	if (send_query(links->dispatch, &query, caller->port) != RING_OK) {
+		g_clear_pointer(&caller->port, query_port_unref);
+		caller_refuse_early(caller, REFUSAL_OVERLOAD);
+		return;
+	}
+	caller_enter(caller, CALLER_ASKS,
+		     clock_now_us() + ENTRIES_MAX_MS * US_PER_MS);
+}
+
+static void admit(struct caller *caller)
+{
+	const struct caller_links *links = caller->links;
+	struct command command = { .kind = COMMAND_ADMIT };
+
+	caller->until_us = clock_now_us() + ANSWER_MAX_MS * US_PER_MS;
+	caller->until_us = MIN(caller->until_us, caller->facts.deadline_us) +
+			   ANSWER_MARGIN_MS * US_PER_MS;
+	ring_announce(caller->request->answer, links->board, caller->id);
+	command.admit.facts = caller->facts;
+	command.admit.request = request_ref(caller->request);
+	if (send_command(links->dispatch, &command) != RING_OK) {
+		command_clear(&command);
+		caller_refuse_early(caller, REFUSAL_OVERLOAD);
+		return;
+	}
+	caller_enter(caller, CALLER_WAITS, caller->until_us);
+}
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -74,8 +74,7 @@
 				     struct ring *dispatch, GError **error)
 {
 	struct exchange_duty *duty;
-	uint32_t reserve =
-		MAX(ORDERS_RESERVE_MIN, 2 * settings->worker_threads);
+	uint32_t reserve = MAX(ORDERS_RESERVE_MIN, 2 * settings->requests_max);
 
 	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
 		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_LIBRARY,
--- a/src/duty/front.c
+++ b/src/duty/front.c
@@ -1,121 +1,64 @@
 #include "duty/front.h"
 
 #include <arpa/inet.h>
-#include <civetweb.h>
 #include <errno.h>
+#include <linux/tcp.h>
 #include <pthread.h>
-#include <stdio.h>
-#include <string.h>
-#include <strings.h>
-#include <sys/resource.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include "codec/http_answer.h"
-#include "codec/http_request.h"
-#include "codec/report_text.h"
 #include "core/clock.h"
-#include "duty/caller_watch.h"
-
-#define OWN_PATH_PREFIX "/.nutmegcrank/"
-#define ENTRIES_PATH "/.nutmegcrank/entries"
-#define WORKER_STACK_BYTES (UINT64_C(256) * 1024)
-#define HEAD_MAX_MS 3000
-#define BODY_MAX_MS 3000
-#define WRITE_MARGIN_US (3 * US_PER_S)
-#define ANSWER_MARGIN_MS 500
-#define ANSWER_MAX_MS 600000
-#define ENTRIES_MAX_MS 500
-#define RETRY_MIN_MS 500
-#define RETRY_JITTER_MS 1000
-#define BODY_READ_BYTES 16384
-#define CHUNK_HEAD_BYTES 24
-#define DESCRIPTORS_MAX 65536
-/* Idle callers lose their connections when fewer workers are free than this. */
-#define FREE_WORKERS_PERCENT 25
+#include "duty/caller.h"
+#include "duty/own_socket.h"
+
+/* Numbers in epoll and on the board that stand for no connection. */
+#define BOARD_ID 0
+#define LISTEN_ID 1
+#define CALLER_ID_MIN 2
+#define EVENTS_AT_ONCE 64
+/* Answers end their connection when fewer connections are left than this. */
+#define FREE_CONNECTIONS_PERCENT 25
+#define ACCEPT_PAUSE_US (100 * US_PER_MS)
 
 /**
  * struct front_duty - the duty
- * @settings: not owned
- * @dispatch: ring of struct message
- * @exchange: not owned
- * @watch: sees callers that go away or are slow
- * @server: CivetWeb's context
- * @connections: callers' connections that hold a worker, atomic
+ * @links: shared by the connections
+ * @listen_fd: where callers connect, -1 during a stop
+ * @callers: struct caller by id
+ * @next_id: of the next connection, never used again
+ * @due_us: no connection's deadline is before this
+ * @accept_due_us: nobody is accepted before this
+ * @stopping: set by front_stop(), atomic
+ * @thread: its thread
  */
 struct front_duty {
-	const struct settings *settings;
-	struct ring *dispatch;
-	struct exchange_duty *exchange;
-	struct caller_watch *watch;
-	struct mg_context *server;
-	gint connections;
-};
-
-/**
- * struct call - one request while its worker serves it
- * @front: the duty
- * @conn: CivetWeb's connection
- * @info: CivetWeb's view of the head
- * @caller: the watched connection, NULL when its socket was not found
- * @head_only: the method is HEAD
- * @close: the connection ends after this answer
- * @begun: bytes of an answer have gone out
- */
-struct call {
-	struct front_duty *front;
-	struct mg_connection *conn;
-	const struct mg_request_info *info;
-	struct watched_caller *caller;
-	bool head_only;
-	bool close;
-	bool begun;
+	struct caller_links links;
+	int32_t listen_fd;
+	GHashTable *callers;
+	uint64_t next_id;
+	uint64_t due_us;
+	uint64_t accept_due_us;
+	gint stopping;
+	pthread_t thread;
 };
 
-static struct mg_context *start_server(struct front_duty *front);
-static int on_connection(const struct mg_connection *conn, void **conn_data);
-static void on_connection_close(const struct mg_connection *conn);
-static void on_connection_closed(const struct mg_connection *conn);
-static int on_log(const struct mg_connection *conn, const char *text);
-static int on_http_error(struct mg_connection *conn, int status,
-			 const char *text);
-static int on_request(struct mg_connection *conn);
-static struct watched_caller *watched(struct front_duty *front,
-				      struct mg_connection *conn);
-static int32_t find_socket(const struct mg_request_info *info);
-static bool same_addr(const struct sockaddr_in *addr, uint32_t ip, int port);
-static void set_close(struct call *call);
-static uint32_t serve_own(struct call *call);
-static uint32_t serve_entries(struct call *call, const struct name *service,
-			      const struct entries_reply *reply);
-static uint32_t serve(struct call *call);
-static bool read_head(struct call *call, struct request *request,
-		      struct request_facts *facts, struct http_body_plan *plan,
-		      enum refusal_cause *cause);
-static bool read_body(struct call *call, const struct http_body_plan *plan,
-		      struct request *request, enum refusal_cause *cause);
-static bool fill_body(struct call *call, const struct http_body_plan *plan,
-		      GByteArray *body, enum refusal_cause *cause);
-static uint32_t admit(struct call *call, struct request *request,
-		      const struct request_facts *facts);
-static uint32_t answer(struct call *call, struct request *request,
-		       uint64_t until_us);
-static enum ring_result take_part(struct call *call, struct request *request,
-				  uint64_t until_us, struct answer_part *part);
-static uint32_t give_up(struct call *call, struct request *request);
-static void cancel(struct call *call, struct request *request);
-static uint32_t write_answer(struct call *call, struct request *request,
-			     struct answer_head *head, uint64_t until_us);
-static enum http_framing framing_for(const struct call *call,
-				     const struct answer_head *head);
-static bool write_body(struct call *call, struct request *request,
-		       enum http_framing framing, GString *first,
-		       uint64_t until_us);
-static void append_chunk(GString *text, enum http_framing framing,
-			 GBytes *chunk);
-static bool write_text(struct call *call, const GString *text);
-static uint32_t refuse(struct call *call, const struct refusal *refusal);
-static uint32_t refuse_early(struct call *call, enum refusal_cause cause);
-static uint64_t retry_at_unix_ms(uint64_t salt);
+static bool open_fds(struct front_duty *front, GError **error);
+static void close_fds(struct front_duty *front);
+static bool watch(struct front_duty *front, int32_t fd, uint64_t id);
+static void *run(void *data);
+static void take_event(struct front_duty *front,
+		       const struct epoll_event *event);
+static void take_notices(struct front_duty *front);
+static void accept_callers(struct front_duty *front);
+static bool may_accept(const struct front_duty *front);
+static bool accept_one(struct front_duty *front);
+static void pause_accepting(struct front_duty *front);
+static void resume_accepting(struct front_duty *front, uint64_t now_us);
+static void look_after(struct front_duty *front, struct caller *caller);
+static void run_due(struct front_duty *front, uint64_t now_us);
+static void begin_stop(struct front_duty *front);
+static void free_caller(gpointer data);
 
 struct front_duty *front_start(const struct settings *settings,
 			       struct ring *dispatch,
@@ -123,596 +66,276 @@
 {
 	struct front_duty *front = g_new0(struct front_duty, 1);
 
-	front->settings = settings;
-	front->dispatch = dispatch;
-	front->exchange = exchange;
-	front->watch = caller_watch_start(dispatch, error);
-	if (!front->watch) {
-		g_free(front);
-		return NULL;
-	}
-	if (mg_init_library(MG_FEATURES_DEFAULT) == 0 && mg_version()[0] == 0)
-		g_warning("front: CivetWeb does not start");
-	front->server = start_server(front);
-	if (!front->server) {
-		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_LISTEN,
-				    "front: cannot listen for callers");
-		caller_watch_stop(front->watch);
-		mg_exit_library();
-		g_free(front);
-		return NULL;
+	front->links.settings = settings;
+	front->links.dispatch = dispatch;
+	front->links.exchange = exchange;
+	front->links.epoll_fd = -1;
+	front->listen_fd = -1;
+	front->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+					       NULL, free_caller);
+	front->next_id = CALLER_ID_MIN;
+	front->due_us = DEADLINE_NONE_US;
+	http_reader_init(settings->head_max_bytes);
+	if (open_fds(front, error)) {
+		if (pthread_create(&front->thread, NULL, run, front) == 0)
+			return front;
+		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_THREAD,
+				    "front: no thread");
 	}
-	return front;
+	close_fds(front);
+	g_hash_table_unref(front->callers);
+	g_free(front);
+	return NULL;
 }
 
 void front_stop(struct front_duty *duty)
 {
 	if (!duty)
 		return;
-	mg_stop(duty->server);
-	caller_watch_stop(duty->watch);
-	mg_exit_library();
+	g_atomic_int_set(&duty->stopping, 1);
+	notice_post(duty->links.board, BOARD_ID);
+	pthread_join(duty->thread, NULL);
+	g_hash_table_unref(duty->callers);
+	close_fds(duty);
 	g_free(duty);
 }
 
-static struct mg_context *start_server(struct front_duty *front)
-{
-	const struct mg_callbacks callbacks = {
-		.begin_request = on_request,
-		.log_message = on_log,
-		.http_error = on_http_error,
-		.init_connection = on_connection,
-		.connection_close = on_connection_close,
-		.connection_closed = on_connection_closed,
-	};
-	char listen[ADDR_TEXT_BYTES];
-	char threads[16];
-	char head[16];
-	char head_ms[16];
-	char keep_ms[16];
-	const char *options[] = {
-		"listening_ports",
-		listen,
-		"num_threads",
-		threads,
-		"connection_queue",
-		threads,
-		"max_request_size",
-		head,
-		"request_timeout_ms",
-		head_ms,
-		"keep_alive_timeout_ms",
-		keep_ms,
-		"enable_keep_alive",
-		"yes",
-		"tcp_nodelay",
-		"1",
-		"decode_url",
-		"no",
-		"decode_query_string",
-		"no",
-		NULL,
-	};
-	struct mg_context *server;
-	pthread_attr_t before;
-	pthread_attr_t small;
-
-	addr_format(front->settings->caller_listen, listen);
-	snprintf(threads, sizeof(threads), "%u",
-		 front->settings->worker_threads);
-	snprintf(head, sizeof(head), "%u", front->settings->head_max_bytes);
-	snprintf(head_ms, sizeof(head_ms), "%d", HEAD_MAX_MS);
-	snprintf(keep_ms, sizeof(keep_ms), "%u", front->settings->idle_max_ms);
-	/* CivetWeb has no setting for its workers' stacks. */
-	if (pthread_getattr_default_np(&before) != 0 ||
-	    pthread_attr_init(&small) != 0 ||
-	    pthread_attr_setstacksize(&small, WORKER_STACK_BYTES) != 0 ||
-	    pthread_setattr_default_np(&small) != 0)
-		g_warning("front: cannot set the size of stacks");
-	server = mg_start(&callbacks, front, options);
-	if (pthread_setattr_default_np(&before) != 0)
-		g_warning("front: cannot set the size of stacks back");
-	pthread_attr_destroy(&small);
-	pthread_attr_destroy(&before);
-	return server;
-}
-
-static int on_connection(const struct mg_connection *conn, void **conn_data)
-{
-	struct front_duty *front = mg_get_user_data(mg_get_context(conn));
-
-	*conn_data = NULL;
-	g_atomic_int_inc(&front->connections);
-	return 0;
-}
-
-static void on_connection_close(const struct mg_connection *conn)
-{
-	struct front_duty *front = mg_get_user_data(mg_get_context(conn));
-
-	caller_watch_close(front->watch, mg_get_user_connection_data(conn));
-	mg_set_user_connection_data(conn, NULL);
-}
-
-static void on_connection_closed(const struct mg_connection *conn)
-{
-	struct front_duty *front = mg_get_user_data(mg_get_context(conn));
-
-	g_atomic_int_add(&front->connections, -1);
-}
-
-static int on_log(const struct mg_connection *conn, const char *text)
-{
-	(void)conn;
-	g_debug("front: %s", text);
-	return 1;
-}
-
-/* CivetWeb refuses a head by itself before any work. */
-static int on_http_error(struct mg_connection *conn, int status,
-			 const char *text)
-{
-	struct call call = {
-		.front = mg_get_user_data(mg_get_context(conn)),
-		.conn = conn,
-	};
-
-	g_debug("front: %s", text);
-	set_close(&call);
-	refuse_early(&call, status == 413 || status == 414 || status == 431 ?
-				    REFUSAL_TOO_LARGE :
-				    REFUSAL_BAD_REQUEST);
-	return 0;
-}
-
-static int on_request(struct mg_connection *conn)
+static bool open_fds(struct front_duty *front, GError **error)
 {
-	struct front_duty *front = mg_get_user_data(mg_get_context(conn));
-	struct call call = {
-		.front = front,
-		.conn = conn,
-		.info = mg_get_request_info(conn),
-		.caller = watched(front, conn),
-	};
-	const char *keep = mg_get_header(conn, "Connection");
-	uint32_t busy = (uint32_t)g_atomic_int_get(&front->connections);
-	uint32_t status;
+	const struct settings *settings = front->links.settings;
 
-	call.head_only = strcmp(call.info->request_method, "HEAD") == 0;
-	if ((keep && http_list_has(keep, "close")) ||
-	    busy * 100 > front->settings->worker_threads *
-				 (100 - FREE_WORKERS_PERCENT))
-		set_close(&call);
-	if (g_str_has_prefix(call.info->request_uri, OWN_PATH_PREFIX))
-		status = serve_own(&call);
-	else
-		status = serve(&call);
-	caller_watch_limit(front->watch, call.caller, DEADLINE_NONE_US);
-	return (int)status;
-}
-
-/* Finds a connection's socket once; later requests on it find it noted. */
-static struct watched_caller *watched(struct front_duty *front,
-				      struct mg_connection *conn)
-{
-	struct watched_caller *caller = mg_get_user_connection_data(conn);
-	int32_t fd;
-
-	if (caller)
-		return caller;
-	fd = find_socket(mg_get_request_info(conn));
-	if (fd < 0)
-		return NULL;
-	caller = caller_watch_open(front->watch, fd);
-	mg_set_user_connection_data(conn, caller);
-	return caller;
-}
-
-/*
- * CivetWeb does not tell a connection's socket, but its two addresses are
- * known and belong to one descriptor only.
- */
-static int32_t find_socket(const struct mg_request_info *info)
-{
-	struct sockaddr_in addr = { 0 };
-	struct rlimit limit;
-	uint32_t ip;
-	socklen_t length;
-	int32_t fd;
-
-	if (!addr_ip_parse(info->remote_addr, &ip) ||
-	    getrlimit(RLIMIT_NOFILE, &limit) != 0)
-		return -1;
-	for (fd = 0; fd < DESCRIPTORS_MAX && (rlim_t)fd < limit.rlim_cur;
-	     fd++) {
-		length = sizeof(addr);
-		if (getpeername(fd, (struct sockaddr *)&addr, &length) != 0 ||
-		    !same_addr(&addr, ip, info->remote_port))
-			continue;
-		length = sizeof(addr);
-		if (getsockname(fd, (struct sockaddr *)&addr, &length) == 0 &&
-		    ntohs(addr.sin_port) == info->server_port)
-			return fd;
-	}
-	return -1;
-}
-
-static bool same_addr(const struct sockaddr_in *addr, uint32_t ip, int port)
-{
-	return addr->sin_family == AF_INET &&
-	       ntohl(addr->sin_addr.s_addr) == ip &&
-	       ntohs(addr->sin_port) == port;
-}
-
-static void set_close(struct call *call)
-{
-	call->close = true;
-	mg_disable_connection_keep_alive(call->conn);
-}
-
-static uint32_t serve_own(struct call *call)
-{
-	const struct mg_request_info *info = call->info;
-	struct query query;
-	struct query_reply reply;
-	struct refusal refusal = { .outcome = OUTCOME_NOT_RUN };
-	uint64_t now_us = clock_now_us();
-
-	if (strcmp(info->request_method, "GET") != 0 ||
-	    strcmp(info->request_uri, ENTRIES_PATH) != 0 ||
-	    !http_entries_read(info->query_string, info->remote_addr, &query))
-		return refuse_early(call, REFUSAL_BAD_REQUEST);
-	if (ask_query(call->front->dispatch, &query, &reply,
-		      now_us + ENTRIES_MAX_MS * US_PER_MS) != RING_OK) {
-		refusal.cause = REFUSAL_OVERLOAD;
-		refusal.retry_at_unix_ms = retry_at_unix_ms(query.caller_hash);
-		return refuse(call, &refusal);
+	front->listen_fd =
+		own_socket_listen(SOCK_STREAM, settings->caller_listen, error);
+	if (front->listen_fd < 0) {
+		g_prefix_error(error, "front: ");
+		return false;
 	}
-	return serve_entries(call, &query.service, &reply.entries);
+	/* A notice for the ring in use, one for the ring before it. */
+	front->links.board =
+		notice_board_new(2 * settings->connections_max + 1);
+	front->links.epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+	if (front->links.board && front->links.epoll_fd >= 0 &&
+	    watch(front, notice_board_fd(front->links.board), BOARD_ID) &&
+	    watch(front, front->listen_fd, LISTEN_ID))
+		return true;
+	g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_LISTEN,
+			    "front: no descriptor left");
+	return false;
 }
 
-static uint32_t serve_entries(struct call *call, const struct name *service,
-			      const struct entries_reply *reply)
+static void close_fds(struct front_duty *front)
 {
-	GString *text;
-	char *json;
-
-	if (!reply->known)
-		return refuse_early(call, REFUSAL_NO_SERVICE);
-	json = entries_to_json(service, reply);
-	text = http_json_text(200, json, OUTCOME_COMPLETE, NULL, true,
-			      call->close);
-	if (!write_text(call, text))
-		set_close(call);
-	g_string_free(text, TRUE);
-	g_free(json);
-	return 200;
+	if (front->listen_fd >= 0)
+		close(front->listen_fd);
+	if (front->links.epoll_fd >= 0)
+		close(front->links.epoll_fd);
+	notice_board_free(front->links.board);
 }
 
-static uint32_t serve(struct call *call)
+static bool watch(struct front_duty *front, int32_t fd, uint64_t id)
 {
-	struct request *request = request_new();
-	struct request_facts facts;
-	struct http_body_plan plan;
-	enum refusal_cause cause;
-	uint32_t status;
+	struct epoll_event event = { .events = EPOLLIN, .data.u64 = id };
 
-	if (!read_head(call, request, &facts, &plan, &cause) ||
-	    !read_body(call, &plan, request, &cause)) {
-		/* What is left of the body must not be read as a request. */
-		set_close(call);
-		status = refuse_early(call, cause);
-	} else {
-		status = admit(call, request, &facts);
-	}
-	request_unref(request);
-	return status;
+	return epoll_ctl(front->links.epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0;
 }
 
-static bool read_head(struct call *call, struct request *request,
-		      struct request_facts *facts, struct http_body_plan *plan,
-		      enum refusal_cause *cause)
+static void *run(void *data)
 {
-	const struct mg_request_info *info = call->info;
-	struct http_field fields[MG_MAX_HEADERS];
-	struct http_request_head head = {
-		.method = info->request_method,
-		.path = info->request_uri,
-		.query = info->query_string,
-		.version = info->http_version,
-		.fields = fields,
-		.field_count = (uint32_t)info->num_headers,
-		.caller_ip = info->remote_addr,
-	};
+	struct front_duty *front = data;
+	struct epoll_event events[EVENTS_AT_ONCE];
+	int32_t timeout_ms;
+	uint64_t now_us;
+	int count;
 	int i;
 
-	/* CivetWeb drops fields above its bound without a word. */
-	*cause = REFUSAL_TOO_LARGE;
-	if (info->num_headers >= MG_MAX_HEADERS)
-		return false;
-	for (i = 0; i < info->num_headers; i++) {
-		fields[i].name = info->http_headers[i].name;
-		fields[i].value = info->http_headers[i].value;
+	while (front->listen_fd >= 0 || g_hash_table_size(front->callers) > 0) {
+		timeout_ms =
+			front->due_us == DEADLINE_NONE_US ?
+				-1 :
+				clock_ms_left(front->due_us, clock_now_us());
+		count = epoll_wait(front->links.epoll_fd, events,
+				   EVENTS_AT_ONCE, timeout_ms);
+		if (count < 0 && errno != EINTR)
+			g_error("front: cannot wait: %s", g_strerror(errno));
+		for (i = 0; i < count; i++)
+			take_event(front, &events[i]);
+		now_us = clock_now_us();
+		if (now_us >= front->due_us)
+			run_due(front, now_us);
+		if (front->listen_fd >= 0 &&
+		    g_atomic_int_get(&front->stopping) != 0)
+			begin_stop(front);
 	}
-	return http_request_read(&head, call->front->settings, clock_now(),
-				 request, facts, plan, cause);
+	return NULL;
 }
 
-static bool read_body(struct call *call, const struct http_body_plan *plan,
-		      struct request *request, enum refusal_cause *cause)
+/* An event may be older than the end of its connection. */
+static void take_event(struct front_duty *front,
+		       const struct epoll_event *event)
 {
-	GByteArray *body;
-	bool whole;
+	uint64_t id = event->data.u64;
+	struct caller *caller;
 
-	if (!plan->chunked && plan->length_bytes == 0)
-		return true;
-	caller_watch_limit(call->front->watch, call->caller,
-			   clock_now_us() + BODY_MAX_MS * US_PER_MS);
-	body = g_byte_array_new();
-	whole = fill_body(call, plan, body, cause);
-	caller_watch_limit(call->front->watch, call->caller, DEADLINE_NONE_US);
-	if (whole)
-		request->body = g_byte_array_free_to_bytes(body);
-	else
-		g_byte_array_unref(body);
-	return whole;
-}
-
-static bool fill_body(struct call *call, const struct http_body_plan *plan,
-		      GByteArray *body, enum refusal_cause *cause)
-{
-	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	uint64_t max_bytes = call->front->settings->body_max_bytes;
-	guint8 bytes[BODY_READ_BYTES];
-	int count = 0;
-
-	*cause = REFUSAL_BAD_REQUEST;
-	if (plan->expects_continue &&
-	    mg_write(call->conn, go_on, sizeof(go_on) - 1) <= 0)
-		return false;
-	while (plan->chunked || body->len < plan->length_bytes) {
-		count = mg_read(call->conn, bytes, sizeof(bytes));
-		if (count <= 0)
-			break;
-		g_byte_array_append(body, bytes, (guint)count);
-		if (body->len > max_bytes) {
-			*cause = REFUSAL_TOO_LARGE;
-			return false;
-		}
+	if (id == BOARD_ID) {
+		take_notices(front);
+		return;
 	}
-	return plan->chunked ? count == 0 : body->len == plan->length_bytes;
-}
-
-static uint32_t admit(struct call *call, struct request *request,
-		      const struct request_facts *facts)
-{
-	struct front_duty *front = call->front;
-	struct command command = { .kind = COMMAND_ADMIT };
-	struct refusal refusal = {
-		.cause = REFUSAL_OVERLOAD,
-		.outcome = OUTCOME_NOT_RUN,
-	};
-	uint64_t until_us = clock_now_us() + ANSWER_MAX_MS * US_PER_MS;
-
-	if (facts->deadline_us < until_us)
-		until_us = facts->deadline_us;
-	until_us += ANSWER_MARGIN_MS * US_PER_MS;
-	command.admit.facts = *facts;
-	command.admit.request = request_ref(request);
-	if (send_command(front->dispatch, &command) != RING_OK) {
-		command_clear(&command);
-		refusal.retry_at_unix_ms = retry_at_unix_ms(facts->caller_hash);
-		return refuse(call, &refusal);
+	if (id == LISTEN_ID) {
+		accept_callers(front);
+		return;
 	}
-	caller_watch_wait(front->watch, call->caller, request);
-	return answer(call, request, until_us);
+	caller = g_hash_table_lookup(front->callers, &id);
+	if (!caller)
+		return;
+	caller_ready(caller, event->events);
+	look_after(front, caller);
 }
 
-static uint32_t answer(struct call *call, struct request *request,
-		       uint64_t until_us)
+static void take_notices(struct front_duty *front)
 {
-	struct answer_part part;
+	struct caller *caller;
+	uint64_t id;
 
-	if (take_part(call, request, until_us, &part) != RING_OK)
-		return give_up(call, request);
-	switch (part.kind) {
-	case PART_REFUSED:
-		return refuse(call, &part.refusal);
-	case PART_HEAD:
-		return write_answer(call, request, part.head, until_us);
-	case PART_CHUNK:
-	case PART_END:
-	case PART_BROKEN:
-		break;
+	notice_begin(front->links.board);
+	while (notice_take(front->links.board, &id)) {
+		caller = g_hash_table_lookup(front->callers, &id);
+		if (!caller)
+			continue;
+		caller_noticed(caller);
+		look_after(front, caller);
 	}
-	g_warning("front: an answer without a head");
-	answer_part_clear(&part);
-	return give_up(call, request);
 }
 
-static enum ring_result take_part(struct call *call, struct request *request,
-				  uint64_t until_us, struct answer_part *part)
+static void accept_callers(struct front_duty *front)
 {
-	struct exchange_order order = { .kind = ORDER_RESUME };
-	enum ring_result result = ring_pop(request->answer, part, until_us);
-
-	if (!g_atomic_int_compare_and_exchange(&request->answer_paused, 1, 0))
-		return result;
-	order.resume = request_ref(request);
-	if (exchange_send(call->front->exchange, &order) != RING_OK) {
-		g_warning("front: cannot resume an answer");
-		request_unref(request);
+	while (front->listen_fd >= 0 && front->accept_due_us == 0) {
+		if (!may_accept(front)) {
+			pause_accepting(front);
+			return;
+		}
+		if (!accept_one(front))
+			return;
 	}
-	return result;
-}
-
-/* No answer came, or the caller is gone; nothing is known of the work. */
-static uint32_t give_up(struct call *call, struct request *request)
-{
-	const struct refusal refusal = {
-		.cause = REFUSAL_BACKEND_TIMEOUT,
-		.outcome = OUTCOME_UNKNOWN,
-	};
-
-	cancel(call, request);
-	set_close(call);
-	return refuse(call, &refusal);
 }
 
-static void cancel(struct call *call, struct request *request)
+static bool may_accept(const struct front_duty *front)
 {
-	struct command command = { .kind = COMMAND_CANCEL };
-
-	/* The watch may have said it already. */
-	if (!g_atomic_int_compare_and_exchange(&request->caller_gone, 0, 1))
-		return;
-	ring_close(request->answer);
-	command.cancel.request = request_ref(request);
-	if (send_command(call->front->dispatch, &command) != RING_OK)
-		command_clear(&command);
+	return g_hash_table_size(front->callers) <
+	       front->links.settings->connections_max;
 }
 
-static uint32_t write_answer(struct call *call, struct request *request,
-			     struct answer_head *head, uint64_t until_us)
+/* Return: whether there may be another one. */
+static bool accept_one(struct front_duty *front)
 {
-	enum http_framing framing = framing_for(call, head);
-	const char *reason =
-		mg_get_response_code_text(call->conn, (int)head->status);
-	GString *text = http_answer_text(head, reason, framing,
-					 head->body_bytes, call->close);
-	uint32_t status = head->status;
-	const struct refusal broken = {
-		.cause = REFUSAL_BACKEND_BROKEN,
-		.outcome = OUTCOME_UNKNOWN,
-	};
-
-	answer_head_free(head);
-	if (!write_body(call, request, framing, text, until_us)) {
-		cancel(call, request);
-		set_close(call);
-		if (!call->begun)
-			status = refuse(call, &broken);
+	struct sockaddr_in addr = { 0 };
+	socklen_t length = sizeof(addr);
+	char ip[ADDR_TEXT_BYTES];
+	struct caller *caller;
+	int32_t yes = 1;
+	int32_t fd = accept4(front->listen_fd, (struct sockaddr *)&addr,
+			     &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+	if (fd < 0) {
+		if (errno == EINTR || errno == ECONNABORTED)
+			return true;
+		if (errno == EAGAIN || errno == EWOULDBLOCK)
+			return false;
+		g_warning("front: cannot accept: %s", g_strerror(errno));
+		pause_accepting(front);
+		return false;
 	}
-	g_string_free(text, TRUE);
-	return status;
-}
-
-static enum http_framing framing_for(const struct call *call,
-				     const struct answer_head *head)
-{
-	if (head->status == 204 || head->status == 304)
-		return FRAMING_NONE;
-	if (head->body_bytes != UINT64_MAX)
-		return FRAMING_LENGTH;
-	return call->head_only ? FRAMING_NONE : FRAMING_CHUNKED;
+	if (setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes)) != 0)
+		g_debug("front: cannot turn off delays: %s", g_strerror(errno));
+	addr_ip_format(ntohl(addr.sin_addr.s_addr), ip);
+	caller = caller_open(&front->links, front->next_id, fd, ip);
+	if (!caller)
+		return true;
+	front->next_id++;
+	g_hash_table_insert(front->callers, &caller->id, caller);
+	look_after(front, caller);
+	return true;
 }
 
-/*
- * Writes parts until the last one; the head goes out with the first of them.
- *
- * Return: false when the caller did not get the whole answer.
- */
-static bool write_body(struct call *call, struct request *request,
-		       enum http_framing framing, GString *first,
-		       uint64_t until_us)
+/* Those who come wait in the kernel's queue. */
+static void pause_accepting(struct front_duty *front)
 {
-	struct caller_watch *watch = call->front->watch;
-	struct answer_part part;
-	bool written;
-
-	for (;;) {
-		if (take_part(call, request, until_us, &part) != RING_OK)
-			return false;
-		switch (part.kind) {
-		case PART_CHUNK:
-			append_chunk(first, framing, part.chunk);
-			answer_part_clear(&part);
-			break;
-		case PART_END:
-			if (framing == FRAMING_CHUNKED)
-				g_string_append(first, "0\r\n\r\n");
-			caller_watch_limit(watch, call->caller,
-					   clock_now_us() + WRITE_MARGIN_US);
-			return write_text(call, first);
-		case PART_BROKEN:
-		case PART_REFUSED:
-		case PART_HEAD:
-			answer_part_clear(&part);
-			return false;
-		}
-		/* The last part of a short answer is there already. */
-		if (ring_length(request->answer) > 0 &&
-		    first->len < BODY_READ_BYTES)
-			continue;
-		caller_watch_limit(watch, call->caller,
-				   until_us + WRITE_MARGIN_US);
-		written = write_text(call, first);
-		g_string_truncate(first, 0);
-		if (!written)
-			return false;
-	}
+	if (epoll_ctl(front->links.epoll_fd, EPOLL_CTL_DEL, front->listen_fd,
+		      NULL) != 0)
+		g_warning("front: cannot pause: %s", g_strerror(errno));
+	front->accept_due_us = clock_now_us() + ACCEPT_PAUSE_US;
+	front->due_us = MIN(front->due_us, front->accept_due_us);
 }
 
-static void append_chunk(GString *text, enum http_framing framing,
-			 GBytes *chunk)
+static void resume_accepting(struct front_duty *front, uint64_t now_us)
 {
-	gsize length;
-	const char *data = g_bytes_get_data(chunk, &length);
-
-	if (length == 0)
+	if (front->accept_due_us == 0 || front->listen_fd < 0)
 		return;
-	if (framing != FRAMING_CHUNKED) {
-		g_string_append_len(text, data, (gssize)length);
+	if (now_us < front->accept_due_us) {
+		front->due_us = MIN(front->due_us, front->accept_due_us);
 		return;
 	}
-	g_string_append_printf(text, "%zx\r\n", length);
-	g_string_append_len(text, data, (gssize)length);
-	g_string_append(text, "\r\n");
-}
-
-static bool write_text(struct call *call, const GString *text)
-{
-	if (text->len == 0)
-		return true;
-	call->begun = true;
-	return mg_write(call->conn, text->str, text->len) == (int)text->len;
-}
-
-static uint32_t refuse(struct call *call, const struct refusal *refusal)
-{
-	const struct settings *settings = call->front->settings;
-	uint32_t status = http_refusal_status(settings, refusal);
-	char *json = refusal_to_json(refusal);
-	char retry[HTTP_RETRY_TEXT_BYTES];
-	GString *text = http_json_text(
-		status, json, refusal->outcome,
-		http_retry_after(settings, refusal, clock_now().unix_ms, retry),
-		!call->head_only, call->close);
-
-	caller_watch_limit(call->front->watch, call->caller,
-			   clock_now_us() + WRITE_MARGIN_US);
-	if (!write_text(call, text))
-		set_close(call);
-	g_string_free(text, TRUE);
-	g_free(json);
-	return status;
+	front->accept_due_us = 0;
+	if (!watch(front, front->listen_fd, LISTEN_ID)) {
+		g_warning("front: cannot go on: %s", g_strerror(errno));
+		front->accept_due_us = now_us + ACCEPT_PAUSE_US;
+		front->due_us = MIN(front->due_us, front->accept_due_us);
+	}
 }
 
-static uint32_t refuse_early(struct call *call, enum refusal_cause cause)
+/* Frees a connection that has ended, else notes when it must be seen again. */
+static void look_after(struct front_duty *front, struct caller *caller)
 {
-	const struct refusal refusal = {
-		.cause = cause,
-		.outcome = OUTCOME_NOT_RUN,
-	};
-
-	return refuse(call, &refusal);
+	if (caller->state == CALLER_ENDED)
+		g_hash_table_remove(front->callers, &caller->id);
+	else
+		front->due_us = MIN(front->due_us, caller->deadline_us);
+	front->links.crowded = front->listen_fd < 0 ||
+			       g_hash_table_size(front->callers) * 100 >
+				       front->links.settings->connections_max *
+					       (100 - FREE_CONNECTIONS_PERCENT);
+}
+
+static void run_due(struct front_duty *front, uint64_t now_us)
+{
+	struct caller *caller;
+	GHashTableIter iter;
+	gpointer value;
+
+	front->due_us = DEADLINE_NONE_US;
+	g_hash_table_iter_init(&iter, front->callers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		caller = value;
+		if (caller->deadline_us <= now_us)
+			caller_late(caller);
+		if (caller->state == CALLER_ENDED)
+			g_hash_table_iter_remove(&iter);
+		else
+			front->due_us = MIN(front->due_us, caller->deadline_us);
+	}
+	resume_accepting(front, now_us);
+}
+
+/* Connections without a request end now, the others with their answer. */
+static void begin_stop(struct front_duty *front)
+{
+	struct caller *caller;
+	GHashTableIter iter;
+	gpointer value;
+
+	close(front->listen_fd);
+	front->listen_fd = -1;
+	front->links.crowded = true;
+	g_hash_table_iter_init(&iter, front->callers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		caller = value;
+		if (caller->state == CALLER_IDLE)
+			g_hash_table_iter_remove(&iter);
+		else
+			caller->close = true;
+	}
 }
 
-static uint64_t retry_at_unix_ms(uint64_t salt)
+static void free_caller(gpointer data)
 {
-	struct instant now = clock_now();
-	uint64_t jitter_ms =
-		hash_bytes(&now, sizeof(now), salt) % RETRY_JITTER_MS;
-
-	return now.unix_ms + RETRY_MIN_MS + jitter_ms;
+	caller_free(data);
 }
--- a/src/duty/peer_socket.h
+++ b/src/duty/own_socket.h
@@ -1,8 +1,8 @@
-#ifndef DUTY_PEER_SOCKET_H
-#define DUTY_PEER_SOCKET_H
+#ifndef DUTY_OWN_SOCKET_H
+#define DUTY_OWN_SOCKET_H
 
 /**
- * DOC: sockets between instances, all non-blocking
+ * DOC: sockets at the own address, all non-blocking
  *
  * Errors are of DUTY_ERROR for sockets that a duty needs to start, else of
  * PEER_ERROR. The caller owns the descriptor.
@@ -14,40 +14,40 @@
 #include "core/ids.h"
 
 /**
- * peer_socket_listen() - open a server's socket
+ * own_socket_listen() - open a server's socket
  * @type: SOCK_DGRAM or SOCK_STREAM
  * @addr: where
  * @error: set on failure
  *
  * Return: a descriptor, or -1.
  */
-int peer_socket_listen(int type, struct net_addr addr, GError **error);
+int own_socket_listen(int type, struct net_addr addr, GError **error);
 
 /**
- * peer_socket_sender() - open a socket that only sends datagrams
+ * own_socket_sender() - open a socket that only sends datagrams
  * @ip: own address, host byte order
  * @error: set on failure
  *
  * Return: a descriptor, or -1.
  */
-int peer_socket_sender(uint32_t ip, GError **error);
+int own_socket_sender(uint32_t ip, GError **error);
 
 /**
- * peer_socket_connect() - begin a connection
+ * own_socket_connect() - begin a connection
  * @ip: own address, host byte order
  * @to: to whom
  * @error: set on failure
  *
  * Return: a descriptor that is writable once it is connected, or -1.
  */
-int peer_socket_connect(uint32_t ip, struct net_addr to, GError **error);
+int own_socket_connect(uint32_t ip, struct net_addr to, GError **error);
 
 /**
- * peer_socket_addr() - convert an address
+ * own_socket_addr() - convert an address
  * @addr: the address
  *
  * Return: the same for the socket calls.
  */
-struct sockaddr_in peer_socket_addr(struct net_addr addr);
+struct sockaddr_in own_socket_addr(struct net_addr addr);
 
 #endif
--- a/src/ring/ring.c
+++ b/src/ring/ring.c
@@ -15,6 +15,9 @@
 	uint32_t first;
 	uint32_t length;
 	bool closed;
+	bool announced;
+	struct notice_board *board;
+	uint64_t subject;
 	uint8_t items[];
 };
 
@@ -51,6 +54,13 @@
 	g_free(ring);
 }
 
+void ring_announce(struct ring *ring, struct notice_board *board,
+		   uint64_t subject)
+{
+	ring->board = board;
+	ring->subject = subject;
+}
+
 enum ring_result ring_push(struct ring *ring, const void *item)
 {
 	return push(ring, item, ring->room_items - ring->reserve_items);
@@ -76,6 +86,7 @@
 		ring->length--;
 	} else {
 		result = ring->closed ? RING_CLOSED : RING_TIMEOUT;
+		ring->announced = false;
 	}
 	pthread_mutex_unlock(&ring->lock);
 	return result;
@@ -127,6 +138,10 @@
 		       ring->item_bytes);
 		ring->length++;
 		pthread_cond_signal(&ring->filled);
+		if (ring->board && !ring->announced) {
+			ring->announced = true;
+			notice_post(ring->board, ring->subject);
+		}
 	}
 	pthread_mutex_unlock(&ring->lock);
 	return result;
--- a/src/ring/ring.h
+++ b/src/ring/ring.h
@@ -13,6 +13,7 @@
 #include <glib.h>
 
 #include "core/units.h"
+#include "ring/notice.h"
 
 struct ring;
 
@@ -42,6 +43,18 @@
  */
 void ring_free(struct ring *ring);
 
+/**
+ * ring_announce() - let a board tell when there is something to take
+ * @ring: the ring, not shared yet
+ * @board: must outlive the ring's open time
+ * @subject: what the board says
+ *
+ * One notice at most is on the board for a ring; the next one comes after
+ * ring_pop() found the ring empty.
+ */
+void ring_announce(struct ring *ring, struct notice_board *board,
+		   uint64_t subject);
+
 /**
  * ring_push() - append an item without waiting
  * @ring: the ring
