Serve callers by one event loop: the front holds no thread for a connection

Cause: CivetWeb's worker is held by each kept connection. New tests: streams in pieces, notices, idle callers hold no thread, connections that run short, a slow reader, a stop that waits for an answer.

--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -26,8 +26,8 @@
 		  struct instant now, struct event_list *out,
 		  enum refusal_cause *cause);
 static bool queue_is_full(struct state *state, const struct ticket *ticket);
-static bool over_workers(const struct state *state,
-			 const struct ticket *ticket);
+static bool over_requests(const struct state *state,
+			  const struct ticket *ticket);
 static bool over_caller_share(const struct state *state,
 			      const struct ticket *ticket);
 static bool comes_too_late(const struct state *state,
@@ -186,7 +186,8 @@
 	if (state->policy.queueing == QUEUEING_FIFO)
 		return true;
 	*cause = REFUSAL_LONG_SHARE;
-	if (ticket->long_work && state->long_requests > state->long_workers_max)
+	if (ticket->long_work &&
+	    state->long_requests > state->long_requests_max)
 		return false;
 	*cause = REFUSAL_CALLER_SHARE;
 	if (over_caller_share(state, ticket))
@@ -194,7 +195,7 @@
 	*cause = REFUSAL_QUEUE_FULL;
 	if (queue_is_full(state, ticket))
 		return false;
-	if (over_workers(state, ticket) && !make_room(state, ticket, now, out))
+	if (over_requests(state, ticket) && !make_room(state, ticket, now, out))
 		return false;
 	*cause = REFUSAL_OVERLOAD;
 	return !comes_too_late(state, ticket, now);
@@ -208,11 +209,12 @@
 	return queue_of(state, ticket)->len >= class->queue_max_requests;
 }
 
-/* The lower a class, the fewer of the front's workers it may fill. */
-static bool over_workers(const struct state *state, const struct ticket *ticket)
+/* The lower a class, the fewer of the requests in progress may be its own. */
+static bool over_requests(const struct state *state,
+			  const struct ticket *ticket)
 {
 	const struct service_doc *doc = ticket->service->doc;
-	uint32_t workers = state->settings->requests_max;
+	uint32_t room = state->settings->requests_max;
 	uint32_t own = doc->classes[ticket->class_index].priority;
 	uint32_t higher = 0;
 	uint32_t i;
@@ -220,7 +222,7 @@
 	for (i = 0; i < doc->class_count; i++)
 		higher += doc->classes[i].priority < own;
 	return state->admitted_requests >
-	       workers - workers * higher / (2 * (higher + 1));
+	       room - room * higher / (2 * (higher + 1));
 }
 
 static bool over_caller_share(const struct state *state,
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -137,7 +137,7 @@
  * @headers: end-to-end headers only
  * @header_count: used entries of @headers
  * @body: whole body, NULL when there is none
- * @answer: ring of struct answer_part, one reader (the front's worker)
+ * @answer: ring of struct answer_part, one reader (the front)
  */
 struct request {
 	gint refs;
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -28,7 +28,7 @@
 	membership_init(&state->membership, settings);
 	state->audit = g_new0(struct audit_record, AUDIT_KEPT_RECORDS);
 	state->audit_next = 1;
-	state->long_workers_max = settings->requests_max / 2;
+	state->long_requests_max = settings->requests_max / 2;
 	return state;
 }
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -301,7 +301,7 @@
  * @membership: what is known of the other instances
  * @audit: the kept records, array of AUDIT_KEPT_RECORDS
  * @audit_next: sequence of the next record; the first is 1
- * @long_workers_max: front workers that long work may hold
+ * @long_requests_max: requests in progress that long work may have
  * @long_requests: long requests admitted now
  * @admitted_requests: requests admitted now
  * @refused_early: refusals before a class was known, by cause
@@ -330,7 +330,7 @@
 	struct membership membership;
 	struct audit_record *audit;
 	uint64_t audit_next;
-	uint32_t long_workers_max;
+	uint32_t long_requests_max;
 	uint32_t long_requests;
 	uint32_t admitted_requests;
 	uint64_t refused_early[REFUSAL_COUNT];
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -250,11 +250,11 @@
 		EXPECT_EQ(cause, REFUSAL_OVERLOAD);
 }
 
-TEST(AdmitTest, LongWorkLeavesWorkersOfTheFront)
+TEST(AdmitTest, LongWorkLeavesRoomAtTheFront)
 {
 	World world;
 	world.settings.requests_max = 16;
-	world.state->long_workers_max = 8;
+	world.state->long_requests_max = 8;
 	world.list(1);
 	world.accept(make_doc({ 1, 3, 0, 64, 60000 }));
 
@@ -274,9 +274,9 @@
 	std::vector<enum refusal_cause> refused;
 };
 
-/* Of 16 workers the lower class fills 12 at most; one request runs. */
+/* Of 16 places the lower class fills 12 at most; one request runs. */
 const struct worker_case worker_cases[] = {
-	{ "the lower class leaves a quarter of the workers",
+	{ "the lower class leaves a quarter of the places",
 	  14,
 	  0,
 	  11,
@@ -294,7 +294,7 @@
 	  { REFUSAL_QUEUE_FULL } },
 };
 
-TEST(AdmitTest, LowerClassLeavesWorkersOfTheFront)
+TEST(AdmitTest, LowerClassLeavesRoomAtTheFront)
 {
 	for (const auto &c : worker_cases) {
 		SCOPED_TRACE(c.name);
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -18,6 +18,8 @@
 {
 
 const uint32_t body_max_bytes = 1000;
+const uint32_t connections_max = 200;
+const size_t large_bytes = 4 * 1024 * 1024;
 const uint32_t head_max_bytes = 4096;
 
 struct answer_part refused(enum refusal_cause cause, enum outcome outcome)
@@ -76,6 +78,10 @@
 	if (path == "/broken")
 		return { head_part(200, 10), chunk_part("half"),
 			 last_part(PART_BROKEN) };
+	if (path == "/large")
+		return { head_part(200, large_bytes),
+			 chunk_part(std::string(large_bytes, 'x').c_str()),
+			 last_part(PART_END) };
 	if (path == "/queue")
 		return { refused(REFUSAL_QUEUE_FULL, OUTCOME_NOT_RUN) };
 	if (path == "/unknown")
@@ -91,7 +97,7 @@
 		settings_.peer_bind.ip = settings_.caller_listen.ip;
 		settings_.caller_listen.port = free_port();
 		settings_.requests_max = 8;
-		settings_.connections_max = 16;
+		settings_.connections_max = connections_max;
 		settings_.idle_max_ms = 2000;
 		settings_.head_max_bytes = head_max_bytes;
 		settings_.body_max_bytes = body_max_bytes;
@@ -156,6 +162,8 @@
 		if (command->kind == COMMAND_ADMIT) {
 			admits_++;
 			request = command->admit.request;
+			if (strcmp(command->admit.facts.path, "/late") == 0)
+				late_ = request_ref(request);
 			for (auto &part : parts_for(command->admit.facts.path))
 				EXPECT_EQ(ring_push_reserved(request->answer,
 							     &part),
@@ -200,6 +208,26 @@
 		return text;
 	}
 
+	static std::string read_some(int fd)
+	{
+		struct pollfd poll_fd = { fd, POLLIN, 0 };
+		char bytes[4096];
+		ssize_t n;
+
+		if (poll(&poll_fd, 1, 2000) <= 0)
+			return "";
+		n = recv(fd, bytes, sizeof(bytes), 0);
+		return std::string(bytes, n > 0 ? (size_t)n : 0);
+	}
+	void answer_late()
+	{
+		for (auto &part : parts_for("/whole"))
+			EXPECT_EQ(ring_push_reserved(late_.load()->answer,
+						     &part),
+				  RING_OK);
+		request_unref(late_);
+	}
+
 	struct settings settings_ = {};
 	struct ring *dispatch_ = nullptr;
 	struct exchange_duty *exchange_ = nullptr;
@@ -207,6 +235,7 @@
 	std::thread thread_;
 	std::atomic<uint32_t> admits_{ 0 };
 	std::atomic<uint32_t> cancels_{ 0 };
+	std::atomic<struct request *> late_{ nullptr };
 };
 
 struct raw_case {
@@ -468,4 +497,114 @@
 	close(fd);
 }
 
+int own_threads()
+{
+	GDir *dir = g_dir_open("/proc/self/task", 0, nullptr);
+	int count = 0;
+
+	while (g_dir_read_name(dir))
+		count++;
+	g_dir_close(dir);
+	return count;
+}
+
+/* Kept connections cost no thread, and those of others do not slow a caller. */
+TEST_F(FrontDuty, IdleCallersHoldNoThread)
+{
+	int before = own_threads();
+	std::vector<int> fds;
+	uint64_t begun_us;
+	bool closed;
+
+	for (uint32_t i = 0; i < connections_max / 2; i++) {
+		fds.push_back(connect_caller());
+		send_text(fds.back(), get_line + "\r\n");
+	}
+	for (int fd : fds) {
+		EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+	}
+	EXPECT_EQ(own_threads(), before);
+	begun_us = clock_now_us();
+	send_text(fds[0], get_line + "\r\n");
+	EXPECT_EQ(read_some(fds[0]).substr(0, 12), "HTTP/1.1 200");
+	EXPECT_LT(clock_now_us(), begun_us + 500 * US_PER_MS);
+	for (int fd : fds) {
+		EXPECT_EQ(read_all(fd, 0, &closed), "");
+		EXPECT_FALSE(closed);
+		close(fd);
+	}
+}
+
+/* When connections run short, answers end theirs, so that others find room. */
+TEST_F(FrontDuty, ConnectionsRunShort)
+{
+	std::vector<int> fds;
+	uint32_t kept = 0;
+	bool closed;
+	int fd;
+
+	for (uint32_t i = 0; i < connections_max - 1; i++) {
+		fds.push_back(connect_caller());
+		send_text(fds.back(), get_line + "\r\n");
+	}
+	for (int each : fds) {
+		std::string answer = read_all(each, 20, &closed);
+
+		EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+		EXPECT_EQ(closed, answer.find("Connection: close") !=
+					  std::string::npos);
+		kept += !closed;
+	}
+	EXPECT_LE(kept, connections_max * 3 / 4);
+	fd = connect_caller();
+	send_text(fd, get_line + "\r\n");
+	EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+	close(fd);
+	for (int each : fds)
+		close(each);
+}
+
+TEST_F(FrontDuty, SlowReaderGetsALargeAnswerWhole)
+{
+	int fd = connect_caller();
+	std::string answer;
+	bool closed = false;
+
+	send_text(fd, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n");
+	g_usleep(200000);
+	answer = read_all(fd, 500, &closed);
+	EXPECT_FALSE(closed);
+	EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, large_bytes);
+	send_text(fd, get_line + "\r\n");
+	EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+	close(fd);
+}
+
+/* A stop waits for the answer that a caller waits for. */
+TEST_F(FrontDuty, StopWaitsForAnswers)
+{
+	int idle_fd = connect_caller();
+	int fd = connect_caller();
+	std::string answer;
+	bool closed;
+
+	send_text(fd, "GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+	while (!late_)
+		g_usleep(1000);
+	std::thread stop([this] {
+		front_stop(front_);
+		front_ = nullptr;
+	});
+	read_all(idle_fd, 1000, &closed);
+	EXPECT_TRUE(closed);
+	answer_late();
+	answer = read_all(fd, 1000, &closed);
+	stop.join();
+	EXPECT_TRUE(closed);
+	EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 200");
+	EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+	close(fd);
+	close(idle_fd);
+}
+
 } // namespace
--- a/test/unit/ring_test.cc
+++ b/test/unit/ring_test.cc
@@ -1,6 +1,8 @@
 /* The bounded ring: tables of single-threaded cases, then two threads. */
 #include <gtest/gtest.h>
 
+#include <poll.h>
+
 #include <thread>
 
 extern "C" {
@@ -124,4 +126,88 @@
 	ring_free(ring);
 }
 
+enum board_step { FILL, DRAIN, TAKE };
+
+struct board_case {
+	const char *name;
+	std::vector<enum board_step> steps;
+	uint32_t notices; /* left on the board */
+};
+
+const struct board_case board_cases[] = {
+	{ "one notice for what fills an empty ring", { FILL, FILL }, 1 },
+	{ "none again until the ring was found empty", { FILL, TAKE, FILL }, 0 },
+	{ "the next one after that", { FILL, TAKE, DRAIN, FILL }, 1 },
+	{ "nothing came", { DRAIN }, 0 },
+};
+
+TEST(RingTest, BoardTellsOnceOfEachFilledRing)
+{
+	for (const auto &c : board_cases) {
+		SCOPED_TRACE(c.name);
+		struct notice_board *board = notice_board_new(8);
+		struct ring *ring = ring_new(sizeof(int32_t), 8, 0);
+		struct pollfd poll_fd = { notice_board_fd(board), POLLIN, 0 };
+		uint32_t notices = 0;
+		uint64_t subject;
+		int32_t value = 1;
+
+		ring_announce(ring, board, 42);
+		for (enum board_step step : c.steps) {
+			if (step == FILL) {
+				EXPECT_EQ(ring_push(ring, &value), RING_OK);
+			}
+			while (step == DRAIN &&
+			       ring_pop(ring, &value, 0) == RING_OK)
+				continue;
+			if (step == TAKE) {
+				notice_begin(board);
+				EXPECT_TRUE(notice_take(board, &subject));
+				EXPECT_EQ(subject, 42U);
+			}
+		}
+		EXPECT_EQ(poll(&poll_fd, 1, 0), c.notices > 0 ? 1 : 0);
+		while (notice_take(board, &subject))
+			notices++;
+		EXPECT_EQ(notices, c.notices);
+		ring_close(ring);
+		ring_free(ring);
+		notice_board_free(board);
+	}
+}
+
+TEST(RingTest, BoardMissesNothingBetweenThreads)
+{
+	const uint32_t rounds = 20000;
+	struct notice_board *board = notice_board_new(8);
+	struct ring *ring = ring_new(sizeof(uint32_t), 64, 0);
+	uint32_t next = 0;
+	uint64_t subject;
+
+	ring_announce(ring, board, 7);
+	std::thread writer([ring] {
+		for (uint32_t i = 0; i < rounds;) {
+			if (ring_push(ring, &i) == RING_OK)
+				i++;
+			else
+				g_thread_yield();
+		}
+	});
+	while (next < rounds) {
+		struct pollfd poll_fd = { notice_board_fd(board), POLLIN, 0 };
+		uint32_t value;
+
+		ASSERT_EQ(poll(&poll_fd, 1, 5000), 1) << next;
+		notice_begin(board);
+		while (notice_take(board, &subject)) {
+			while (ring_pop(ring, &value, 0) == RING_OK)
+				EXPECT_EQ(value, next++);
+		}
+	}
+	writer.join();
+	ring_close(ring);
+	ring_free(ring);
+	notice_board_free(board);
+}
+
 } // namespace
