--- a/src/core/health.h
+++ b/src/core/health.h
@@ -9,7 +9,7 @@
 
 #define HEALTH_BUCKETS 24
 #define HEALTH_BUCKET_US (250 * US_PER_MS)
-#define HOMES_MAX 32
+#define HOMES_MAX 16
 
 /**
  * enum health_state - what work a backend server gets from this home
--- a/src/query/homes.c
+++ b/src/query/homes.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 /* A home set grows by one for this many slots of its service. */
-#define SLOTS_PER_HOME 24
+#define SLOTS_PER_HOME 64
 /* Below this share a home has too little to choose from. */
 #define HOME_SLOTS_MIN 4
 #define HOMES_MIN 2
