--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -129,7 +129,7 @@
 			continue;
 		}
 		caution = caution_for(state, backend, ticket, now);
-		others |= caution != CAUTION_AVOID;
+		others |= caution != CAUTION_SHUN;
 		if (!has_room(backend, open, ticket->long_work)) {
 			out->choice.full++;
 			continue;
@@ -153,7 +153,7 @@
 			break;
 	}
 	/* Work is lost there, while what waits for another may yet be served. */
-	if (best_caution == CAUTION_AVOID && others)
+	if (best_caution == CAUTION_SHUN && others)
 		return false;
 	return best != NULL;
 }
@@ -169,6 +169,7 @@
 		choice->trial++;
 		break;
 	case CAUTION_AVOID:
+	case CAUTION_SHUN:
 		choice->avoided++;
 		break;
 	}
