--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -36,6 +36,7 @@
 			    const struct ticket *ticket);
 static bool make_room(struct state *state, const struct ticket *ticket,
 		      struct instant now, struct event_list *out);
+static GArray *last_to_go(const struct class_queue *queue);
 static struct refusal
 load_refusal(struct state *state, enum refusal_cause cause, struct instant now);
 static void refuse_new(struct state *state, uint32_t index,
@@ -168,6 +169,11 @@
 	ticket->tries_max = match->tries_max;
 	ticket->caller_hash = command->facts.caller_hash;
 	ticket->deadline_us = deadline_us;
+	ticket->objective_us =
+		match->objective_ms == 0 ?
+			deadline_us :
+			MIN(now.mono_us + match->objective_ms * US_PER_MS,
+			    deadline_us);
 	ticket->outcome = OUTCOME_NOT_RUN;
 	ticket->request = request_ref(command->request);
 }
@@ -256,7 +262,8 @@
 		return false;
 	wait_us = ahead * service->mean_service_us / slots;
 	return now.mono_us + wait_us + ticket_typical_us(ticket) >
-	       ticket->deadline_us;
+	       (service_backlogged(service, now) ? ticket->objective_us :
+						   ticket->deadline_us);
 }
 
 /* Waiting requests that go before it. */
@@ -277,8 +284,10 @@
 	}
 	queue = queue_of(state, ticket);
 	for (j = 0; j < queue->len; j++) {
-		if (state->tickets[g_array_index(queue, uint32_t, j)]
-			    .deadline_us > ticket->deadline_us)
+		if (ticket_order(
+			    state,
+			    &state->tickets[g_array_index(queue, uint32_t, j)]) >
+		    ticket_order(state, ticket))
 			break;
 		ahead++;
 	}
@@ -300,9 +309,7 @@
 	uint32_t i;
 
 	for (i = 0; i < doc->class_count; i++) {
-		queue = service->queues[i].long_tickets->len > 0 ?
-				service->queues[i].long_tickets :
-				service->queues[i].short_tickets;
+		queue = last_to_go(&service->queues[i]);
 		if (doc->classes[i].priority <= lowest || queue->len == 0)
 			continue;
 		lowest = doc->classes[i].priority;
@@ -318,6 +325,14 @@
 	return true;
 }
 
+static GArray *last_to_go(const struct class_queue *queue)
+{
+	if (queue->late_tickets->len > 0)
+		return queue->late_tickets;
+	return queue->long_tickets->len > 0 ? queue->long_tickets :
+					      queue->short_tickets;
+}
+
 static struct refusal load_refusal(struct state *state,
 				   enum refusal_cause cause, struct instant now)
 {
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "command/health.h"
+#include "command/ticket.h"
 
 #define INDEX_NONE UINT32_MAX
 
@@ -241,6 +242,8 @@
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
 		queues[i].short_tickets =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		queues[i].late_tickets =
+			g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		queues[i].long_tickets =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	}
@@ -249,10 +252,11 @@
 		move_queue(state, old[i].short_tickets,
 			   queues[to].short_tickets);
 		move_queue(state, old[i].long_tickets, queues[to].long_tickets);
+		move_queue(state, old[i].late_tickets, queues[to].late_tickets);
 	}
 }
 
-/* Two queues that become one stay in order of their deadlines. */
+/* Two queues that become one stay in order. */
 static void move_queue(const struct state *state, GArray *from, GArray *to)
 {
 	const struct ticket *tickets = state->tickets;
@@ -263,8 +267,10 @@
 	for (i = 0; i < from->len; i++) {
 		ticket = g_array_index(from, uint32_t, i);
 		while (place < to->len &&
-		       tickets[g_array_index(to, uint32_t, place)].deadline_us <=
-			       tickets[ticket].deadline_us)
+		       ticket_order(
+			       state,
+			       &tickets[g_array_index(to, uint32_t, place)]) <=
+			       ticket_order(state, &tickets[ticket]))
 			place++;
 		g_array_insert_val(to, place, ticket);
 	}
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -7,8 +7,7 @@
 
 #include <string.h>
 
-static uint64_t order_of(const struct state *state,
-			 const struct ticket *ticket);
+static void queue_insert(struct state *state, uint32_t index);
 static void count_caller(struct service *service, uint64_t caller_hash,
 			 int32_t change);
 
@@ -75,28 +74,23 @@
 void ticket_enqueue(struct state *state, uint32_t index, struct instant now)
 {
 	struct ticket *ticket = &state->tickets[index];
-	GArray *queue = queue_of(state, ticket);
-	uint64_t order;
-	guint low = 0;
-	guint high = queue->len;
-	guint middle;
-	uint32_t other;
 
 	ticket->state = TICKET_QUEUED;
 	ticket->queued_us = now.mono_us;
-	order = order_of(state, ticket);
-	while (low < high) {
-		middle = (low + high) / 2;
-		other = g_array_index(queue, uint32_t, middle);
-		if (order_of(state, &state->tickets[other]) <= order)
-			low = middle + 1;
-		else
-			high = middle;
-	}
-	g_array_insert_val(queue, low, index);
+	ticket->late = state->policy.queueing != QUEUEING_FIFO &&
+		       !ticket_in_time(ticket, now);
+	queue_insert(state, index);
 	ticket->service->waiting_requests++;
 }
 
+void ticket_defer(struct state *state, uint32_t index)
+{
+	ticket_dequeue(state, index);
+	state->tickets[index].late = true;
+	queue_insert(state, index);
+	state->tickets[index].service->waiting_requests++;
+}
+
 void ticket_dequeue(struct state *state, uint32_t index)
 {
 	GArray *queue = queue_of(state, &state->tickets[index]);
@@ -164,6 +158,18 @@
 	return typical_us > 0 && now.mono_us > ticket->granted_us + usual_us;
 }
 
+bool ticket_in_time(const struct ticket *ticket, struct instant now)
+{
+	return now.mono_us + ticket_typical_us(ticket) < ticket->objective_us;
+}
+
+uint64_t ticket_order(const struct state *state, const struct ticket *ticket)
+{
+	if (state->policy.queueing == QUEUEING_FIFO)
+		return ticket->queued_us;
+	return ticket->late ? ticket->deadline_us : ticket->objective_us;
+}
+
 uint64_t retry_advice_unix_ms(struct state *state, struct instant now)
 {
 	return now.unix_ms + (uint64_t)g_rand_int_range(
@@ -179,15 +185,31 @@
 	if (state->policy.queueing == QUEUEING_FIFO)
 		return ticket->service->queues[0].short_tickets;
 	queue = &ticket->service->queues[ticket->class_index];
+	if (ticket->late)
+		return queue->late_tickets;
 	return ticket->long_work ? queue->long_tickets : queue->short_tickets;
 }
 
-/* Earliest deadline first within a class; else as they came. */
-static uint64_t order_of(const struct state *state, const struct ticket *ticket)
+/* Earliest end first within a class; else as they came. */
+static void queue_insert(struct state *state, uint32_t index)
 {
-	if (state->policy.queueing == QUEUEING_FIFO)
-		return ticket->queued_us;
-	return ticket->deadline_us;
+	const struct ticket *ticket = &state->tickets[index];
+	GArray *queue = queue_of(state, ticket);
+	uint64_t order = ticket_order(state, ticket);
+	guint low = 0;
+	guint high = queue->len;
+	guint middle;
+	uint32_t other;
+
+	while (low < high) {
+		middle = (low + high) / 2;
+		other = g_array_index(queue, uint32_t, middle);
+		if (ticket_order(state, &state->tickets[other]) <= order)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	g_array_insert_val(queue, low, index);
 }
 
 static void count_caller(struct service *service, uint64_t caller_hash,
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -46,6 +46,22 @@
  */
 void ticket_enqueue(struct state *state, uint32_t index, struct instant now);
 
+/**
+ * ticket_defer() - let a waiting ticket wait behind those that are in time
+ * @state: the state
+ * @index: its index
+ */
+void ticket_defer(struct state *state, uint32_t index);
+
+/**
+ * ticket_order() - what orders tickets within a queue
+ * @state: the state
+ * @ticket: a waiting ticket
+ *
+ * Return: the least goes first.
+ */
+uint64_t ticket_order(const struct state *state, const struct ticket *ticket);
+
 /**
  * ticket_dequeue() - take a waiting ticket out of its queue
  * @state: the state
@@ -73,6 +89,15 @@
  */
 GArray *queue_of(const struct state *state, const struct ticket *ticket);
 
+/**
+ * ticket_in_time() - whether its work may still meet its objective
+ * @ticket: a waiting ticket
+ * @now: the time
+ *
+ * Return: false when the usual time on a slot would end after it.
+ */
+bool ticket_in_time(const struct ticket *ticket, struct instant now);
+
 /**
  * retry_reserve() - pay for a retry, also before it is known to be needed
  * @ticket: the request; ticket_free() gives back what it did not use
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -67,6 +67,8 @@
 		queue = &service->queues[i];
 		queue->short_tickets =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
+		queue->late_tickets =
+			g_array_new(FALSE, FALSE, sizeof(uint32_t));
 		queue->long_tickets =
 			g_array_new(FALSE, FALSE, sizeof(uint32_t));
 	}
@@ -88,6 +90,7 @@
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
 		g_array_unref(service->queues[i].short_tickets);
 		g_array_unref(service->queues[i].long_tickets);
+		g_array_unref(service->queues[i].late_tickets);
 	}
 	g_hash_table_unref(service->callers);
 	g_free(service->route_typical_us);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -76,6 +76,8 @@
  * @long_work: runs many times longer than the rest
  * @caller_hash: its caller
  * @deadline_us: its end
+ * @objective_us: an answer until then is worth most
+ * @late: it waits behind those that may still meet their objective
  * @queued_us: when it began to wait
  * @granted_us: when it got its slot
  * @request: token, holds a reference
@@ -100,6 +102,8 @@
 	bool long_work;
 	uint64_t caller_hash;
 	uint64_t deadline_us;
+	uint64_t objective_us;
+	bool late;
 	uint64_t queued_us;
 	uint64_t granted_us;
 	struct request *request;
@@ -188,13 +192,16 @@
 };
 
 /**
- * struct class_queue - requests of one class that wait, earliest deadline first
- * @short_tickets: array of uint32_t, short work
- * @long_tickets: array of uint32_t, long work
+ * struct class_queue - requests of one class that wait
+ * @short_tickets: array of uint32_t, short work, earliest objective first
+ * @long_tickets: array of uint32_t, long work, earliest objective first
+ * @late_tickets: array of uint32_t, work that misses its objective, earliest
+ *	deadline first
  */
 struct class_queue {
 	GArray *short_tickets;
 	GArray *long_tickets;
+	GArray *late_tickets;
 };
 
 /**
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -83,6 +83,11 @@
 	return slots;
 }
 
+bool service_backlogged(const struct service *service, struct instant now)
+{
+	return service->waiting_requests > service_usable_slots(service, now);
+}
+
 /*
  * Each backend server keeps a third of its slots from long work, but dealt to
  * the homes that third can be less here than short work needs at its peak.
--- a/src/query/pick.h
+++ b/src/query/pick.h
@@ -56,4 +56,13 @@
 uint32_t service_usable_slots(const struct service *service,
 			      struct instant now);
 
+/**
+ * service_backlogged() - whether more requests wait than may run at once
+ * @service: the service
+ * @now: the time
+ *
+ * Return: true under a crest that lasts longer than the work takes.
+ */
+bool service_backlogged(const struct service *service, struct instant now);
+
 #endif
--- a/src/query/route.c
+++ b/src/query/route.c
@@ -57,6 +57,7 @@
 		class_of_priority(out->service->doc, route->priority);
 	out->budget_ms = route->budget_ms;
 	out->budget_is_limit = true;
+	out->objective_ms = route->objective_ms;
 	out->idempotent = route->idempotent;
 	out->tries_max = MIN(route->tries_max, TICKET_TRIES_MAX);
 	return ROUTE_FOUND;
--- a/src/query/route.h
+++ b/src/query/route.h
@@ -21,6 +21,7 @@
  * @route_index: its route, DOC_ROUTES_MAX when none covers it
  * @class_index: its class; the lowest when no route covers it
  * @budget_ms: time it has when its caller names no deadline
+ * @objective_ms: an answer within this time is worth most, 0 for any time
  * @idempotent: may run more than once
  * @long_work: runs many times longer than the rest
  * @budget_is_limit: @budget_ms holds also when its caller gives more time
@@ -31,6 +32,7 @@
 	uint32_t route_index;
 	uint32_t class_index;
 	uint32_t budget_ms;
+	uint32_t objective_ms;
 	bool idempotent;
 	bool long_work;
 	bool budget_is_limit;
