--- /dev/null
+++ b/test/unit/objective_test.cc
@@ -0,0 +1,175 @@
+/* Objectives: who goes first, who goes behind, who is refused under a crest. */
+#include "world.h"
+
+extern "C" {
+#include "codec/document_json.h"
+#include "command/ticket.h"
+}
+
+namespace
+{
+
+const uint64_t typical_ms = 100;
+
+enum action_kind { ARRIVE, PASS, FINISH };
+
+/* ARRIVE: host; PASS: ms; FINISH: the oldest request that runs. */
+struct action {
+	enum action_kind kind;
+	const char *host;
+	uint64_t ms;
+};
+
+const struct action TIGHT = { ARRIVE, "tight", 0 };
+const struct action WIDE = { ARRIVE, "wide", 0 };
+const struct action NONE = { ARRIVE, "none", 0 };
+const struct action END = { FINISH, nullptr, 0 };
+
+struct action pass(uint64_t ms)
+{
+	return { PASS, nullptr, ms };
+}
+
+struct objective_case {
+	const char *name;
+	std::vector<struct action> actions;
+	std::vector<uint32_t> granted; /* requests in order */
+	std::vector<uint32_t> refused;
+};
+
+/* One slot. Objectives: tight 300 ms, wide 600 ms, none; all may take 1 s. */
+const struct objective_case objective_cases[] = {
+	{ "the earliest objective goes first",
+	  { WIDE, WIDE, TIGHT, END, END },
+	  { 0, 2, 1 },
+	  {} },
+	{ "what misses its objective goes behind",
+	  { WIDE, TIGHT, pass(210), WIDE, END, END },
+	  { 0, 2, 1 },
+	  {} },
+	{ "and is still served before its deadline",
+	  { WIDE, TIGHT, pass(850), END },
+	  { 0, 1 },
+	  {} },
+	{ "or refused when its work would outlast it",
+	  { WIDE, TIGHT, pass(900) },
+	  { 0 },
+	  { 1 } },
+	{ "in a backlog it is refused at once",
+	  { WIDE, TIGHT, WIDE, WIDE, pass(250) },
+	  { 0 },
+	  { 1 } },
+	{ "without an objective only the deadline counts",
+	  { NONE, NONE, NONE, pass(850), END },
+	  { 0, 1 },
+	  {} },
+	{ "one that would come late in a backlog is refused at once",
+	  { WIDE, TIGHT, TIGHT, TIGHT, TIGHT },
+	  { 0 },
+	  { 4 } },
+};
+
+void accept_table(World &world)
+{
+	const std::string text =
+		R"({"hosts":[{"host":"tight","routes":[{"path_prefix":"/",)"
+		R"("idempotent":true,"budget_ms":1000,"objective_ms":300,)"
+		R"("targets":[{"service":"s"}]}]},)"
+		R"({"host":"wide","routes":[{"path_prefix":"/",)"
+		R"("idempotent":true,"budget_ms":1000,"objective_ms":600,)"
+		R"("targets":[{"service":"s"}]}]},)"
+		R"({"host":"none","routes":[{"path_prefix":"/",)"
+		R"("idempotent":true,"budget_ms":1000,"objective_ms":1000,)"
+		R"("targets":[{"service":"s"}]}]}]})";
+	struct command command = {};
+
+	command.kind = COMMAND_ACCEPT_ROUTES;
+	command.accept_routes.table =
+		routing_table_parse("t", text.data(), text.size(), 1, nullptr);
+	ASSERT_NE(command.accept_routes.table, nullptr);
+	world.apply(command);
+}
+
+void set_typical(World &world)
+{
+	struct service *service = world.service();
+	uint32_t i;
+
+	service->mean_service_us = typical_ms * US_PER_MS;
+	for (i = 0; i <= DOC_ROUTES_MAX; i++)
+		service->route_typical_us[i] = typical_ms * US_PER_MS;
+}
+
+/* Ends the grant that was given first and is not ended yet. */
+void finish_oldest(World &world, uint32_t ended_before)
+{
+	uint32_t seen = 0;
+
+	for (const struct event &event : world.events) {
+		if (event.kind != EVENT_GRANT || seen++ < ended_before)
+			continue;
+		struct grant_event grant = event.grant;
+
+		world.finish(grant,
+			     ended(EVIDENCE_OK, true, typical_ms * US_PER_MS));
+		return;
+	}
+	FAIL() << "nothing runs";
+}
+
+std::vector<uint32_t> in_order(const World &world, enum event_kind kind)
+{
+	std::vector<uint32_t> numbers;
+
+	for (const struct event &event : world.events) {
+		const struct request *request = nullptr;
+
+		if (event.kind != kind)
+			continue;
+		request = kind == EVENT_GRANT ? event.grant.request :
+						event.refuse.request;
+		for (uint32_t i = 0; i < world.requests.size(); i++) {
+			if (world.requests[i] == request)
+				numbers.push_back(i);
+		}
+	}
+	return numbers;
+}
+
+TEST(ObjectiveTest, OrderUnderACrest)
+{
+	for (const auto &c : objective_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		struct doc_shape shape;
+		uint32_t ended_count = 0;
+
+		shape.backends = 1;
+		shape.slots = 1;
+		/* The one server is trusted whatever runs there. */
+		world.state->policy.ejecting = false;
+		world.list(1);
+		world.accept(make_doc(shape));
+		accept_table(world);
+		set_typical(world);
+		for (const struct action &action : c.actions) {
+			switch (action.kind) {
+			case ARRIVE:
+				world.request("/s/short", 1, DEADLINE_NONE_US,
+					      METHOD_GET, action.host);
+				break;
+			case PASS:
+				world.pass_ms(action.ms);
+				break;
+			case FINISH:
+				finish_oldest(world, ended_count++);
+				break;
+			}
+			set_typical(world);
+		}
+		EXPECT_EQ(in_order(world, EVENT_GRANT), c.granted);
+		EXPECT_EQ(in_order(world, EVENT_REFUSE), c.refused);
+	}
+}
+
+} // namespace
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -200,13 +200,15 @@
 
 	uint32_t request(const char *path, uint64_t caller = 1,
 			 uint64_t deadline_us = DEADLINE_NONE_US,
-			 enum request_method method = METHOD_GET)
+			 enum request_method method = METHOD_GET,
+			 const char *host = "")
 	{
 		struct command command = {};
 		struct request *request = request_new();
 
 		command.kind = COMMAND_ADMIT;
 		g_strlcpy(command.admit.facts.path, path, PATH_BYTES_MAX);
+		g_strlcpy(command.admit.facts.host, host, NAME_BYTES_MAX);
 		command.admit.facts.method = method;
 		command.admit.facts.caller_hash = caller;
 		command.admit.facts.deadline_us = deadline_us;
