--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -253,14 +253,11 @@
 			   const struct ticket *ticket, struct instant now)
 {
 	const struct service *service = ticket->service;
-	uint32_t slots = service_usable_slots(service, now);
-	uint32_t ahead = count_ahead(state, ticket);
-	uint64_t wait_us;
+	uint64_t wait_us =
+		service_wait_us(service, count_ahead(state, ticket), now);
 
-	/* Nothing is known where all slots are borrowed ones. */
-	if (ahead == 0 || slots == 0)
+	if (wait_us == 0)
 		return false;
-	wait_us = ahead * service->mean_service_us / slots;
 	return now.mono_us + wait_us + ticket_typical_us(ticket) >
 	       (service_backlogged(service, now) ? ticket->objective_us :
 						   ticket->deadline_us);
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -8,6 +8,8 @@
 
 /* One grant in so many begins with the lowest class, so that it never stops. */
 #define LOWEST_CLASS_TURN 16
+/* The pace moves by this part of the distance to a new value. */
+#define PACE_SHARE 8
 /* Room for short work follows its peak in one or two of these. */
 #define SHORT_WINDOW_US (2 * US_PER_S)
 
@@ -20,6 +22,7 @@
 static bool grant_head(struct state *state, struct service *service,
 		       GArray *queue, struct instant now,
 		       struct event_list *out);
+static void note_pace(struct service *service, struct instant now);
 static uint32_t class_in_order(const struct service_doc *doc, uint32_t place);
 static void grant(struct state *state, uint32_t index, const struct pick *pick,
 		  struct instant now, struct event_list *out);
@@ -209,10 +212,37 @@
 	if (!pick_slot(state, service, &state->tickets[index], now, &pick))
 		return false;
 	ticket_dequeue(state, index);
+	note_pace(service, now);
 	grant(state, index, &pick, now, out);
 	return true;
 }
 
+/* How often a slot is given while others wait. */
+static void note_pace(struct service *service, struct instant now)
+{
+	int64_t distance_us;
+
+	if (service->waiting_requests == 0) {
+		service->backlog_grant_us = 0;
+		service->backlog_grants = 0;
+		return;
+	}
+	if (service->backlog_grant_us != 0) {
+		distance_us =
+			(int64_t)(now.mono_us - service->backlog_grant_us) -
+			(int64_t)service->backlog_gap_us;
+		if (service->backlog_grants == 1)
+			service->backlog_gap_us =
+				now.mono_us - service->backlog_grant_us;
+		else
+			service->backlog_gap_us =
+				(uint64_t)((int64_t)service->backlog_gap_us +
+					   distance_us / PACE_SHARE);
+	}
+	service->backlog_grant_us = now.mono_us;
+	service->backlog_grants++;
+}
+
 /* The class at a place when all are ordered by priority. */
 static uint32_t class_in_order(const struct service_doc *doc, uint32_t place)
 {
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -248,6 +248,10 @@
  * @retry_budget_permille: a retry costs 1000
  * @mean_service_us: moving mean of short work's time on a slot
  * @route_typical_us: typical time on a slot by route, last for uncovered ones
+ * @backlog_grant_us: when a slot was last given while others waited, 0 when
+ *	nobody waited since
+ * @backlog_gap_us: moving mean between such grants
+ * @backlog_grants: such grants since somebody waits
  * @grants: count, gives the lowest class its turn
  * @round_robin_next: with PICKING_ROUND_ROBIN
  * @overload: requests were refused for want of slots of late
@@ -283,6 +287,9 @@
 	uint32_t retry_budget_permille;
 	uint64_t mean_service_us;
 	uint64_t *route_typical_us;
+	uint64_t backlog_grant_us;
+	uint64_t backlog_gap_us;
+	uint32_t backlog_grants;
 	uint64_t grants;
 	uint32_t round_robin_next;
 	bool overload;
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -7,6 +7,9 @@
 /* Whatever short work needs, long work keeps this part of the slots. */
 #define LONG_SLOTS_MIN_PART 6
 
+/* After so many grants in a backlog the pace is known. */
+#define BACKLOG_GRANTS_MIN 4
+
 /* A far backend server without work goes after a near one this much loaded. */
 #define FAR_PERMILLE 200
 /* A request waits this long for a backend server that it can trust. */
@@ -83,9 +86,24 @@
 	return slots;
 }
 
+uint64_t service_wait_us(const struct service *service, uint32_t ahead_requests,
+			 struct instant now)
+{
+	uint32_t slots;
+
+	/* Slots of servers that hang are none, so what was given counts. */
+	if (service->backlog_grants >= BACKLOG_GRANTS_MIN)
+		return ahead_requests * service->backlog_gap_us;
+	slots = service_usable_slots(service, now);
+	if (slots == 0)
+		return 0;
+	return ahead_requests * service->mean_service_us / slots;
+}
+
 bool service_backlogged(const struct service *service, struct instant now)
 {
-	return service->waiting_requests > service_usable_slots(service, now);
+	return service_wait_us(service, service->waiting_requests, now) >
+	       service->mean_service_us;
 }
 
 /*
--- a/src/query/pick.h
+++ b/src/query/pick.h
@@ -57,11 +57,22 @@
 			      struct instant now);
 
 /**
- * service_backlogged() - whether more requests wait than may run at once
+ * service_wait_us() - how long requests wait for a slot, as grants go now
  * @service: the service
+ * @ahead_requests: how many go before
  * @now: the time
  *
- * Return: true under a crest that lasts longer than the work takes.
+ * Return: 0 when nothing is known.
+ */
+uint64_t service_wait_us(const struct service *service, uint32_t ahead_requests,
+			 struct instant now);
+
+/**
+ * service_backlogged() - whether those who wait need longer than the work takes
+ * @service: the service
+ * @now: the time
+ *
+ * Return: true under a crest.
  */
 bool service_backlogged(const struct service *service, struct instant now);
 
