--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -63,7 +63,6 @@
 	case WORK_NOTHING:
 		break;
 	case WORK_OK:
-		health->lost_in_row = 0;
 		/* One that fails a part of its work has good moments too. */
 		if (++health->ok_in_row < TRUSTED_OK_REQUESTS)
 			break;
@@ -73,8 +72,6 @@
 		break;
 	case WORK_FAILED:
 	case WORK_SLOW:
-		health->lost_in_row =
-			end == WORK_FAILED ? health->lost_in_row + 1 : 0;
 		health->ok_in_row = 0;
 		doublings = MIN(health->failed_in_row, CAUTION_DOUBLINGS_MAX);
 		health->failed_in_row++;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -5,8 +5,6 @@
 #include "query/health_pool.h"
 
 #define SUSPECTED_PART_SLOTS 4
-/* So many works lost in a row are no chance. */
-#define SHUN_LOST_REQUESTS 2
 
 static uint32_t reduced_slots(uint32_t slots, uint32_t permille);
 static bool views_speak_against(const struct backend *backend,
@@ -64,9 +62,6 @@
 {
 	const struct health *health = &backend->health;
 
-	if (now.mono_us < health->caution_until_us &&
-	    health->lost_in_row >= SHUN_LOST_REQUESTS)
-		return CAUTION_SHUN;
 	if (backend_avoided_here(backend, now))
 		return CAUTION_AVOID;
 	if (now.mono_us < health->trial_until_us || health->suspected ||
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -40,14 +40,8 @@
  * @CAUTION_TRIAL: work that may be repeated goes there like anywhere, other work
  *	only when nobody else has room
  * @CAUTION_AVOID: only when nobody else has room
- * @CAUTION_SHUN: only when there is nobody else: its last works were all lost
  */
-enum caution_level {
-	CAUTION_NONE,
-	CAUTION_TRIAL,
-	CAUTION_AVOID,
-	CAUTION_SHUN,
-};
+enum caution_level { CAUTION_NONE, CAUTION_TRIAL, CAUTION_AVOID };
 
 /**
  * backend_caution() - what the last work says, long before a verdict
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -132,9 +132,7 @@
 	bool round_robin = state->policy.picking == PICKING_ROUND_ROBIN;
 	const struct backend *best = NULL;
 	const struct backend *backend;
-	enum caution_level best_caution = CAUTION_NONE;
 	enum caution_level caution;
-	bool others = false;
 	uint64_t best_rank = 0;
 	uint64_t rank;
 	uint32_t ties = 0;
@@ -151,12 +149,11 @@
 			out->choice.closed++;
 			continue;
 		}
-		caution = caution_for(state, backend, ticket, now);
-		others |= caution != CAUTION_SHUN;
 		if (!has_room(backend, open, ticket->long_work)) {
 			out->choice.full++;
 			continue;
 		}
+		caution = caution_for(state, backend, ticket, now);
 		count_choice(caution, &out->choice);
 		if (!worth_it(caution, ticket, now))
 			continue;
@@ -169,15 +166,11 @@
 		    g_rand_int_range(state->rand, 0, (gint32)ties) != 0)
 			continue;
 		best = backend;
-		best_caution = caution;
 		best_rank = rank;
 		out->backend_index = index;
 		if (round_robin)
 			break;
 	}
-	/* Work is lost there, while what waits for another may yet be served. */
-	if (best_caution == CAUTION_SHUN && others)
-		return false;
 	return best != NULL;
 }
 
@@ -192,7 +185,6 @@
 		choice->trial++;
 		break;
 	case CAUTION_AVOID:
-	case CAUTION_SHUN:
 		choice->avoided++;
 		break;
 	}
