--- a/src/command/health.c
+++ b/src/command/health.c
@@ -64,6 +64,9 @@
 	if (ticket->granted_us < backend->health.resumed_us)
 		return;
 	evidence_caution(&backend->health, end, now);
+	if (end == WORK_OK)
+		backend->health.proved_us =
+			MAX(backend->health.proved_us, ticket->granted_us);
 	evidence_count(&backend->health, end, now);
 	if (backend->health.state == HEALTH_TRICKLE)
 		observe_trickle(&change, end);
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -73,6 +73,7 @@
  * struct health - all that is known of one backend server's health
  * @state: what work it gets
  * @failed_in_row: failed or hanging work since it was last trusted
+ * @proved_us: work given to it then, or later, has had a whole answer
  * @ok_in_row: whole answers since the last such work
  * @caution_until_us: no new work before this while others have room
  * @trial_until_us: until then work that may be repeated goes there first
@@ -111,6 +112,7 @@
 	enum health_state state;
 	uint32_t failed_in_row;
 	uint32_t ok_in_row;
+	uint64_t proved_us;
 	uint64_t caution_until_us;
 	uint64_t trial_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -12,6 +12,11 @@
 
 /* A far backend server without work goes after a near one this much loaded. */
 #define FAR_PERMILLE 200
+/* One level of caution weighs more than all load and doubt. */
+#define CAUTION_PERMILLE (2 * PERMILLE_ONE)
+/* Nothing known for so long weighs like this much load. */
+#define DOUBT_MAX_US (2 * US_PER_S)
+#define DOUBT_PERMILLE 500
 /* A request waits this long for a backend server that it can trust. */
 #define TRUST_WAIT_US (200 * US_PER_MS)
 
@@ -30,6 +35,8 @@
 		     struct instant now);
 static uint64_t rank_of(const struct backend *backend,
 			enum caution_level caution, uint32_t open);
+static uint64_t doubt_of(const struct backend *backend,
+			 const struct ticket *ticket, struct instant now);
 static bool pick_borrowed(const struct state *state,
 			  const struct service *service,
 			  const struct ticket *ticket, struct instant now,
@@ -157,7 +164,8 @@
 		count_choice(caution, &out->choice);
 		if (!worth_it(caution, ticket, now))
 			continue;
-		rank = rank_of(backend, caution, open);
+		rank = rank_of(backend, caution, open) +
+		       doubt_of(backend, ticket, now);
 		if (best && rank > best_rank)
 			continue;
 		/* Of equal ones each is as likely as another. */
@@ -198,7 +206,23 @@
 
 	if (backend->far)
 		load = load / 2 + FAR_PERMILLE;
-	return (uint64_t)caution * 2 * PERMILLE_ONE + load;
+	return (uint64_t)caution * CAUTION_PERMILLE + load;
+}
+
+/*
+ * The longer nothing is known of a backend server, the likelier it hangs by now.
+ * Work that may run once goes where work went well a moment ago; work that may
+ * be repeated finds out about the others.
+ */
+static uint64_t doubt_of(const struct backend *backend,
+			 const struct ticket *ticket, struct instant now)
+{
+	uint64_t since_us;
+
+	if (ticket->idempotent)
+		return 0;
+	since_us = MIN(now.mono_us - backend->health.proved_us, DOUBT_MAX_US);
+	return since_us * DOUBT_PERMILLE / DOUBT_MAX_US;
 }
 
 /* A better one may get room, here or lent, so it is worth a short wait. */
