Refuse by the pace of grants; work that may run once goes where work went well last

Change: the wait is reckoned from the gaps between grants while others wait; for work that may run once the time since the last proof counts like load. Tests: ObjectiveTest.WaitFollowsThePaceOfGrants, CautionTest.WorkThatMayRunOnceGoesWhereWorkWentWellLast.

--- a/test/unit/caution_test.cc
+++ b/test/unit/caution_test.cc
@@ -114,6 +114,45 @@
 	EXPECT_EQ(world.about(number)->kind, EVENT_GRANT);
 }
 
+struct proof_case {
+	const char *name;
+	uint32_t busy; /* of 30 slots of the server that answered a moment ago */
+	const char *path;
+	bool expected; /* it gets the next request */
+};
+
+const struct proof_case proof_cases[] = {
+	{ "work that may run once goes where work went well", 0, "/s/write",
+	  true },
+	{ "also when that one is busier", 10, "/s/write", true },
+	{ "but not at any load", 20, "/s/write", false },
+	{ "work that may be repeated finds out about the other", 1, "/s/short",
+	  false },
+};
+
+TEST(CautionTest, WorkThatMayRunOnceGoesWhereWorkWentWellLast)
+{
+	for (const auto &c : proof_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.list(1);
+		world.accept(make_doc(two_servers()));
+		struct backend *backends = world.service()->backends;
+
+		show(world, &backends[1], EVIDENCE_OK);
+		world.pass_ms(3000);
+		show(world, &backends[0], EVIDENCE_OK);
+		backends[0].in_use_slots = c.busy;
+		const struct event *event = world.about(world.request(c.path));
+
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_GRANT);
+		EXPECT_EQ(addr_equal(event->grant.backend, backends[0].addr),
+			  c.expected);
+	}
+}
+
 struct patience_case {
 	const char *name;
 	const char *path;
--- a/test/unit/objective_test.cc
+++ b/test/unit/objective_test.cc
@@ -4,6 +4,7 @@
 extern "C" {
 #include "codec/document_json.h"
 #include "command/ticket.h"
+#include "query/pick.h"
 }
 
 namespace
@@ -172,4 +173,42 @@
 	}
 }
 
+struct pace_case {
+	const char *name;
+	uint32_t grants; /* one each 50 ms while others wait */
+	uint64_t wait_ms; /* expected with four ahead */
+};
+
+/* By its slots, one, and its mean of 100 ms four take 400 ms. */
+const struct pace_case pace_cases[] = {
+	{ "by slots while the pace is not known", 3, 400 },
+	{ "by the pace once it is known", 8, 200 },
+};
+
+TEST(ObjectiveTest, WaitFollowsThePaceOfGrants)
+{
+	for (const auto &c : pace_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		struct doc_shape shape;
+
+		shape.backends = 1;
+		shape.slots = 1;
+		shape.budget_ms = 60000;
+		world.state->policy.ejecting = false;
+		world.list(1);
+		world.accept(make_doc(shape));
+		for (uint32_t i = 0; i < 16; i++)
+			world.request("/s/short");
+		/* The first grant found nobody waiting. */
+		for (uint32_t i = 0; i < c.grants; i++) {
+			world.pass_ms(50);
+			finish_oldest(world, i);
+		}
+		set_typical(world);
+		EXPECT_EQ(service_wait_us(world.service(), 4, world.now),
+			  c.wait_ms * US_PER_MS);
+	}
+}
+
 } // namespace
