--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -12,6 +12,7 @@
 
 /* A far backend server without work goes after a near one this much loaded. */
 #define FAR_PERMILLE 200
+#define FINDING_PERMILLE 250
 /* One level of caution weighs more than all load and doubt. */
 #define CAUTION_PERMILLE (2 * PERMILLE_ONE)
 /* Nothing known for so long weighs like this much load. */
@@ -219,9 +220,11 @@
 {
 	uint64_t since_us;
 
-	if (ticket->idempotent)
-		return 0;
 	since_us = MIN(now.mono_us - backend->health.proved_us, DOUBT_MAX_US);
+	/* The last try has nobody behind it. */
+	if (ticket->idempotent && ticket->sends + 1 < ticket->tries_max)
+		return (DOUBT_MAX_US - since_us) * FINDING_PERMILLE /
+		       DOUBT_MAX_US;
 	return since_us * DOUBT_PERMILLE / DOUBT_MAX_US;
 }
 
