--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -12,12 +12,11 @@
 
 /* A far backend server without work goes after a near one this much loaded. */
 #define FAR_PERMILLE 200
-#define FINDING_PERMILLE 250
 /* One level of caution weighs more than all load and doubt. */
 #define CAUTION_PERMILLE (2 * PERMILLE_ONE)
 /* Nothing known for so long weighs like this much load. */
 #define DOUBT_MAX_US (2 * US_PER_S)
-#define DOUBT_PERMILLE 500
+#define DOUBT_PERMILLE 1000
 /* A request waits this long for a backend server that it can trust. */
 #define TRUST_WAIT_US (200 * US_PER_MS)
 
@@ -223,8 +222,7 @@
 	since_us = MIN(now.mono_us - backend->health.proved_us, DOUBT_MAX_US);
 	/* The last try has nobody behind it. */
 	if (ticket->idempotent && ticket->sends + 1 < ticket->tries_max)
-		return (DOUBT_MAX_US - since_us) * FINDING_PERMILLE /
-		       DOUBT_MAX_US;
+		return 0;
 	return since_us * DOUBT_PERMILLE / DOUBT_MAX_US;
 }
 
