--- a/src/command/configure.c
+++ b/src/command/configure.c
@@ -32,7 +32,8 @@
 		.hash = doc->hash,
 	};
 
-	if (!check_newer(state, &offer, command->from_peer, now, out))
+	if (configure_renew(state, &offer, command->from_peer, now, out) ||
+	    !check_newer(state, &offer, command->from_peer, now, out))
 		return;
 	put_in_force(state, doc, now, out);
 	spread(state, &offer.key);
@@ -48,13 +49,33 @@
 	};
 
 	g_strlcpy(offer.key.text, ROUTING_KEY, NAME_BYTES_MAX);
-	if (!check_newer(state, &offer, command->from_peer, now, out))
+	if (configure_renew(state, &offer, command->from_peer, now, out) ||
+	    !check_newer(state, &offer, command->from_peer, now, out))
 		return;
 	routing_table_unref(state->routes);
 	state->routes = routing_table_ref(command->table);
 	spread(state, &offer.key);
 }
 
+/* A reader that began anew cannot know since when a document is as it is. */
+bool configure_renew(struct state *state, const struct config_offer *offer,
+		     bool from_peer, struct instant now, struct event_list *out)
+{
+	struct config_offer held = { 0 };
+	struct service *service = service_lookup(state, &offer->key);
+
+	if (!offer_find(state, &offer->key, &held) ||
+	    held.hash != offer->hash || held.version >= offer->version ||
+	    !check_newer(state, offer, from_peer, now, out))
+		return false;
+	if (service)
+		service->doc->version = offer->version;
+	else
+		state->routes->version = offer->version;
+	spread(state, &offer->key);
+	return true;
+}
+
 void configure_refuse(struct state *state,
 		      const struct refuse_config_command *command,
 		      struct instant now, struct event_list *out)
--- a/src/command/configure.h
+++ b/src/command/configure.h
@@ -29,6 +29,20 @@
 			     const struct accept_routes_command *command,
 			     struct instant now, struct event_list *out);
 
+/**
+ * configure_renew() - a document that is held has a newer version
+ * @state: the state
+ * @offer: newer, with the hash of what is held
+ * @from_peer: a peer told it
+ * @now: the time
+ * @out: gets audit events
+ *
+ * Return: false when something else is held.
+ */
+bool configure_renew(struct state *state, const struct config_offer *offer,
+		     bool from_peer, struct instant now,
+		     struct event_list *out);
+
 /**
  * configure_refuse() - record a document that did not parse
  * @state: the state
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "command/configure.h"
 #include "command/member.h"
 #include "query/listing.h"
 
@@ -103,6 +104,8 @@
 			state_audit(state, &record, now, out);
 		return false;
 	}
+	if (holds && configure_renew(state, offer, true, now, out))
+		return true;
 	if (!member_hold_pull(state, offer, now.mono_us + PULL_HOLD_US, now))
 		return true;
 	event.config_pull.from = sender;
--- a/src/duty/config_watch.c
+++ b/src/duty/config_watch.c
@@ -3,7 +3,8 @@
 #define INDEX_EVERY_US (30 * US_PER_S)
 #define INSTANCES_EVERY_US (5 * US_PER_S)
 #define SAME_VERSION_US US_PER_S
-#define NEXT_READ_US (100 * US_PER_MS)
+/* Changes come in bursts; those of so long make one version. */
+#define NEXT_READ_US (300 * US_PER_MS)
 #define RETRY_FIRST_US (500 * US_PER_MS)
 #define RETRY_DOUBLINGS_MAX 5
 #define RELAY_GRACE_US (1500 * US_PER_MS)
--- a/test/unit/configure_test.cc
+++ b/test/unit/configure_test.cc
@@ -307,4 +307,46 @@
 		  two.state->membership.config_digest);
 }
 
+struct heard_case {
+	const char *name;
+	uint64_t version; /* 3 with hash 3 is in force */
+	uint64_t hash;
+	uint32_t pulls;
+	uint64_t in_force;
+};
+
+const struct heard_case heard_cases[] = {
+	{ "newer with other content is pulled", 4, 4, 1, 3 },
+	{ "newer with the same content only has its version taken", 4, 3, 0,
+	  4 },
+	{ "older with the same content", 2, 3, 0, 3 },
+	{ "the same", 3, 3, 0, 3 },
+};
+
+TEST(ConfigureTest, WhatAPeerOffersIsPulledOnlyForItsContent)
+{
+	for (const auto &c : heard_cases) {
+		SCOPED_TRACE(c.name);
+		struct command command = {};
+		World world;
+
+		world.list(2);
+		offer(world, { ACCEPT, 3, 3, 3, 1, 0, CAUSE_PLATFORM });
+		world.forget();
+		command.kind = COMMAND_PEER_MESSAGE;
+		command.peer_message = g_new0(struct peer_message, 1);
+		command.peer_message->kind = PEER_ACK;
+		command.peer_message->sender = instance_of(1, 3).peer;
+		command.peer_message->caller = instance_of(1, 3).caller;
+		command.peer_message->domain = instance_of(1, 3).domain;
+		command.peer_message->offer_count = 1;
+		name_set(&command.peer_message->offers[0].key, "s");
+		command.peer_message->offers[0].version = c.version;
+		command.peer_message->offers[0].hash = c.hash;
+		world.apply(command);
+		EXPECT_EQ(world.count(EVENT_CONFIG_PULL), c.pulls);
+		EXPECT_EQ(world.service()->doc->version, c.in_force);
+	}
+}
+
 } // namespace
