--- a/test/process/standins.cc
+++ b/test/process/standins.cc
@@ -75,6 +75,46 @@
 	return strtoull(json_text(body, "reads").c_str(), NULL, 10);
 }
 
+store_standin::store_standin(uint32_t page_items)
+    : port(free_port()),
+      process("store", { "standin", "store", "--listen", local(port), "--page",
+			 std::to_string(page_items) })
+{
+	wait_up("http://" + addr() + "/standin/reads");
+}
+
+std::string store_standin::addr() const
+{
+	return local(port);
+}
+
+bool store_standin::write(const std::string &key, const std::string &text)
+{
+	return http_put("http://" + addr() + "/standin/item?key=" + key, text);
+}
+
+bool store_standin::set_mode(const std::string &mode)
+{
+	return http_put("http://" + addr() + "/standin/mode", mode);
+}
+
+bool store_standin::turn_away(const std::string &ip)
+{
+	return http_put("http://" + addr() + "/standin/turn_away", ip);
+}
+
+bool store_standin::forget()
+{
+	return http_put("http://" + addr() + "/standin/forget", "");
+}
+
+uint64_t store_standin::reads()
+{
+	std::string body = http_get("http://" + addr() + "/standin/reads").body;
+
+	return strtoull(json_text(body, "reads").c_str(), NULL, 10);
+}
+
 backend_standin::backend_standin(uint32_t count)
     : first(free_ports(count)), admin(free_port()),
       process("backend",
--- a/test/process/standins.h
+++ b/test/process/standins.h
@@ -47,6 +47,37 @@
 	child process;
 };
 
+/**
+ * class store_standin - the users' platform's store
+ */
+class store_standin {
+    public:
+	/* @page_items: entries of one page of a range */
+	explicit store_standin(uint32_t page_items);
+
+	/* "ip:port" */
+	std::string addr() const;
+
+	/* Writes an entry; an empty @text removes it. */
+	bool write(const std::string &key, const std::string &text);
+
+	/* up, refuse, hang, unavailable or busy */
+	bool set_mode(const std::string &mode);
+
+	/* Calls of this IP number are refused; "" ends that. */
+	bool turn_away(const std::string &ip);
+
+	/* Forgets the history: watches are told so. */
+	bool forget();
+
+	/* Calls taken so far. */
+	uint64_t reads();
+
+    private:
+	uint16_t port;
+	child process;
+};
+
 /**
  * class backend_standin - backend servers, one a port, in one process
  */
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -14,6 +14,7 @@
 #define HANG_MAX_US (600 * US_PER_S)
 #define SIZE_MAX_BYTES UINT64_C(4194304)
 #define CHUNK_BYTES 8192
+#define ID_HEADER "X-Request-Id"
 #define DEADLINE_HEADER "Nutmegcrank-Deadline-Unix-Ms"
 
 /* Would be taken for the next answer by a peer that reuses the connection. */
@@ -291,7 +292,7 @@
 	g_mutex_unlock(&fleet->lock);
 	if (shed)
 		return false;
-	work->run = runlog_begin(mg_get_header(work->conn, "X-Request-Id"),
+	work->run = runlog_begin(mg_get_header(work->conn, ID_HEADER),
 				 server->port, info->request_method);
 	return true;
 }
@@ -361,7 +362,7 @@
 static GString *make_body(const struct work *work)
 {
 	const struct mg_request_info *info = mg_get_request_info(work->conn);
-	const char *id = mg_get_header(work->conn, "X-Request-Id");
+	const char *id = mg_get_header(work->conn, ID_HEADER);
 	uint64_t fill_bytes = http_query_uint(work->conn, "fill_bytes", 0);
 	json_object *object = json_object_new_object();
 	GString *fill = g_string_new(NULL);
@@ -398,6 +399,7 @@
 static GString *make_answer(const struct work *work, uint32_t status,
 			    const GString *body)
 {
+	const char *id = mg_get_header(work->conn, ID_HEADER);
 	GString *text = g_string_new(NULL);
 	bool head = strcmp(mg_get_request_info(work->conn)->request_method,
 			   "HEAD") == 0;
@@ -408,6 +410,8 @@
 			status,
 			mg_get_response_code_text(work->conn, (int)status),
 			work->draining ? "X-Draining: 1\r\n" : "");
+	if (id != NULL)
+		g_string_append_printf(text, ID_HEADER ": %s\r\n", id);
 	if (http_query_uint(work->conn, "chunked", 0) != 0) {
 		g_string_append(text, "Transfer-Encoding: chunked\r\n\r\n");
 		if (!head)
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -20,6 +20,7 @@
 static const struct mode modes[] = {
 	{ "config", config_main },
 	{ "backend", backend_main },
+	{ "store", store_main },
 	{ "fault", fault_main },
 };
 
@@ -31,7 +32,7 @@
 	.parser = parse,
 	.args_doc = "MODE [OPTION...]",
 	.doc = "Takes the place of an outside system in tests.\v"
-	       "MODE is config, backend or fault; MODE --help tells more.",
+	       "MODE is config, store, backend or fault; MODE --help tells more.",
 };
 
 int main(int argc, char **argv)
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -17,6 +17,15 @@
  */
 int config_main(int argc, char **argv);
 
+/**
+ * store_main() - the users' platform's store
+ * @argc: count of @argv
+ * @argv: the mode's arguments, its name first
+ *
+ * Return: exit status.
+ */
+int store_main(int argc, char **argv);
+
 /**
  * backend_main() - backend servers, one a port
  * @argc: count of @argv
