--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -11,7 +11,7 @@
 #define BACKLOG_GRANTS_MIN 4
 
 /* A far backend server without work goes after a near one this much loaded. */
-#define FAR_PERMILLE 400
+#define FAR_PERMILLE 200
 /* One level of caution weighs more than all load and doubt. */
 #define CAUTION_PERMILLE (2 * PERMILLE_ONE)
 /* Nothing known for so long weighs like this much load. */
@@ -110,7 +110,7 @@
 bool service_backlogged(const struct service *service, struct instant now)
 {
 	return service_wait_us(service, service->waiting_requests, now) >
-	       service->mean_service_us;
+	       service->mean_service_us * 2;
 }
 
 /*
