--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -110,7 +110,7 @@
 bool service_backlogged(const struct service *service, struct instant now)
 {
 	return service_wait_us(service, service->waiting_requests, now) >
-	       service->mean_service_us * 2;
+	       service->mean_service_us;
 }
 
 /*
