--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -235,14 +235,19 @@
 		{ .kind = PART_CHUNK, .chunk = held->body },
 		{ .kind = PART_END },
 	};
+	enum ring_result result;
 	uint32_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(parts); i++) {
 		if (parts[i].kind == PART_CHUNK && !parts[i].chunk)
 			continue;
-		if (ring_push_reserved(request->answer, &parts[i]) == RING_OK)
+		result = ring_push_reserved(request->answer, &parts[i]);
+		if (result == RING_OK)
 			continue;
-		g_warning("dispatch: a held answer found no room");
+		if (result == RING_CLOSED)
+			g_debug("dispatch: nobody waits for an answer");
+		else
+			g_warning("dispatch: a held answer found no room");
 		answer_part_clear(&parts[i]);
 	}
 	held->head = NULL;
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -23,23 +23,6 @@
 static int on_send_point(void *data, char *to_ip, char *own_ip, int to_port,
 			 int own_port);
 static size_t on_head(char *line, size_t size, size_t count, void *data);
-/* One that was not meant has not run the request either, and stays another. */
-static void judge_shed(struct exchange *exchange)
-{
-	const struct grant_event *grant = &exchange->grant;
-	const struct http_answer_reader *reader = &exchange->reader;
-	bool named = exchange->settings->headers.instance[0] != '\0' &&
-		     grant->instance.text[0] != '\0';
-
-	exchange->shed = (grant->shed.any_status ? exchange->status >= 400 :
-						   exchange->status == 503) &&
-			 http_answer_marked(reader->head, &grant->shed);
-	if (exchange->status != HTTP_MISDIRECTED || !named)
-		return;
-	exchange->shed = true;
-	exchange->draining = true;
-}
-
 static void judge_shed(struct exchange *exchange);
 static size_t on_body(char *bytes, size_t size, size_t count, void *data);
 static bool begin_streaming(struct exchange *exchange);
@@ -310,6 +293,23 @@
 	return 0;
 }
 
+/* One that was not meant has not run the request either, and stays another. */
+static void judge_shed(struct exchange *exchange)
+{
+	const struct grant_event *grant = &exchange->grant;
+	const struct http_answer_reader *reader = &exchange->reader;
+	bool named = exchange->settings->headers.instance[0] != '\0' &&
+		     grant->instance.text[0] != '\0';
+
+	exchange->shed = (grant->shed.any_status ? exchange->status >= 400 :
+						   exchange->status == 503) &&
+			 http_answer_marked(reader->head, &grant->shed);
+	if (exchange->status != HTTP_MISDIRECTED || !named)
+		return;
+	exchange->shed = true;
+	exchange->draining = true;
+}
+
 static size_t on_body(char *bytes, size_t size, size_t count, void *data)
 {
 	struct exchange *exchange = data;
--- a/test/check.sh
+++ b/test/check.sh
@@ -28,5 +28,6 @@
 			grep -e '^\[  FAILED' -e '^\[       OK'
 	fi
 done
+[ ! -f KNOWN-RED.txt ] || cat KNOWN-RED.txt
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/test/standin/http.c
+++ b/test/standin/http.c
@@ -98,6 +98,21 @@
 	return body;
 }
 
+int http_body_word(struct mg_connection *conn, const char *const *words,
+		   size_t count)
+{
+	char *text = http_body(conn);
+	int found = -1;
+	size_t i;
+
+	for (i = 0; text != NULL && i < count; i++) {
+		if (strcmp(words[i], text) == 0)
+			found = (int)i;
+	}
+	g_free(text);
+	return found;
+}
+
 uint64_t http_query_uint(struct mg_connection *conn, const char *name,
 			 uint64_t fallback)
 {
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -54,6 +54,17 @@
  */
 char *http_body(struct mg_connection *conn);
 
+/**
+ * http_body_word() - read a body that is one word of a list
+ * @conn: the connection
+ * @words: the list
+ * @count: its length
+ *
+ * Return: the word's place, -1 for any other body.
+ */
+int http_body_word(struct mg_connection *conn, const char *const *words,
+		   size_t count);
+
 /**
  * http_query_uint() - read a number from the query
  * @conn: the connection
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -268,15 +268,8 @@
 
 static int put_mode(struct store *store, struct mg_connection *conn)
 {
-	char *text = http_body(conn);
-	int found = -1;
+	int found = http_body_word(conn, mode_names, G_N_ELEMENTS(mode_names));
 
-	for (int i = 0; text != NULL && i < (int)G_N_ELEMENTS(mode_names);
-	     i++) {
-		if (strcmp(mode_names[i], text) == 0)
-			found = i;
-	}
-	g_free(text);
 	if (found < 0)
 		return http_answer(conn, 400, "", "");
 	g_mutex_lock(&store->lock);
