--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -13,7 +13,7 @@
 /* A far backend server without work goes after a near one this much loaded. */
 #define FAR_PERMILLE 200
 /* One level of caution weighs more than all load and doubt. */
-#define CAUTION_PERMILLE (2 * PERMILLE_ONE)
+#define CAUTION_PERMILLE (UINT64_C(2) * PERMILLE_ONE)
 /* Nothing known for so long weighs like this much load. */
 #define DOUBT_MAX_US (2 * US_PER_S)
 #define DOUBT_PERMILLE 500
