--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -1,9 +1,9 @@
 #include "command/schedule.h"
 
-#include "command/admit.h"
 #include "command/lease.h"
 #include "command/ticket.h"
 #include "command/trace.h"
+#include "command/waiting.h"
 #include "query/pick.h"
 
 /* One grant in so many begins with the lowest class, so that it never stops. */
@@ -29,21 +29,12 @@
 static void occupy(struct service *service, struct ticket *ticket);
 static uint32_t connections_share(const struct service *service,
 				  const struct backend *backend);
-static void sort_out_late(struct state *state, struct service *service,
-			  struct instant now, struct event_list *out);
-static void put_behind(struct state *state, uint32_t index, struct instant now,
-		       struct event_list *out);
-static void expire_queue(struct state *state, GArray *queue, struct instant now,
-			 struct event_list *out);
-static bool expired(const struct ticket *ticket, struct instant now);
-static void expire(struct state *state, uint32_t index, struct instant now,
-		   struct event_list *out);
 
 void schedule_run(struct state *state, struct service *service,
 		  struct instant now, struct event_list *out)
 {
 	note_short_peak(service, now);
-	sort_out_late(state, service, now, out);
+	waiting_sort(state, service, now, out);
 	while (service->waiting_requests > 0 &&
 	       grant_next(state, service, now, out))
 		;
@@ -51,21 +42,6 @@
 		lease_ask(state, service, now, out);
 }
 
-void schedule_expire(struct state *state, struct service *service,
-		     struct instant now, struct event_list *out)
-{
-	uint32_t i;
-
-	if (service->waiting_requests == 0)
-		return;
-	sort_out_late(state, service, now, out);
-	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		expire_queue(state, service->queues[i].short_tickets, now, out);
-		expire_queue(state, service->queues[i].long_tickets, now, out);
-		expire_queue(state, service->queues[i].late_tickets, now, out);
-	}
-}
-
 void schedule_release(struct state *state, uint32_t index)
 {
 	struct ticket *ticket = &state->tickets[index];
@@ -86,60 +62,6 @@
 	ticket->on_long_slot = false;
 }
 
-/*
- * Under a crest work that just misses its objective would always go first, and
- * all work would miss it. So what cannot meet it any more goes behind, and where
- * more waits than may run, it is refused: others will always come before it.
- */
-static void sort_out_late(struct state *state, struct service *service,
-			  struct instant now, struct event_list *out)
-{
-	GArray *queue;
-	uint32_t index;
-	uint32_t i;
-	guint k;
-
-	if (state->policy.queueing == QUEUEING_FIFO)
-		return;
-	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		queue = service->queues[i].short_tickets;
-		for (k = 0; k < queue->len;) {
-			index = g_array_index(queue, uint32_t, k);
-			if (ticket_in_time(&state->tickets[index], now))
-				k++;
-			else
-				put_behind(state, index, now, out);
-		}
-	}
-}
-
-static void put_behind(struct state *state, uint32_t index, struct instant now,
-		       struct event_list *out)
-{
-	struct ticket *ticket = &state->tickets[index];
-	struct service *service = ticket->service;
-
-	if (expired(ticket, now)) {
-		expire(state, index, now, out);
-		return;
-	}
-	/* One that a server has worked on is not given up while there is time. */
-	if (ticket->sends > 0 || !service_backlogged(service, now)) {
-		ticket_defer(state, index);
-		return;
-	}
-	ticket_dequeue(state, index);
-	overload_note(state, service, now, out);
-	ticket_refuse(state, index,
-		      (struct refusal){
-			      .cause = REFUSAL_OVERLOAD,
-			      .outcome = ticket->outcome,
-			      .retry_at_unix_ms =
-				      retry_advice_unix_ms(state, now),
-		      },
-		      now, out);
-}
-
 static void note_short_peak(struct service *service, struct instant now)
 {
 	uint32_t requests =
@@ -206,7 +128,7 @@
 	struct pick pick;
 	uint32_t index;
 
-	expire_queue(state, queue, now, out);
+	waiting_expire(state, queue, now, out);
 	if (queue->len == 0)
 		return false;
 	index = g_array_index(queue, uint32_t, 0);
@@ -330,37 +252,3 @@
 
 	return MAX(share, UINT32_C(1));
 }
-
-/* Refuses from the head, where the late ones are. */
-static void expire_queue(struct state *state, GArray *queue, struct instant now,
-			 struct event_list *out)
-{
-	uint32_t index;
-
-	while (queue->len > 0) {
-		index = g_array_index(queue, uint32_t, 0);
-		if (!expired(&state->tickets[index], now))
-			return;
-		expire(state, index, now, out);
-	}
-}
-
-/* Whether the time left is no offer; what was offered before uses all of it. */
-static bool expired(const struct ticket *ticket, struct instant now)
-{
-	uint64_t needed_us = ticket->sends > 0 ? 0 : ticket_typical_us(ticket);
-
-	return ticket->deadline_us <= now.mono_us + needed_us;
-}
-
-static void expire(struct state *state, uint32_t index, struct instant now,
-		   struct event_list *out)
-{
-	const struct refusal refusal = {
-		.cause = REFUSAL_DEADLINE,
-		.outcome = state->tickets[index].outcome,
-	};
-
-	ticket_dequeue(state, index);
-	ticket_refuse(state, index, refusal, now, out);
-}
--- a/src/command/schedule.h
+++ b/src/command/schedule.h
@@ -17,16 +17,6 @@
 void schedule_run(struct state *state, struct service *service,
 		  struct instant now, struct event_list *out);
 
-/**
- * schedule_expire() - refuse waiting requests that cannot end in time
- * @state: the state
- * @service: the service
- * @now: the time
- * @out: gets EVENT_REFUSE
- */
-void schedule_expire(struct state *state, struct service *service,
-		     struct instant now, struct event_list *out);
-
 /**
  * schedule_release() - take a running request's slot back
  * @state: the state
--- a/src/duty/caller_answer.c
+++ b/src/duty/caller_answer.c
@@ -23,17 +23,14 @@
 
 void caller_take_answer(struct caller *caller)
 {
-	bool more = true;
-
-	while (more) {
-		more = take_parts(caller) && caller->state == CALLER_ANSWERS;
-		if (!more)
-			return;
+	while (take_parts(caller) && caller->state == CALLER_ANSWERS) {
 		resume(caller);
 		if (!caller->body_begun)
 			continue;
 		caller_flush(caller);
-		more = caller->state == CALLER_ANSWERS && caller->out->len == 0;
+		/* The rest is taken when the socket has room again. */
+		if (caller->state != CALLER_ANSWERS || caller->out->len > 0)
+			return;
 	}
 }
 
