--- a/test/process/harness.cc
+++ b/test/process/harness.cc
@@ -282,7 +282,11 @@
 	request.url = url;
 	request.body = body;
 	reply = http_ask(request);
-	return reply.code == 0 && reply.status == 200;
+	if (reply.code == 0 && reply.status == 200)
+		return true;
+	fprintf(stderr, "PUT %s: code %d, status %u\n", url.c_str(), reply.code,
+		reply.status);
+	return false;
 }
 
 uint64_t now_ms()
--- a/test/standin/http.c
+++ b/test/standin/http.c
@@ -11,9 +11,20 @@
 #define KEEP_ALIVE_MS "60000"
 #define SOCKETS_MAX 65536
 
+/**
+ * struct handling - what answers a server's requests; lives with the process
+ * @handler: called for each request
+ * @data: passed to @handler
+ */
+struct handling {
+	mg_request_handler handler;
+	void *data;
+};
+
 static int connection_socket(struct mg_connection *conn);
 static int find_socket(const struct mg_request_info *info);
 static bool socket_matches(int fd, const struct mg_request_info *info);
+static int on_request(struct mg_connection *conn);
 
 struct mg_context *http_start(const char *ports, uint32_t threads,
 			      mg_request_handler handler, void *data)
@@ -34,15 +45,22 @@
 				  "connection_queue",
 				  "512",
 				  NULL };
-	struct mg_callbacks callbacks = { 0 };
-	struct mg_context *server;
+	const struct mg_callbacks callbacks = { .begin_request = on_request };
+	struct handling *handling = g_new(struct handling, 1);
 
+	/* Set with the callbacks, so that no request comes before it. */
+	handling->handler = handler;
+	handling->data = data;
 	g_snprintf(count, sizeof(count), "%u", threads);
-	server = mg_start(&callbacks, NULL, options);
-	if (server == NULL)
-		return NULL;
-	mg_set_request_handler(server, "/", handler, data);
-	return server;
+	return mg_start(&callbacks, handling, options);
+}
+
+static int on_request(struct mg_connection *conn)
+{
+	const struct handling *handling =
+		mg_get_user_data(mg_get_context(conn));
+
+	return handling->handler(conn, handling->data);
 }
 
 int http_answer(struct mg_connection *conn, int status, const char *headers,
