Put out for load only what was never sent

Cause, read from the code: a higher class puts out the last waiting request of the lowest one, and tells its caller that nothing has run. Change: the last one that was never sent goes; where there is none the newcomer is refused. overload_put_out() does it here and in a backlog, where the same lines stood again. Test first: AdmitTest.OnlyWhatWasNeverSentIsPutOut failed in its second case.

--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -36,7 +36,8 @@
 			    const struct ticket *ticket);
 static bool make_room(struct state *state, const struct ticket *ticket,
 		      struct instant now, struct event_list *out);
-static GArray *last_to_go(const struct class_queue *queue);
+static uint32_t last_to_go(const struct state *state,
+			   const struct class_queue *queue);
 static struct refusal
 load_refusal(struct state *state, enum refusal_cause cause, struct instant now);
 static void refuse_new(struct state *state, uint32_t index,
@@ -115,6 +116,15 @@
 	state_audit(state, &record, now, out);
 }
 
+void overload_put_out(struct state *state, uint32_t index, struct instant now,
+		      struct event_list *out)
+{
+	ticket_dequeue(state, index);
+	overload_note(state, state->tickets[index].service, now, out);
+	ticket_refuse(state, index, load_refusal(state, REFUSAL_OVERLOAD, now),
+		      now, out);
+}
+
 void overload_tick(struct state *state, struct service *service,
 		   struct instant now, struct event_list *out)
 {
@@ -297,37 +307,44 @@
 {
 	struct service *service = ticket->service;
 	const struct service_doc *doc = service->doc;
-	uint32_t own = doc->classes[ticket->class_index].priority;
-	GArray *victims = NULL;
-	uint32_t lowest = own;
-	struct refusal refusal;
-	GArray *queue;
-	uint32_t index;
+	uint32_t lowest = doc->classes[ticket->class_index].priority;
+	uint32_t victim = TICKET_NONE;
+	uint32_t last;
 	uint32_t i;
 
 	for (i = 0; i < doc->class_count; i++) {
-		queue = last_to_go(&service->queues[i]);
-		if (doc->classes[i].priority <= lowest || queue->len == 0)
+		if (doc->classes[i].priority <= lowest)
+			continue;
+		last = last_to_go(state, &service->queues[i]);
+		if (last == TICKET_NONE)
 			continue;
 		lowest = doc->classes[i].priority;
-		victims = queue;
+		victim = last;
 	}
-	if (!victims)
+	if (victim == TICKET_NONE)
 		return false;
-	index = g_array_index(victims, uint32_t, victims->len - 1);
-	ticket_dequeue(state, index);
-	overload_note(state, service, now, out);
-	refusal = load_refusal(state, REFUSAL_OVERLOAD, now);
-	ticket_refuse(state, index, refusal, now, out);
+	overload_put_out(state, victim, now, out);
 	return true;
 }
 
-static GArray *last_to_go(const struct class_queue *queue)
+/* Return: a ticket that was never sent, TICKET_NONE when there is none. */
+static uint32_t last_to_go(const struct state *state,
+			   const struct class_queue *queue)
 {
-	if (queue->late_tickets->len > 0)
-		return queue->late_tickets;
-	return queue->long_tickets->len > 0 ? queue->long_tickets :
-					      queue->short_tickets;
+	const GArray *queues[] = { queue->late_tickets, queue->long_tickets,
+				   queue->short_tickets };
+	uint32_t index;
+	guint i;
+	guint k;
+
+	for (i = 0; i < G_N_ELEMENTS(queues); i++) {
+		for (k = queues[i]->len; k > 0; k--) {
+			index = g_array_index(queues[i], uint32_t, k - 1);
+			if (state->tickets[index].sends == 0)
+				return index;
+		}
+	}
+	return TICKET_NONE;
 }
 
 static struct refusal load_refusal(struct state *state,
--- a/src/command/waiting.c
+++ b/src/command/waiting.c
@@ -70,16 +70,7 @@
 		ticket_defer(state, index);
 		return;
 	}
-	ticket_dequeue(state, index);
-	overload_note(state, service, now, out);
-	ticket_refuse(state, index,
-		      (struct refusal){
-			      .cause = REFUSAL_OVERLOAD,
-			      .outcome = ticket->outcome,
-			      .retry_at_unix_ms =
-				      retry_advice_unix_ms(state, now),
-		      },
-		      now, out);
+	overload_put_out(state, index, now, out);
 }
 
 /* Refuses from the head, where the late ones are. */
--- a/test/unit/admit_test.cc
+++ b/test/unit/admit_test.cc
@@ -313,4 +313,56 @@
 	}
 }
 
+struct put_out_case {
+	const char *name;
+	uint32_t low_sent; /* of the waiting low ones, the last so many */
+	uint32_t refused; /* which low one is put out; 0 for none of them */
+	enum refusal_cause cause;
+};
+
+/* Four low ones fill the room, one runs; then one of the first class comes. */
+const struct put_out_case put_out_cases[] = {
+	{ "the last one goes", 0, 3, REFUSAL_OVERLOAD },
+	{ "what a server has worked on stays", 1, 2, REFUSAL_OVERLOAD },
+	{ "nobody is left to go", 3, 0, REFUSAL_QUEUE_FULL },
+};
+
+/* A refusal for load says that nothing has run, and that must be so. */
+TEST(AdmitTest, OnlyWhatWasNeverSentIsPutOut)
+{
+	for (const auto &c : put_out_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+
+		world.settings.requests_max = 4;
+		world.list(1);
+		world.accept(make_doc({ 1, 1, 0, 64, 60000 }));
+		for (uint32_t i = 0; i < 3; i++)
+			world.request("/s/low");
+		/* The class itself may not fill the last place. */
+		world.settings.requests_max = 8;
+		world.request("/s/low");
+		world.settings.requests_max = 4;
+		for (uint32_t i = 0; i < c.low_sent; i++) {
+			gpointer index = g_hash_table_lookup(
+				world.state->ticket_by_request,
+				world.requests[3 - i]);
+			struct ticket *ticket =
+				&world.state->tickets[GPOINTER_TO_UINT(index)];
+
+			ticket->sends = 1;
+			ticket->outcome = OUTCOME_UNKNOWN;
+		}
+		uint32_t number = world.request("/s/short");
+		const struct event *event =
+			world.about(c.refused ? c.refused : number);
+
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_REFUSE);
+		EXPECT_EQ(world.count(EVENT_REFUSE), 1u);
+		EXPECT_EQ(event->refuse.refusal.cause, c.cause);
+		EXPECT_EQ(event->refuse.refusal.outcome, OUTCOME_NOT_RUN);
+	}
+}
+
 } // namespace
