Read-through: queues looked after once, one way to wake a waiting duty, shared starts

- What waits was sorted in the tick and again by the grants that follow, and heads were looked at once more with each grant; long work was left out.
Now one pass at the start of each run of grants, over all queues.
- The three queues of a class are made in one place, not in three.
- A renewed version went through the check for newer ones a second time; accepting and refusing have their audit record each.
- peer_pull had an eventfd of its own beside its ring: it waits by the notice board.
- Callers that the front itself refuses come back in the span of the settings, not in one of the front's own; the margin for slow readers stands once.

--- a/src/command/configure.c
+++ b/src/command/configure.c
@@ -8,8 +8,10 @@
 #define REFUSAL_HOLD_US (60 * US_PER_S)
 
 static bool check_newer(struct state *state, const struct config_offer *offer,
-			bool from_peer, struct instant now,
-			struct event_list *out);
+			struct instant now, struct event_list *out);
+static void audit_accepted(struct state *state,
+			   const struct config_offer *offer, bool from_peer,
+			   struct instant now, struct event_list *out);
 static void spread(struct state *state, const struct name *key);
 static void put_in_force(struct state *state, struct service_doc *doc,
 			 struct instant now, struct event_list *out);
@@ -33,8 +35,9 @@
 	};
 
 	if (configure_renew(state, &offer, command->from_peer, now, out) ||
-	    !check_newer(state, &offer, command->from_peer, now, out))
+	    !check_newer(state, &offer, now, out))
 		return;
+	audit_accepted(state, &offer, command->from_peer, now, out);
 	put_in_force(state, doc, now, out);
 	spread(state, &offer.key);
 }
@@ -50,8 +53,9 @@
 
 	g_strlcpy(offer.key.text, ROUTING_KEY, NAME_BYTES_MAX);
 	if (configure_renew(state, &offer, command->from_peer, now, out) ||
-	    !check_newer(state, &offer, command->from_peer, now, out))
+	    !check_newer(state, &offer, now, out))
 		return;
+	audit_accepted(state, &offer, command->from_peer, now, out);
 	routing_table_unref(state->routes);
 	state->routes = routing_table_ref(command->table);
 	spread(state, &offer.key);
@@ -65,9 +69,9 @@
 	struct service *service = service_lookup(state, &offer->key);
 
 	if (!offer_find(state, &offer->key, &held) ||
-	    held.hash != offer->hash || held.version >= offer->version ||
-	    !check_newer(state, offer, from_peer, now, out))
+	    held.hash != offer->hash || held.version >= offer->version)
 		return false;
+	audit_accepted(state, offer, from_peer, now, out);
 	if (service)
 		service->doc->version = offer->version;
 	else
@@ -89,38 +93,38 @@
 	audit_refused(state, &offer, CAUSE_MALFORMED, now, out);
 }
 
-/* Return: whether it is to be put in force; both ends are in the audit trail. */
+/* Return: whether it is to be put in force; else it is in the audit trail. */
 static bool check_newer(struct state *state, const struct config_offer *offer,
-			bool from_peer, struct instant now,
-			struct event_list *out)
+			struct instant now, struct event_list *out)
+{
+	struct config_offer held;
+
+	if (!offer_find(state, &offer->key, &held) ||
+	    offer->version > held.version)
+		return true;
+	if (offer->version < held.version)
+		audit_refused(state, offer, CAUSE_OLDER_VERSION, now, out);
+	else if (offer->hash != held.hash)
+		audit_refused(state, offer, CAUSE_SAME_VERSION_OTHER_CONTENT,
+			      now, out);
+	return false;
+}
+
+static void audit_accepted(struct state *state,
+			   const struct config_offer *offer, bool from_peer,
+			   struct instant now, struct event_list *out)
 {
-	struct config_offer held = { 0 };
 	struct audit_record record = {
 		.kind = AUDIT_CONFIG_ACCEPTED,
 		.cause = from_peer ? CAUSE_PEER : CAUSE_PLATFORM,
 		.service = offer->key,
 		.figures_kind = FIGURES_CONFIG,
 		.config.version = offer->version,
+		.config.in_force = version_in_force(state, &offer->key),
 		.config.hash = offer->hash,
 	};
 
-	if (offer_find(state, &offer->key, &held)) {
-		if (offer->version < held.version) {
-			audit_refused(state, offer, CAUSE_OLDER_VERSION, now,
-				      out);
-			return false;
-		}
-		if (offer->version == held.version) {
-			if (offer->hash != held.hash)
-				audit_refused(state, offer,
-					      CAUSE_SAME_VERSION_OTHER_CONTENT,
-					      now, out);
-			return false;
-		}
-	}
-	record.config.in_force = held.version;
 	state_audit(state, &record, now, out);
-	return true;
 }
 
 static void spread(struct state *state, const struct name *key)
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -239,14 +239,8 @@
 	uint32_t i;
 
 	memcpy(old, queues, sizeof(old));
-	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		queues[i].short_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		queues[i].late_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		queues[i].long_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	}
+	for (i = 0; i < DOC_CLASSES_MAX; i++)
+		class_queue_init(&queues[i]);
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
 		to = i < remap->old_doc->class_count ? remap->classes[i] : i;
 		move_queue(state, old[i].short_tickets,
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -128,7 +128,6 @@
 	struct pick pick;
 	uint32_t index;
 
-	waiting_expire(state, queue, now, out);
 	if (queue->len == 0)
 		return false;
 	index = g_array_index(queue, uint32_t, 0);
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -8,7 +8,6 @@
 #include "command/member.h"
 #include "command/patience.h"
 #include "command/schedule.h"
-#include "command/waiting.h"
 
 static void tick_service(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out);
@@ -42,7 +41,6 @@
 	home_tick(state, service, now, out);
 	lease_tick(state, service, now, out);
 	health_tick(state, service, now, out);
-	waiting_tick(state, service, now, out);
 	overload_tick(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -1,12 +1,12 @@
 #include "command/ticket.h"
 
+#include <string.h>
+
 #include "command/trace.h"
 
 /* What one retry takes from the service's budget. */
 #define RETRY_COST_PERMILLE 1000
 
-#include <string.h>
-
 static void queue_insert(struct state *state, uint32_t index);
 static void count_caller(struct service *service, uint64_t caller_hash,
 			 int32_t change);
--- a/src/command/waiting.c
+++ b/src/command/waiting.c
@@ -4,86 +4,80 @@
 #include "command/ticket.h"
 #include "query/pick.h"
 
+static void sort_queue(struct state *state, GArray *queue, struct instant now,
+		       struct event_list *out);
 static void put_behind(struct state *state, uint32_t index, struct instant now,
 		       struct event_list *out);
+static void expire_queue(struct state *state, GArray *queue, struct instant now,
+			 struct event_list *out);
 static bool expired(const struct ticket *ticket, struct instant now);
 static void expire(struct state *state, uint32_t index, struct instant now,
 		   struct event_list *out);
 
-void waiting_tick(struct state *state, struct service *service,
+/*
+ * Under a crest work that just misses its objective would always go first, and
+ * all work would miss it. So what cannot meet it any more goes behind, and where
+ * more waits than may run, it is refused: others will always come before it.
+ */
+void waiting_sort(struct state *state, struct service *service,
 		  struct instant now, struct event_list *out)
 {
 	uint32_t i;
 
 	if (service->waiting_requests == 0)
 		return;
-	waiting_sort(state, service, now, out);
+	if (state->policy.queueing == QUEUEING_FIFO) {
+		expire_queue(state, service->queues[0].short_tickets, now, out);
+		return;
+	}
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		waiting_expire(state, service->queues[i].short_tickets, now,
-			       out);
-		waiting_expire(state, service->queues[i].long_tickets, now,
-			       out);
-		waiting_expire(state, service->queues[i].late_tickets, now,
-			       out);
+		sort_queue(state, service->queues[i].short_tickets, now, out);
+		sort_queue(state, service->queues[i].long_tickets, now, out);
+		expire_queue(state, service->queues[i].late_tickets, now, out);
 	}
 }
 
-/*
- * Under a crest work that just misses its objective would always go first, and
- * all work would miss it. So what cannot meet it any more goes behind, and where
- * more waits than may run, it is refused: others will always come before it.
- */
-void waiting_sort(struct state *state, struct service *service,
-		  struct instant now, struct event_list *out)
+static void sort_queue(struct state *state, GArray *queue, struct instant now,
+		       struct event_list *out)
 {
-	GArray *queue;
 	uint32_t index;
-	uint32_t i;
-	guint k;
+	guint i = 0;
 
-	if (state->policy.queueing == QUEUEING_FIFO)
-		return;
-	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		queue = service->queues[i].short_tickets;
-		for (k = 0; k < queue->len;) {
-			index = g_array_index(queue, uint32_t, k);
-			if (ticket_in_time(&state->tickets[index], now))
-				k++;
-			else
-				put_behind(state, index, now, out);
-		}
+	while (i < queue->len) {
+		index = g_array_index(queue, uint32_t, i);
+		if (ticket_in_time(&state->tickets[index], now))
+			i++;
+		else
+			put_behind(state, index, now, out);
 	}
 }
 
 static void put_behind(struct state *state, uint32_t index, struct instant now,
 		       struct event_list *out)
 {
-	struct ticket *ticket = &state->tickets[index];
-	struct service *service = ticket->service;
+	const struct ticket *ticket = &state->tickets[index];
 
-	if (expired(ticket, now)) {
-		expire(state, index, now, out);
-		return;
-	}
 	/* One that a server has worked on is not given up while there is time. */
-	if (ticket->sends > 0 || !service_backlogged(service, now)) {
+	if (expired(ticket, now))
+		expire(state, index, now, out);
+	else if (ticket->sends > 0 || !service_backlogged(ticket->service, now))
 		ticket_defer(state, index);
-		return;
-	}
-	overload_put_out(state, index, now, out);
+	else
+		overload_put_out(state, index, now, out);
 }
 
-/* Refuses from the head, where the late ones are. */
-void waiting_expire(struct state *state, GArray *queue, struct instant now,
-		    struct event_list *out)
+static void expire_queue(struct state *state, GArray *queue, struct instant now,
+			 struct event_list *out)
 {
 	uint32_t index;
+	guint i = 0;
 
-	while (queue->len > 0) {
-		index = g_array_index(queue, uint32_t, 0);
-		if (!expired(&state->tickets[index], now))
-			return;
-		expire(state, index, now, out);
+	while (i < queue->len) {
+		index = g_array_index(queue, uint32_t, i);
+		if (expired(&state->tickets[index], now))
+			expire(state, index, now, out);
+		else
+			i++;
 	}
 }
 
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -73,7 +73,7 @@
  * struct health - all that is known of one backend server's health
  * @state: what work it gets
  * @failed_in_row: failed or hanging work since it was last trusted
- * @proved_us: work given to it then, or later, has had a whole answer
+ * @proved_us: when the latest work was given to it that went well
  * @ok_in_row: whole answers since the last such work
  * @caution_until_us: no new work before this while others have room
  * @trial_until_us: until then work that may be repeated goes there first
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -46,6 +46,11 @@
 	return a.ip == b.ip && a.port == b.port;
 }
 
+uint64_t addr_key(struct net_addr addr)
+{
+	return (uint64_t)addr.ip << 16 | addr.port;
+}
+
 int32_t addr_compare(struct net_addr a, struct net_addr b)
 {
 	if (a.ip != b.ip)
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -78,6 +78,14 @@
  */
 bool addr_equal(struct net_addr a, struct net_addr b);
 
+/**
+ * addr_key() - an address as a key of a hash table
+ * @addr: the address
+ *
+ * Return: equal for equal addresses only.
+ */
+uint64_t addr_key(struct net_addr addr);
+
 /**
  * addr_compare() - order two addresses
  * @a: one
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -52,10 +52,16 @@
 	g_free(state);
 }
 
+void class_queue_init(struct class_queue *queue)
+{
+	queue->short_tickets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	queue->long_tickets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+	queue->late_tickets = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+}
+
 struct service *service_new(struct service_doc *doc)
 {
 	struct service *service = g_new0(struct service, 1);
-	struct class_queue *queue;
 	uint32_t i;
 
 	service->doc = service_doc_ref(doc);
@@ -63,15 +69,8 @@
 	service->backends = g_new0(struct backend, doc->backend_count);
 	for (i = 0; i < doc->backend_count; i++)
 		backend_init(&service->backends[i], &doc->backends[i]);
-	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		queue = &service->queues[i];
-		queue->short_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		queue->late_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-		queue->long_tickets =
-			g_array_new(FALSE, FALSE, sizeof(uint32_t));
-	}
+	for (i = 0; i < DOC_CLASSES_MAX; i++)
+		class_queue_init(&service->queues[i]);
 	service->callers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, NULL);
 	service->route_typical_us = g_new0(uint64_t, DOC_ROUTES_MAX + 1);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -204,6 +204,12 @@
 	GArray *late_tickets;
 };
 
+/**
+ * class_queue_init() - make empty queues
+ * @queue: filled
+ */
+void class_queue_init(struct class_queue *queue);
+
 /**
  * struct home - one instance of a service's home set
  * @peer: names it
--- a/src/duty/caller.c
+++ b/src/duty/caller.c
@@ -10,7 +10,6 @@
 #define READ_BYTES 16384
 /* A caller that sends ahead is not read from beyond this. */
 #define UNREAD_MAX_BYTES 65536
-#define WRITE_MARGIN_US (3 * US_PER_S)
 #define LINGER_MAX_US (500 * US_PER_MS)
 
 static void read_socket(struct caller *caller);
@@ -175,7 +174,8 @@
 	g_clear_pointer(&caller->request, request_unref);
 	g_byte_array_append(caller->out, (const guint8 *)text->str,
 			    (guint)text->len);
-	caller_enter(caller, CALLER_WRITES, clock_now_us() + WRITE_MARGIN_US);
+	caller_enter(caller, CALLER_WRITES,
+		     clock_now_us() + CALLER_WRITE_MARGIN_US);
 	caller_flush(caller);
 }
 
--- a/src/duty/caller.h
+++ b/src/duty/caller.h
@@ -12,6 +12,9 @@
 #include "codec/http_reader.h"
 #include "duty/exchange.h"
 
+/* A caller that reads too slowly for this long is given up. */
+#define CALLER_WRITE_MARGIN_US (3 * US_PER_S)
+
 /**
  * enum caller_state - what a connection is at
  * @CALLER_IDLE: no byte of a next request has come
--- a/src/duty/caller_answer.c
+++ b/src/duty/caller_answer.c
@@ -2,9 +2,6 @@
 #include "core/clock.h"
 #include "duty/caller.h"
 
-#define RETRY_MIN_MS 500
-#define RETRY_JITTER_MS 1000
-#define WRITE_MARGIN_US (3 * US_PER_S)
 /* No more parts are taken while more than this waits for the caller. */
 #define OUT_MAX_BYTES 65536
 
@@ -19,7 +16,7 @@
 static void append_text(struct caller *caller, const GString *text);
 static void break_off(struct caller *caller);
 static void resume(const struct caller *caller);
-static uint64_t retry_at_unix_ms(uint64_t salt);
+static uint64_t retry_at_unix_ms(const struct caller *caller);
 
 void caller_take_answer(struct caller *caller)
 {
@@ -58,7 +55,7 @@
 	};
 
 	if (cause == REFUSAL_OVERLOAD)
-		refusal.retry_at_unix_ms = retry_at_unix_ms(caller->id);
+		refusal.retry_at_unix_ms = retry_at_unix_ms(caller);
 	caller_refuse(caller, &refusal);
 }
 
@@ -142,7 +139,7 @@
 	answer_head_free(head);
 	caller->body_begun = false;
 	caller_enter(caller, CALLER_ANSWERS,
-		     caller->until_us + WRITE_MARGIN_US);
+		     caller->until_us + CALLER_WRITE_MARGIN_US);
 }
 
 static enum http_framing framing_for(const struct caller *caller,
@@ -210,11 +207,13 @@
 	}
 }
 
-static uint64_t retry_at_unix_ms(uint64_t salt)
+/* Spread by chance over the span that the settings give. */
+static uint64_t retry_at_unix_ms(const struct caller *caller)
 {
+	const struct settings *settings = caller->links->settings;
 	struct instant now = clock_now();
-	uint64_t jitter_ms =
-		hash_bytes(&now, sizeof(now), salt) % RETRY_JITTER_MS;
+	uint64_t chance = hash_bytes(&now, sizeof(now), caller->id);
 
-	return now.unix_ms + RETRY_MIN_MS + jitter_ms;
+	return now.unix_ms + settings->retry_min_ms +
+	       chance % (settings->retry_max_ms - settings->retry_min_ms + 1);
 }
--- a/src/duty/connections.c
+++ b/src/duty/connections.c
@@ -26,7 +26,7 @@
 struct connection_host *connections_host(struct connections *connections,
 					 struct net_addr backend)
 {
-	uint64_t key = (uint64_t)backend.ip << 16 | backend.port;
+	uint64_t key = addr_key(backend);
 	struct connection_host *host =
 		g_hash_table_lookup(connections->hosts, &key);
 	uint64_t *copy;
--- a/src/duty/peer_pull.c
+++ b/src/duty/peer_pull.c
@@ -3,8 +3,6 @@
 #include <poll.h>
 #include <pthread.h>
 #include <string.h>
-#include <sys/eventfd.h>
-#include <unistd.h>
 
 #include "core/clock.h"
 #include "duty/pull_transfer.h"
@@ -14,6 +12,8 @@
 #define RING_ORDERS 256
 #define TRANSFERS_MAX 8
 #define WAITING_MAX 8192
+/* One for the ring, one for the stop. */
+#define BOARD_NOTICES 2
 
 /*
  * A few transfers run at once, each with its own deadline, so that a silent
@@ -24,7 +24,7 @@
 	struct ring *dispatch;
 	struct ring *ring;
 	pthread_t thread;
-	int wake_fd;
+	struct notice_board *board;
 	GQueue *waiting; /* owned struct pull_order, first come first served */
 	struct pull_transfer *transfers[TRANSFERS_MAX];
 };
@@ -70,8 +70,10 @@
 	duty->dispatch = dispatch;
 	duty->ring = ring_new(sizeof(struct config_pull_event), RING_ORDERS, 0);
 	duty->waiting = g_queue_new();
-	duty->wake_fd = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
-	if (duty->wake_fd < 0 ||
+	duty->board = notice_board_new(BOARD_NOTICES);
+	if (duty->board)
+		ring_announce(duty->ring, duty->board, 0);
+	if (!duty->board ||
 	    pthread_create(&duty->thread, NULL, peer_pull_thread, duty) != 0) {
 		g_set_error(error, DUTY_ERROR, DUTY_ERROR_THREAD,
 			    "peer_pull: cannot make its thread");
@@ -86,8 +88,7 @@
 	if (!duty)
 		return;
 	ring_close(duty->ring);
-	if (eventfd_write(duty->wake_fd, 1) != 0)
-		g_error("peer_pull: cannot be stopped");
+	notice_post(duty->board, 0);
 	pthread_join(duty->thread, NULL);
 	free_duty(duty);
 }
@@ -95,18 +96,13 @@
 enum ring_result peer_pull_send(struct peer_pull_duty *duty,
 				const struct config_pull_event *order)
 {
-	enum ring_result result = ring_push(duty->ring, order);
-
-	if (result == RING_OK && eventfd_write(duty->wake_fd, 1) != 0)
-		g_warning("peer_pull: an order waits for the next one");
-	return result;
+	return ring_push(duty->ring, order);
 }
 
 static void *peer_pull_thread(void *data)
 {
 	struct peer_pull_duty *duty = data;
 	struct pollfd fds[POLL_COUNT];
-	eventfd_t woken;
 	int32_t wait_ms;
 	uint32_t i;
 
@@ -115,9 +111,8 @@
 		wait_ms = watch(duty, fds);
 		if (poll(fds, POLL_COUNT, wait_ms) < 0)
 			continue;
-		if (fds[POLL_WAKE].revents &&
-		    eventfd_read(duty->wake_fd, &woken) != 0)
-			continue;
+		if (fds[POLL_WAKE].revents)
+			notice_clear(duty->board);
 		for (i = 0; i < TRANSFERS_MAX; i++) {
 			if (duty->transfers[i])
 				go_on(duty, i);
@@ -193,7 +188,7 @@
 	uint32_t i;
 
 	memset(fds, 0, POLL_COUNT * sizeof(*fds));
-	fds[POLL_WAKE].fd = duty->wake_fd;
+	fds[POLL_WAKE].fd = notice_board_fd(duty->board);
 	fds[POLL_WAKE].events = POLLIN;
 	for (i = 0; i < TRANSFERS_MAX; i++) {
 		transfer = duty->transfers[i];
@@ -332,8 +327,7 @@
 	for (i = 0; i < TRANSFERS_MAX; i++)
 		pull_transfer_free(duty->transfers[i]);
 	g_queue_free_full(duty->waiting, g_free);
-	if (duty->wake_fd >= 0)
-		close(duty->wake_fd);
 	ring_free(duty->ring);
+	notice_board_free(duty->board);
 	g_free(duty);
 }
--- a/src/ring/notice.c
+++ b/src/ring/notice.c
@@ -72,3 +72,12 @@
 {
 	return ring_pop(board->subjects, subject, 0) == RING_OK;
 }
+
+void notice_clear(struct notice_board *board)
+{
+	uint64_t subject;
+
+	notice_begin(board);
+	while (notice_take(board, &subject))
+		;
+}
--- a/src/ring/notice.h
+++ b/src/ring/notice.h
@@ -61,4 +61,10 @@
  */
 bool notice_take(struct notice_board *board, uint64_t *subject);
 
+/**
+ * notice_clear() - take all notices, where it is known whom they are for
+ * @board: the board
+ */
+void notice_clear(struct notice_board *board);
+
 #endif
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -136,14 +136,7 @@
 		return EXIT_FAILURE;
 	}
 	listens = listen_list(&fleet, &args);
-	if (http_start(listens, args.threads, handle, &fleet) == NULL) {
-		fprintf(stderr, "standin: cannot listen on %s\n", listens);
-		return EXIT_FAILURE;
-	}
-	g_free(listens);
-	wait_for_end();
-	/* Hanging answers may wait for long; the process ends with them. */
-	_exit(EXIT_SUCCESS);
+	return http_serve(listens, args.threads, handle, &fleet);
 }
 
 static int handle(struct mg_connection *conn, void *data)
--- a/test/standin/config.c
+++ b/test/standin/config.c
@@ -108,21 +108,13 @@
 {
 	struct config_args args = { .listen = "127.0.0.1:7000" };
 	struct config config = { .mode = MODE_UP };
-	struct mg_context *server;
 
 	if (argp_parse(&parser, argc, argv, 0, NULL, &args) != 0)
 		return EXIT_FAILURE;
 	g_mutex_init(&config.lock);
 	g_cond_init(&config.changed);
 	config.live = view_new();
-	server = http_start(args.listen, WORKERS, handle, &config);
-	if (server == NULL) {
-		fprintf(stderr, "standin: cannot listen on %s\n", args.listen);
-		return EXIT_FAILURE;
-	}
-	wait_for_end();
-	/* Watches may wait for long; the process ends with them. */
-	_exit(EXIT_SUCCESS);
+	return http_serve(args.listen, WORKERS, handle, &config);
 }
 
 static int handle(struct mg_connection *conn, void *data)
--- a/test/standin/http.c
+++ b/test/standin/http.c
@@ -2,11 +2,15 @@
 
 #include <arpa/inet.h>
 #include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "standin.h"
 
 #define KEEP_ALIVE_MS "60000"
 #define SOCKETS_MAX 65536
@@ -55,6 +59,18 @@
 	return mg_start(&callbacks, handling, options);
 }
 
+int http_serve(const char *ports, uint32_t threads, mg_request_handler handler,
+	       void *data)
+{
+	if (http_start(ports, threads, handler, data) == NULL) {
+		fprintf(stderr, "standin: cannot listen on %s\n", ports);
+		return EXIT_FAILURE;
+	}
+	wait_for_end();
+	/* Answers may wait for long; the process ends with them. */
+	_exit(EXIT_SUCCESS);
+}
+
 static int on_request(struct mg_connection *conn)
 {
 	const struct handling *handling =
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -25,6 +25,18 @@
 struct mg_context *http_start(const char *ports, uint32_t threads,
 			      mg_request_handler handler, void *data);
 
+/**
+ * http_serve() - answer with one handler until the process is to end
+ * @ports: CivetWeb's list of "ip:port"
+ * @threads: connections served at once
+ * @handler: called for each request
+ * @data: passed to @handler
+ *
+ * Return: exit status, when it cannot listen; else the process ends here.
+ */
+int http_serve(const char *ports, uint32_t threads, mg_request_handler handler,
+	       void *data);
+
 /**
  * http_answer() - write a whole answer
  * @conn: the connection
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -146,7 +146,6 @@
 	struct store_args args = { .listen = "127.0.0.1:7000",
 				   .page_items = PAGE_ITEMS_DEFAULT };
 	struct store store = { .mode = STORE_UP, .revision = 1 };
-	struct mg_context *server;
 
 	if (argp_parse(&parser, argc, argv, 0, NULL, &args) != 0)
 		return EXIT_FAILURE;
@@ -155,14 +154,7 @@
 	store.items = g_tree_new_full(compare_keys, NULL, g_free, item_free);
 	store.history = g_array_new(FALSE, FALSE, sizeof(struct change));
 	store.page_items = args.page_items;
-	server = http_start(args.listen, WORKERS, handle, &store);
-	if (server == NULL) {
-		fprintf(stderr, "standin: cannot listen on %s\n", args.listen);
-		return EXIT_FAILURE;
-	}
-	wait_for_end();
-	/* Watches may wait for long; the process ends with them. */
-	_exit(EXIT_SUCCESS);
+	return http_serve(args.listen, WORKERS, handle, &store);
 }
 
 static int handle(struct mg_connection *conn, void *data)
--- a/test/unit/objective_test.cc
+++ b/test/unit/objective_test.cc
@@ -101,6 +101,21 @@
 		service->route_typical_us[i] = typical_ms * US_PER_MS;
 }
 
+/* One server with one slot, trusted whatever runs there. */
+void prepare(World &world, uint32_t budget_ms)
+{
+	struct doc_shape shape;
+
+	shape.backends = 1;
+	shape.slots = 1;
+	shape.budget_ms = budget_ms;
+	world.state->policy.ejecting = false;
+	world.list(1);
+	world.accept(make_doc(shape));
+	accept_table(world);
+	set_typical(world);
+}
+
 /* Ends the grant that was given first and is not ended yet. */
 void finish_oldest(World &world, uint32_t ended_before)
 {
@@ -142,17 +157,9 @@
 	for (const auto &c : objective_cases) {
 		SCOPED_TRACE(c.name);
 		World world;
-		struct doc_shape shape;
 		uint32_t ended_count = 0;
 
-		shape.backends = 1;
-		shape.slots = 1;
-		/* The one server is trusted whatever runs there. */
-		world.state->policy.ejecting = false;
-		world.list(1);
-		world.accept(make_doc(shape));
-		accept_table(world);
-		set_typical(world);
+		prepare(world, 1000);
 		for (const struct action &action : c.actions) {
 			switch (action.kind) {
 			case ARRIVE:
@@ -194,16 +201,8 @@
 	for (const auto &c : tried_cases) {
 		SCOPED_TRACE(c.name);
 		World world;
-		struct doc_shape shape;
-
-		shape.backends = 1;
-		shape.slots = 1;
-		shape.budget_ms = 60000;
-		world.state->policy.ejecting = false;
-		world.list(1);
-		world.accept(make_doc(shape));
-		accept_table(world);
-		set_typical(world);
+
+		prepare(world, 60000);
 		world.request("/s/short");
 		uint32_t number = world.request("/s/short", 1, DEADLINE_NONE_US,
 						METHOD_GET, "tight");
@@ -244,14 +243,8 @@
 	for (const auto &c : pace_cases) {
 		SCOPED_TRACE(c.name);
 		World world;
-		struct doc_shape shape;
-
-		shape.backends = 1;
-		shape.slots = 1;
-		shape.budget_ms = 60000;
-		world.state->policy.ejecting = false;
-		world.list(1);
-		world.accept(make_doc(shape));
+
+		prepare(world, 60000);
 		for (uint32_t i = 0; i < 16; i++)
 			world.request("/s/short");
 		/* The first grant found nobody waiting. */
