Retries: the fleet's allowance split among the homes

Retries came from requests alone, the part of them was a constant of the template, and up to 20 could be saved by each home, 80 in all where the platform bounds what is beyond the share at 58.

Change: the share of retries and the allowance beside it are settings that the template fills from the platform's bounds. Half of the allowance is used, since two sides of a partition both use theirs: a third of it comes in over a window, a sixth may be saved up, both split among the homes. An instance that is no home has no part of it. Settings may have numbers with a fraction.

--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -8,6 +8,8 @@
 #define IP_CLASS_D UINT32_C(0xe0000000)
 /* 0.0.0.0 to 0.255.255.255 names no machine. */
 #define IP_THIS_NETWORK_LAST UINT32_C(0x00ffffff)
+/* Thousandths that a number with fewer digits may miss by. */
+#define PERMILLE_ROUNDING 1e-6
 /* Longer values are cut in an error. */
 #define SHOWN_BYTES_MAX 64
 
@@ -24,6 +26,9 @@
 static bool read_range(const struct json_place *place,
 		       const struct field_range *range, uint64_t *number,
 		       GError **error);
+static bool read_permille(const struct json_place *place,
+			  const struct field_range *range, uint32_t *permille,
+			  GError **error);
 static bool read_choice(const struct json_place *place,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error);
@@ -226,6 +231,11 @@
 			return false;
 		memcpy(at, &number, sizeof(number));
 		return true;
+	case FIELD_PERMILLE:
+		if (!read_permille(place, &field->range, &word, error))
+			return false;
+		memcpy(at, &word, sizeof(word));
+		return true;
 	case FIELD_PORT:
 		if (!read_range(place, &range, &number, error))
 			return false;
@@ -277,6 +287,7 @@
 
 	switch (field->kind) {
 	case FIELD_U32:
+	case FIELD_PERMILLE:
 		word = (uint32_t)field->range.absent;
 		memcpy(at, &word, sizeof(word));
 		break;
@@ -322,6 +333,28 @@
 	return true;
 }
 
+static bool read_permille(const struct json_place *place,
+			  const struct field_range *range, uint32_t *permille,
+			  GError **error)
+{
+	double value;
+
+	if (!json_object_is_type(place->value, json_type_int) &&
+	    !expect(place, json_type_double, "a number", error))
+		return false;
+	/* So that 0.2, which has no exact form, is 200 thousandths. */
+	value = json_object_get_double(place->value) * PERMILLE_ONE +
+		PERMILLE_ROUNDING;
+	if (!(value >= (double)range->min) ||
+	    value >= (double)range->max + 2 * PERMILLE_ROUNDING)
+		return json_fail(place, NULL, SETTINGS_ERROR_RANGE, error,
+				 "out of range; write %g to %g",
+				 (double)range->min / PERMILLE_ONE,
+				 (double)range->max / PERMILLE_ONE);
+	*permille = (uint32_t)value;
+	return true;
+}
+
 static bool read_choice(const struct json_place *place,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error)
@@ -370,6 +403,7 @@
 		return read_token(place, text, at, error);
 	case FIELD_U32:
 	case FIELD_U64:
+	case FIELD_PERMILLE:
 	case FIELD_PORT:
 	case FIELD_BOOL:
 	case FIELD_CHOICE:
--- a/src/codec/json_fields.h
+++ b/src/codec/json_fields.h
@@ -17,6 +17,8 @@
  * enum field_kind - tag of struct json_field
  * @FIELD_U32: integer within bounds, into uint32_t
  * @FIELD_U64: integer within bounds, into uint64_t
+ * @FIELD_PERMILLE: number whose thousandths are within bounds, into uint32_t as
+ *	thousandths, rounded down
  * @FIELD_PORT: integer from 1 to 65535, into uint16_t
  * @FIELD_BOOL: true or false, into bool
  * @FIELD_NAME: into struct name
@@ -31,6 +33,7 @@
 enum field_kind {
 	FIELD_U32,
 	FIELD_U64,
+	FIELD_PERMILLE,
 	FIELD_PORT,
 	FIELD_BOOL,
 	FIELD_NAME,
@@ -93,7 +96,7 @@
  * @kind: which member of the union holds
  * @required: an absent one is an error
  * @offset_bytes: place in the struct that is filled
- * @range: with FIELD_U32 and FIELD_U64
+ * @range: with FIELD_U32, FIELD_U64 and FIELD_PERMILLE
  * @choices: with FIELD_CHOICE
  * @table: with FIELD_OBJECT; its offsets begin at the same struct
  */
--- a/src/codec/json_scan.c
+++ b/src/codec/json_scan.c
@@ -34,6 +34,7 @@
 static bool scan_list(struct scan *scan);
 static bool scan_string(struct scan *scan);
 static bool scan_escape(struct scan *scan);
+static size_t scan_digits(struct scan *scan);
 static bool scan_number(struct scan *scan);
 static bool scan_word(struct scan *scan);
 static char *read_key(struct scan *scan, size_t from);
@@ -245,26 +246,40 @@
 	return true;
 }
 
+static size_t scan_digits(struct scan *scan)
+{
+	size_t from = scan->at;
+
+	while (g_ascii_isdigit(peek(scan)))
+		scan->at++;
+	return scan->at - from;
+}
+
 static bool scan_number(struct scan *scan)
 {
-	size_t digits_from;
+	size_t fraction_digits = 0;
 	size_t digits;
 	bool zero;
 
 	if (peek(scan) == '-')
 		scan->at++;
-	digits_from = scan->at;
 	zero = peek(scan) == '0';
-	while (g_ascii_isdigit(peek(scan)))
-		scan->at++;
-	digits = scan->at - digits_from;
+	digits = scan_digits(scan);
 	if (digits == 0 || (zero && digits > 1))
-		return syntax(scan, "malformed number; write a plain integer");
-	if (peek(scan) == '.' || peek(scan) == 'e' || peek(scan) == 'E')
+		return syntax(scan, "malformed number; write plain digits");
+	if (peek(scan) == '.') {
+		scan->at++;
+		fraction_digits = scan_digits(scan);
+		if (fraction_digits == 0)
+			return syntax(scan, "no digits behind the point; write "
+					    "some");
+	}
+	if (peek(scan) == 'e' || peek(scan) == 'E')
 		return json_error_set(scan->error, SETTINGS_ERROR_TYPE,
 				      scan->label, scan->path->str,
-				      "number is not an integer; write one "
-				      "without fraction and exponent");
+				      "number with an exponent; write it "
+				      "without");
+	digits += fraction_digits;
 	if (digits > JSON_NUMBER_DIGITS_MAX)
 		return json_error_set(scan->error, SETTINGS_ERROR_RANGE,
 				      scan->label, scan->path->str,
--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -86,8 +86,12 @@
 	  .range = { 1, 60000, 1000 } },
 	{ "retry_max_ms", FIELD_U32, false, AT(retry_max_ms),
 	  .range = { 2, 120000, 3000 } },
-	{ "retry_earned_permille", FIELD_U32, false, AT(retry_earned_permille),
+	{ "retry_share", FIELD_PERMILLE, false, AT(retry_earned_permille),
 	  .range = { 0, 1000, 100 } },
+	{ "retry_allowance", FIELD_PERMILLE, false,
+	  AT(retry_allowance_permille), .range = { 0, 1000000000, 0 } },
+	{ "retry_window_ms", FIELD_U32, false, AT(retry_window_ms),
+	  .range = { 1000, 600000, 10000 } },
 	{ "idle_max_ms", FIELD_U32, false, AT(idle_max_ms),
 	  .range = { 1000, 600000, 2000 } },
 	/* Its name is older than the front's one thread. */
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -1,6 +1,7 @@
 #include "command/admit.h"
 
 #include "command/leave.h"
+#include "command/retry.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
 #include "command/trace.h"
@@ -13,8 +14,6 @@
 #define BUDGET_MAX_US (600 * US_PER_S)
 /* A caller is held to its share once its class is this full. */
 #define FAIR_FROM_PERMILLE 500
-/* Retries that may be saved up. */
-#define RETRY_BUDGET_MAX_PERMILLE 20000
 
 static void refuse_early(struct state *state, struct request *request,
 			 enum refusal_cause cause, struct instant now,
@@ -86,10 +85,7 @@
 		return;
 	}
 	service->counters.classes[ticket->class_index].admitted_requests++;
-	service->retry_budget_permille =
-		MIN(service->retry_budget_permille +
-			    state->settings->retry_earned_permille,
-		    RETRY_BUDGET_MAX_PERMILLE);
+	retry_earn(state, service, now);
 	ticket_enqueue(state, index, now);
 	schedule_run(state, service, now, out);
 }
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -1,6 +1,7 @@
 #include "command/finish.h"
 
 #include "command/health.h"
+#include "command/retry.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
 #include "command/trace.h"
@@ -19,7 +20,8 @@
 		     struct finish_command *command, struct event_list *out);
 static bool may_retry(const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now);
-static bool take_budget(struct ticket *ticket);
+static bool take_budget(const struct state *state, struct ticket *ticket,
+			struct instant now);
 static void retry(struct state *state, uint32_t index, struct net_addr backend,
 		  const struct evidence *evidence, struct instant now);
 static enum outcome outcome_of(const struct ticket *ticket,
@@ -121,7 +123,8 @@
 	}
 	if (may_retry(ticket, evidence, now)) {
 		/* What was never reached costs its service nothing. */
-		if (!evidence->request_sent || take_budget(ticket)) {
+		if (!evidence->request_sent ||
+		    take_budget(state, ticket, now)) {
 			trace_end(state, ticket, evidence, FOLLOW_RETRY, now,
 				  out);
 			retry(state, index, command->backend, evidence, now);
@@ -193,9 +196,10 @@
 	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
 
-static bool take_budget(struct ticket *ticket)
+static bool take_budget(const struct state *state, struct ticket *ticket,
+			struct instant now)
 {
-	if (!ticket->retry_reserved && !retry_reserve(ticket))
+	if (!ticket->retry_reserved && !retry_reserve(state, ticket, now))
 		return false;
 	ticket->retry_reserved = false;
 	ticket->service->counters.retries++;
--- a/src/command/patience.c
+++ b/src/command/patience.c
@@ -1,5 +1,6 @@
 #include "command/patience.h"
 
+#include "command/retry.h"
 #include "command/ticket.h"
 
 /* Work that takes longer than this, of the usual time, probably hangs. */
@@ -21,7 +22,7 @@
 		ticket = &state->tickets[i];
 		/* The retry is paid for now, so that it cannot be missing. */
 		if (ticket->state != TICKET_RUNNING || !hangs(ticket, now) ||
-		    !retry_reserve(ticket))
+		    !retry_reserve(state, ticket, now))
 			continue;
 		event.cancel.exchange.index = i;
 		event.cancel.exchange.generation = ticket->generation;
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -2,11 +2,9 @@
 
 #include <string.h>
 
+#include "command/retry.h"
 #include "command/trace.h"
 
-/* What one retry takes from the service's budget. */
-#define RETRY_COST_PERMILLE 1000
-
 static void queue_insert(struct state *state, uint32_t index);
 static void count_caller(struct service *service, uint64_t caller_hash,
 			 int32_t change);
@@ -124,25 +122,6 @@
 	ticket_free(state, index);
 }
 
-bool retry_reserve(struct ticket *ticket)
-{
-	struct service *service = ticket->service;
-
-	if (service->overload ||
-	    service->retry_budget_permille < RETRY_COST_PERMILLE)
-		return false;
-	service->retry_budget_permille -= RETRY_COST_PERMILLE;
-	ticket->retry_reserved = true;
-	return true;
-}
-
-void retry_give_back(struct ticket *ticket)
-{
-	if (ticket->retry_reserved)
-		ticket->service->retry_budget_permille += RETRY_COST_PERMILLE;
-	ticket->retry_reserved = false;
-}
-
 uint64_t ticket_typical_us(const struct ticket *ticket)
 {
 	return ticket->service->route_typical_us[ticket->route_index];
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -98,20 +98,6 @@
  */
 bool ticket_in_time(const struct ticket *ticket, struct instant now);
 
-/**
- * retry_reserve() - pay for a retry, also before it is known to be needed
- * @ticket: the request; ticket_free() gives back what it did not use
- *
- * Return: false when the service has none to spend or is overloaded.
- */
-bool retry_reserve(struct ticket *ticket);
-
-/**
- * retry_give_back() - give a reserved retry back, if there is one
- * @ticket: the request
- */
-void retry_give_back(struct ticket *ticket);
-
 /**
  * ticket_typical_us() - time its work usually takes on a slot
  * @ticket: the ticket
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -257,6 +257,9 @@
  * @retry_min_ms: refused callers come back after this at the earliest
  * @retry_max_ms: and after this at the latest
  * @retry_earned_permille: part of a retry that each request earns its service
+ * @retry_allowance_permille: thousandths of retries beyond those earned, for each
+ *	service in each window, over the whole fleet
+ * @retry_window_ms: that window
  * @idle_max_ms: how long a caller's connection may be idle
  * @requests_max: callers' requests in progress at once
  * @connections_max: callers' connections at once
@@ -292,6 +295,8 @@
 	uint32_t retry_min_ms;
 	uint32_t retry_max_ms;
 	uint32_t retry_earned_permille;
+	uint32_t retry_allowance_permille;
+	uint32_t retry_window_ms;
 	uint32_t idle_max_ms;
 	uint32_t requests_max;
 	uint32_t connections_max;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -252,6 +252,7 @@
  * @lease_sequence: of the last wish
  * @lease_next_home: whom to ask next
  * @retry_budget_permille: a retry costs 1000
+ * @retry_filled_us: up to then the allowance is in the budget
  * @mean_service_us: moving mean of short work's time on a slot
  * @route_typical_us: typical time on a slot by route, last for uncovered ones
  * @backlog_grant_us: when a slot was last given while others waited, 0 when
@@ -291,6 +292,7 @@
 	uint64_t lease_sequence;
 	uint32_t lease_next_home;
 	uint32_t retry_budget_permille;
+	uint64_t retry_filled_us;
 	uint64_t mean_service_us;
 	uint64_t *route_typical_us;
 	uint64_t backlog_grant_us;
--- /dev/null
+++ b/test/unit/deploy_test.cc
@@ -0,0 +1,93 @@
+/* The template of settings, filled as the platform fills it, is accepted. */
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+#include <string>
+
+extern "C" {
+#include "codec/document_json.h"
+}
+
+namespace
+{
+
+/* What the platform puts in, where a deployment's values differ in form. */
+struct fill_case {
+	const char *name;
+	const char *retry_ratio;
+	const char *retry_slack;
+	const char *seeds;
+	const char *cpu_share;
+	uint32_t earned_permille;
+	uint32_t allowance_permille;
+	uint32_t seed_count;
+};
+
+const struct fill_case fill_cases[] = {
+	{ "whole slack", "0.2", "58", R"(["10.1.0.3:8146"])", "0.2", 200, 58000,
+	  1 },
+	{ "slack with a fraction", "0.15", "58.5",
+	  R"(["10.1.0.3:8146","10.2.0.3:8146","10.3.0.3:8146"])", "0.5", 150,
+	  58500, 3 },
+	{ "no retries, no seeds", "0", "0", "[]", "1", 0, 0, 0 },
+};
+
+void replace_all(std::string *text, const std::string &from,
+		 const std::string &to)
+{
+	size_t at = 0;
+
+	while ((at = text->find(from, at)) != std::string::npos) {
+		text->replace(at, from.size(), to);
+		at += to.size();
+	}
+}
+
+std::string filled(const struct fill_case &c)
+{
+	const std::string values[][2] = {
+		{ "{{listen.front}}", "10.1.0.3:8144" },
+		{ "{{listen.directory}}", "10.1.0.3:8143" },
+		{ "{{listen.ready}}", "10.1.0.3:8140" },
+		{ "{{listen.control}}", "10.1.0.3:8146" },
+		{ "{{ip}}", "10.1.0.3" },
+		{ "{{internalPorts.0}}", "7660" },
+		{ "{{zone}}", "hr-jug-a" },
+		{ "{{platform.address}}", "10.200.1.7:8142" },
+		{ "{{seeds|json}}", c.seeds },
+		{ "{{bounds.retryBudgetRatio}}", c.retry_ratio },
+		{ "{{bounds.budgetSlack}}", c.retry_slack },
+		{ "{{limits.cpuShare}}", c.cpu_share },
+	};
+	std::ifstream file("deploy/settings.json");
+	std::stringstream stream;
+	std::string text;
+
+	stream << file.rdbuf();
+	text = stream.str();
+	for (const auto &value : values)
+		replace_all(&text, value[0], value[1]);
+	return text;
+}
+
+TEST(DeployTest, FilledTemplateIsAccepted)
+{
+	for (const auto &c : fill_cases) {
+		SCOPED_TRACE(c.name);
+		std::string text = filled(c);
+		struct settings settings = {};
+		GError *error = NULL;
+
+		EXPECT_EQ(text.find("{{"), std::string::npos) << text;
+		ASSERT_TRUE(settings_parse("template", text.data(), text.size(),
+					   &settings, &error))
+			<< error->message;
+		EXPECT_EQ(settings.retry_earned_permille, c.earned_permille);
+		EXPECT_EQ(settings.retry_allowance_permille,
+			  c.allowance_permille);
+		EXPECT_EQ(settings.seed_count, c.seed_count);
+	}
+}
+
+} // namespace
--- a/test/unit/document_json_test.cc
+++ b/test/unit/document_json_test.cc
@@ -21,7 +21,7 @@
 	"operators": "127.0.0.1:8082",
 	"failure_domain": "a",
 	"platform": "127.0.0.1:7000",
-	"drain_max_ms": 20000,
+	"drain_max_ms": 20000, "retry_share": 0.2,
 	"log": {"format": "json", "level": "warning"},
 	"random_seed": 7
 })";
@@ -191,6 +191,16 @@
 	  "random_seed" },
 	{ "exponent", SETTINGS, "7", "7e0", SETTINGS_ERROR_TYPE,
 	  "random_seed" },
+	{ "no digits behind the point", SETTINGS, "7", "7.",
+	  SETTINGS_ERROR_SYNTAX, "line 10" },
+	{ "share as a word", SETTINGS, "0.2", "\"all\"", SETTINGS_ERROR_TYPE,
+	  "retry_share" },
+	{ "share above one", SETTINGS, "0.2", "1.001", SETTINGS_ERROR_RANGE,
+	  "retry_share" },
+	{ "share below nothing", SETTINGS, "0.2", "-0.1", SETTINGS_ERROR_RANGE,
+	  "retry_share" },
+	{ "share with an exponent", SETTINGS, "0.2", "2e-1",
+	  SETTINGS_ERROR_TYPE, "retry_share" },
 	{ "number in quotes", SETTINGS, "7", "\"7\"", SETTINGS_ERROR_TYPE,
 	  "random_seed" },
 	{ "null", SETTINGS, "7", "null", SETTINGS_ERROR_TYPE, "random_seed" },
@@ -366,7 +376,7 @@
 	{ "comment signs in a string", DOCUMENT, "\"/health\"", "\"/a//b\"" },
 	{ "comment at the end", SETTINGS, "7\n}", "7\n} // end" },
 	{ "least settings", SETTINGS,
-	  "\"drain_max_ms\": 20000,\n\t\"log\": {\"format\": \"json\", "
+	  "\"drain_max_ms\": 20000, \"retry_share\": 0.2,\n\t\"log\": {\"format\": \"json\", "
 	  "\"level\": \"warning\"},\n\t\"random_seed\": 7",
 	  "\"log\": {}" },
 	{ "document", DOCUMENT, "60", "60" },
@@ -418,6 +428,9 @@
 	EXPECT_TRUE(s.log_level & G_LOG_LEVEL_WARNING);
 	EXPECT_FALSE(s.log_level & G_LOG_LEVEL_INFO);
 	EXPECT_EQ(s.random_seed, 7U);
+	EXPECT_EQ(s.retry_earned_permille, 200U);
+	EXPECT_EQ(s.retry_allowance_permille, 0U);
+	EXPECT_EQ(s.retry_window_ms, 10000U);
 	EXPECT_EQ(s.policy, (uint32_t)POLICY_LEASED);
 }
 
@@ -577,6 +590,30 @@
 	corrupt(DOCUMENT, text, bytes);
 }
 
+struct share_case {
+	const char *text;
+	uint32_t permille;
+};
+
+const struct share_case share_cases[] = {
+	{ "0", 0 },	{ "1", 1000 },	 { "1.0", 1000 },  { "0.15", 150 },
+	{ "0.001", 1 }, { "0.0009", 0 }, { "0.0625", 62 }, { "0.999", 999 },
+};
+
+TEST(DocumentJsonTest, SharesInThousandths)
+{
+	for (const auto &c : share_cases) {
+		SCOPED_TRACE(c.text);
+		std::string text(settings_sample);
+		struct settings settings;
+
+		text.replace(text.find("0.2"), strlen("0.2"), c.text);
+		ASSERT_TRUE(settings_parse("sample", text.data(), text.size(),
+					   &settings, NULL));
+		EXPECT_EQ(settings.retry_earned_permille, c.permille);
+	}
+}
+
 TEST(DocumentJsonTest, CorruptionsOfTheSamplesEndTyped)
 {
 	const std::string bytes("\0\"\\{}[],:/*09-.enau\n\x7f\xff", 21);
--- /dev/null
+++ b/test/unit/retry_test.cc
@@ -0,0 +1,112 @@
+/* What retries a service may spend, in time and over the homes of a fleet. */
+#include <gtest/gtest.h>
+
+#include "unit/world.h"
+
+extern "C" {
+#include "command/retry.h"
+}
+
+namespace
+{
+
+/* A service with one home of several; the budget begins empty. */
+class Budget {
+    public:
+	World world;
+	struct service *service;
+	struct ticket ticket = {};
+
+	Budget(uint32_t allowance_permille, uint32_t homes, bool home)
+	{
+		struct doc_shape shape;
+
+		world.settings.retry_earned_permille = 200;
+		world.settings.retry_allowance_permille = allowance_permille;
+		world.settings.retry_window_ms = 10000;
+		world.list(1);
+		world.accept(make_doc(shape));
+		service = world.service();
+		service->home_count = homes;
+		service->self_home = home ? 0 : HOMES_MAX;
+		service->retry_budget_permille = 0;
+		service->retry_filled_us = world.now.mono_us;
+		ticket.service = service;
+	}
+
+	uint32_t spend()
+	{
+		uint32_t spent = 0;
+
+		while (retry_reserve(world.state, &ticket, world.now))
+			spent++;
+		return spent;
+	}
+
+	void pass_us(uint64_t us)
+	{
+		world.now.mono_us += us;
+	}
+};
+
+struct allowance_case {
+	const char *name;
+	uint32_t allowance_permille;
+	uint32_t homes;
+	bool home;
+	uint64_t after_us;
+	uint32_t requests;
+	uint32_t spent;
+};
+
+const struct allowance_case allowance_cases[] = {
+	{ "nothing earned, nothing allowed", 0, 4, true, 60 * US_PER_S, 0, 0 },
+	{ "five requests earn one", 0, 4, true, 0, 5, 1 },
+	{ "a quiet home gets its part in time", 60000, 1, true, 2 * US_PER_S, 0,
+	  4 },
+	{ "a home of four gets a quarter", 240000, 4, true, 2 * US_PER_S, 0,
+	  4 },
+	{ "both add up", 60000, 1, true, 2 * US_PER_S, 5, 5 },
+	{ "no more than the saved part after a long calm", 60000, 1, true,
+	  600 * US_PER_S, 0, 10 },
+	{ "no home has no part", 60000, 4, false, 60 * US_PER_S, 0, 0 },
+	{ "no home earns one", 60000, 4, false, 0, 50, 1 },
+};
+
+TEST(RetryTest, AllowanceComesInTime)
+{
+	for (const auto &c : allowance_cases) {
+		SCOPED_TRACE(c.name);
+		Budget budget(c.allowance_permille, c.homes, c.home);
+
+		budget.pass_us(c.after_us);
+		for (uint32_t i = 0; i < c.requests; i++)
+			retry_earn(budget.world.state, budget.service,
+				   budget.world.now);
+		EXPECT_EQ(budget.spend(), c.spent);
+	}
+}
+
+/* Two sides of a partition, each with all homes, stay within the allowance. */
+TEST(RetryTest, AWindowHoldsWhateverIsSaved)
+{
+	static const uint32_t homes[] = { 1, 3, 4, 9, 16 };
+	const uint64_t step_us = 50 * US_PER_MS;
+	const uint32_t steps = 200;
+
+	for (uint32_t count : homes) {
+		SCOPED_TRACE(count);
+		Budget budget(96000, count, true);
+		uint32_t spent = 0;
+
+		budget.pass_us(600 * US_PER_S);
+		for (uint32_t i = 0; i < steps; i++) {
+			spent += budget.spend();
+			budget.pass_us(step_us);
+		}
+		EXPECT_GE(spent * count, 96 / 4u);
+		EXPECT_LE(spent * count * 2, 96u);
+	}
+}
+
+} // namespace
