A home that cannot reach its servers steps aside; the strongest are homes

Change: a server that was not reached gets one request at a time after a pause, and none that has lost time already, while any other is reached; others are told to avoid it only while nobody works with it. A home that cannot reach most servers of a service, which others work with, steps aside for 10 s: it tells all, another instance of its failure domain takes its place in the home sets, and it comes back by itself. Instances also tell what processor time they have; the strongest of a failure domain are homes first.

Ruled out: slots of far servers beyond a home's share for what its near ones lost.

--- a/src/codec/gen/peer.h
+++ b/src/codec/gen/peer.h
@@ -36,6 +36,8 @@
 	wire_name domain;
 	u_int incarnation;
 	u_int status;
+	u_int cpu_permille;
+	bool_t aside;
 };
 typedef struct wire_rumour wire_rumour;
 
@@ -116,6 +118,8 @@
 	wire_addr sender;
 	u_int incarnation;
 	u_int status;
+	u_int cpu_permille;
+	bool_t aside;
 	wire_addr caller;
 	wire_name domain;
 	u_quad_t members_digest;
@@ -163,6 +167,8 @@
 	wire_addr peer;
 	wire_name domain;
 	u_int status;
+	u_int cpu_permille;
+	bool_t aside;
 };
 typedef struct wire_instance wire_instance;
 
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -26,6 +26,8 @@
 	wire_name domain;
 	unsigned int incarnation;
 	unsigned int status;
+	unsigned int cpu_permille;
+	bool aside;
 };
 
 struct wire_offer {
@@ -95,6 +97,8 @@
 	wire_addr sender;
 	unsigned int incarnation;
 	unsigned int status;
+	unsigned int cpu_permille;
+	bool aside;
 	wire_addr caller;
 	wire_name domain;
 	unsigned hyper members_digest;
@@ -126,6 +130,8 @@
 	wire_addr peer;
 	wire_name domain;
 	unsigned int status;
+	unsigned int cpu_permille;
+	bool aside;
 };
 
 struct wire_instances {
--- a/src/codec/report_text.c
+++ b/src/codec/report_text.c
@@ -237,6 +237,9 @@
 {
 	json_add_text(out, "status", status_text(member->status));
 	json_add_number(out, "incarnation", member->incarnation);
+	if (member->aside)
+		json_object_object_add(out, "aside",
+				       json_object_new_boolean(true));
 }
 
 static void add_homes(struct json_object *out, const struct audit_homes *homes)
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -63,6 +63,8 @@
 		evidence_learn_typical(service, ticket, evidence->service_us);
 	if (ticket->granted_us < backend->health.resumed_us)
 		return;
+	if (evidence->kind == EVIDENCE_CONNECT || evidence->request_sent)
+		backend->health.unreached = evidence->kind == EVIDENCE_CONNECT;
 	evidence_caution(&backend->health, end, now);
 	if (end == WORK_OK)
 		backend->health.proved_us =
@@ -151,6 +153,29 @@
 	}
 }
 
+void health_forget_cuts(struct state *state, struct service *service,
+			struct instant now, struct event_list *out)
+{
+	struct health_change change = {
+		.state = state, .service = service, .now = now, .out = out
+	};
+	struct health *health;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		change.backend = &service->backends[i];
+		health = &change.backend->health;
+		if (health->path_cut)
+			health_readmit(&change, CAUSE_PATH);
+		if (!health->unreached)
+			continue;
+		health->unreached = false;
+		health->failed_in_row = 0;
+		health->caution_until_us = 0;
+		health->trial_until_us = 0;
+	}
+}
+
 static void observe_trickle(struct health_change *change, enum work_end end)
 {
 	struct health *health = &change->backend->health;
--- a/src/command/health.h
+++ b/src/command/health.h
@@ -75,4 +75,14 @@
 		       const struct backend *old, uint32_t old_count,
 		       struct instant now, struct event_list *out);
 
+/**
+ * health_forget_cuts() - take all paths from here for whole again
+ * @state: the state
+ * @service: the service
+ * @now: the time
+ * @out: gets audit records
+ */
+void health_forget_cuts(struct state *state, struct service *service,
+			struct instant now, struct event_list *out);
+
 #endif
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -27,8 +27,6 @@
 			 struct instant now);
 static void full_share(const struct service *service, struct backend *backend);
 static void far_share(struct backend *backend);
-static void note_cut(struct state *state, struct service *service,
-		     struct instant now, struct event_list *out);
 static void send_digests(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out);
 static uint32_t load_permille(const struct service *service,
@@ -63,7 +61,6 @@
 		if (now.mono_us >= service->backends[i].grow_at_us)
 			take_share(&service->backends[i]);
 	}
-	note_cut(state, service, now, out);
 	if (service->self_home < service->home_count &&
 	    now.mono_us >= service->digest_due_us)
 		send_digests(state, service, now, out);
@@ -254,26 +251,6 @@
 	backend->grown_long_slots = 0;
 }
 
-/* Callers shall not be sent where most of the backend servers are cut off. */
-static void note_cut(struct state *state, struct service *service,
-		     struct instant now, struct event_list *out)
-{
-	struct audit_record record = {
-		.kind = AUDIT_STEPPED_BACK,
-		.cause = CAUSE_PATH,
-	};
-	bool cut_off = service_self_cut(service, now);
-
-	if (cut_off == service->cut_off)
-		return;
-	service->cut_off = cut_off;
-	if (!cut_off)
-		record.kind = AUDIT_STEPPED_IN;
-	record.service = service->doc->service;
-	record.subject = state->membership.self.peer;
-	state_audit(state, &record, now, out);
-}
-
 static void send_digests(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out)
 {
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -27,7 +27,7 @@
 		record.subject = state->membership.self.peer;
 		state_audit(state, &record, now, out);
 		state->membership.members_digest = members_digest(state);
-		member_announce_leaving(state, now, out);
+		member_announce_self(state, now, out);
 	}
 	if (command->hurry) {
 		state->leave_hurried = true;
--- a/src/command/member.c
+++ b/src/command/member.c
@@ -35,6 +35,9 @@
 		sender = join_sender(state, message, now, out);
 	if (sender) {
 		sender->heard_us = now.mono_us;
+		if (message->incarnation >= sender->incarnation)
+			member_take_facts(state, sender, message->cpu_permille,
+					  message->aside, now, out);
 		member_believe(state, sender, message->incarnation,
 			       message->status, CAUSE_PEER, now, out);
 		member_hear_rumours(state, message, now, out);
@@ -80,6 +83,8 @@
 		.caller = message->caller,
 		.peer = message->sender,
 		.domain = message->domain,
+		.cpu_permille = message->cpu_permille,
+		.aside = message->aside,
 	};
 
 	return member_join(state, &instance, message->incarnation,
--- a/src/command/member.h
+++ b/src/command/member.h
@@ -52,13 +52,13 @@
 		 struct peer_message *message, struct event_list *out);
 
 /**
- * member_announce_leaving() - tell all others of the planned stop, some times
+ * member_announce_self() - tell all others what changed here, some times
  * @state: the state
  * @now: the time
  * @out: gets datagrams
  */
-void member_announce_leaving(struct state *state, struct instant now,
-			     struct event_list *out);
+void member_announce_self(struct state *state, struct instant now,
+			  struct event_list *out);
 
 /**
  * member_spread_offer() - let the next datagrams carry a changed document
--- a/src/command/member_belief.c
+++ b/src/command/member_belief.c
@@ -55,6 +55,22 @@
 	member_set_status(state, member, status, cause, now, out);
 }
 
+void member_take_facts(struct state *state, struct member *member,
+		       uint32_t cpu_permille, bool aside, struct instant now,
+		       struct event_list *out)
+{
+	bool moved = member->listed.aside != aside;
+
+	if (!moved && member->listed.cpu_permille == cpu_permille)
+		return;
+	member->listed.cpu_permille = cpu_permille;
+	member->listed.aside = aside;
+	state->homes_dirty = true;
+	member_spread_rumour(state, member->listed.peer);
+	if (moved)
+		member_audit(state, member, CAUSE_PATH, now, out);
+}
+
 void member_set_status(struct state *state, struct member *member,
 		       enum member_status status, enum audit_cause cause,
 		       struct instant now, struct event_list *out)
@@ -90,6 +106,7 @@
 		.figures_kind = FIGURES_MEMBER,
 		.member.status = member->status,
 		.member.incarnation = member->incarnation,
+		.member.aside = member->listed.aside,
 	};
 
 	state_audit(state, &record, now, out);
@@ -127,6 +144,9 @@
 			hear_of(state, rumour, now, out);
 			continue;
 		}
+		if (rumour->incarnation > member->incarnation)
+			member_take_facts(state, member, rumour->cpu_permille,
+					  rumour->aside, now, out);
 		member_believe(state, member, rumour->incarnation,
 			       rumour->status, CAUSE_PEER, now, out);
 	}
@@ -139,6 +159,8 @@
 		.caller = rumour->caller,
 		.peer = rumour->peer,
 		.domain = rumour->domain,
+		.cpu_permille = rumour->cpu_permille,
+		.aside = rumour->aside,
 	};
 
 	if (!state->membership.seeded)
--- a/src/command/member_spread.c
+++ b/src/command/member_spread.c
@@ -31,6 +31,8 @@
 	message->sender = membership->self.peer;
 	message->incarnation = membership->incarnation;
 	message->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+	message->cpu_permille = membership->self.cpu_permille;
+	message->aside = membership->self.aside;
 	message->caller = membership->self.caller;
 	message->domain = membership->self.domain;
 	message->members_digest = membership->members_digest;
@@ -51,8 +53,8 @@
  * All are told, for whoever is not goes on naming this instance to callers.
  * An answer that nobody asked for is not answered.
  */
-void member_announce_leaving(struct state *state, struct instant now,
-			     struct event_list *out)
+void member_announce_self(struct state *state, struct instant now,
+			  struct event_list *out)
 {
 	struct membership *membership = &state->membership;
 
@@ -182,6 +184,8 @@
 		out->domain = membership->self.domain;
 		out->incarnation = membership->incarnation;
 		out->status = state->leaving ? MEMBER_LEAVING : MEMBER_ALIVE;
+		out->cpu_permille = membership->self.cpu_permille;
+		out->aside = membership->self.aside;
 		return true;
 	}
 	member = membership_find(membership, peer);
@@ -191,6 +195,8 @@
 	out->domain = member->listed.domain;
 	out->incarnation = member->incarnation;
 	out->status = member->status;
+	out->cpu_permille = member->listed.cpu_permille;
+	out->aside = member->listed.aside;
 	return true;
 }
 
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -1,6 +1,7 @@
 #include "command/tick.h"
 
 #include "command/admit.h"
+#include "command/aside.h"
 #include "command/health.h"
 #include "command/home.h"
 #include "command/leave.h"
@@ -18,6 +19,7 @@
 	gpointer value;
 
 	member_tick(state, now, out);
+	aside_tick(state, now, out);
 	if (state->homes_dirty)
 		home_refresh(state, now, out);
 	if (state->probes_dirty)
--- a/src/core/audit.h
+++ b/src/core/audit.h
@@ -105,10 +105,12 @@
  * struct audit_member - figures behind a change of membership
  * @status: enum member_status
  * @incarnation: its incarnation
+ * @aside: it says that it cannot reach most backend servers
  */
 struct audit_member {
 	uint32_t status;
 	uint32_t incarnation;
+	bool aside;
 };
 
 /**
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -260,6 +260,8 @@
  * @retry_allowance_permille: thousandths of retries beyond those earned, for each
  *	service in each window, over the whole fleet
  * @retry_window_ms: that window
+ * @cpu_share_permille: part of the time of its core that this instance has
+ * @cpu_speed_permille: how fast that core is, against others of the fleet
  * @idle_max_ms: how long a caller's connection may be idle
  * @requests_max: callers' requests in progress at once
  * @connections_max: callers' connections at once
@@ -297,6 +299,8 @@
 	uint32_t retry_earned_permille;
 	uint32_t retry_allowance_permille;
 	uint32_t retry_window_ms;
+	uint32_t cpu_share_permille;
+	uint32_t cpu_speed_permille;
 	uint32_t idle_max_ms;
 	uint32_t requests_max;
 	uint32_t connections_max;
@@ -331,12 +335,17 @@
  * @peer: where peers connect; names the instance
  * @domain: its failure domain
  * @status: live or leaving
+ * @cpu_permille: processor time it has, in thousandths of a core, by its own
+ *	word; 0 when it has not told
+ * @aside: by its own word it cannot reach most backend servers
  */
 struct instance_doc {
 	struct net_addr caller;
 	struct net_addr peer;
 	struct name domain;
 	enum instance_status status;
+	uint32_t cpu_permille;
+	bool aside;
 };
 
 /**
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -75,12 +75,12 @@
  * @failed_in_row: failed or hanging work since it was last trusted
  * @proved_us: when the latest work was given to it that went well
  * @ok_in_row: whole answers since the last such work
+ * @unreached: the latest work found no way to it
  * @caution_until_us: no new work before this while others have room
  * @trial_until_us: until then work that may be repeated goes there first
  * @buckets: own evidence, a circle
  * @overdue_requests: running work that is late already, at the last tick
  * @lagging_requests: running work that takes longer than it should
- 
  * @views: other homes' evidence
  * @next_step_us: when a back-off, a trickle without work or a ramp step ends
  * @relapses: how often in a row it was ejected, doubles the back-off
@@ -97,7 +97,6 @@
  * @cold_until_us: a cold report counts until then; 0 when there was none
  * @suspected: it gets fewer new requests
  * @suspected_us: when evidence began to speak against it, 0 for not
- 
  * @accused_us: since when evidence suffices but for its confirmation, 0 for
  *	not
  * @sick_us: when the verdict became sick, 0 for not
@@ -113,6 +112,7 @@
 	uint32_t failed_in_row;
 	uint32_t ok_in_row;
 	uint64_t proved_us;
+	bool unreached;
 	uint64_t caution_until_us;
 	uint64_t trial_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -102,6 +102,8 @@
 /**
  * struct membership - this instance and the others
  * @self: own entry as settings and list give it
+ * @aside_until_us: it stays aside until then, while it is
+ * @aside_times: how often in a row it stepped aside, doubles the time
  * @self_listed: the list has this instance
  * @incarnation: own incarnation
  * @members: array of struct member, by peer address
@@ -132,6 +134,8 @@
  */
 struct membership {
 	struct instance_doc self;
+	uint64_t aside_until_us;
+	uint32_t aside_times;
 	bool self_listed;
 	uint32_t incarnation;
 	GArray *members;
--- a/src/core/peer.h
+++ b/src/core/peer.h
@@ -34,8 +34,11 @@
  * @peer: the instance
  * @caller: where callers connect to it
  * @domain: its failure domain
- * @incarnation: raised by the instance itself to refute
+ * @incarnation: raised by the instance itself to refute, and when what it says
+ *	of itself changes
  * @status: the belief
+ * @cpu_permille: as in struct instance_doc
+ * @aside: as in struct instance_doc
  */
 struct rumour {
 	struct net_addr peer;
@@ -43,6 +46,8 @@
 	struct name domain;
 	uint32_t incarnation;
 	enum member_status status;
+	uint32_t cpu_permille;
+	bool aside;
 };
 
 /**
@@ -167,6 +172,8 @@
  * @domain: the sender's failure domain
  * @incarnation: the sender's incarnation
  * @status: MEMBER_ALIVE or MEMBER_LEAVING
+ * @cpu_permille: of the sender, as in struct instance_doc
+ * @aside: of the sender, as in struct instance_doc
  * @members_digest: hash over all instances that the sender holds to be there
  * @config_digest: hash over all (key, version, hash) that the sender holds
  * @rumours: piggybacked beliefs
@@ -184,6 +191,8 @@
 	struct name domain;
 	uint32_t incarnation;
 	enum member_status status;
+	uint32_t cpu_permille;
+	bool aside;
 	uint64_t members_digest;
 	uint64_t config_digest;
 	struct rumour rumours[PEER_RUMOURS_MAX];
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -244,7 +244,6 @@
  * @homes: home set, same order on every instance
  * @home_count: used entries of @homes
  * @self_home: own place in @homes, HOMES_MAX when this is no home
- * @cut_off: most paths to its backend servers are cut from here alone
  * @borrowed: slots of other homes
  * @lent: slots given to others
  * @lease_ask_after_us: no wish for slots before this
@@ -284,7 +283,6 @@
 	struct home homes[HOMES_MAX];
 	uint32_t home_count;
 	uint32_t self_home;
-	bool cut_off;
 	struct borrowed borrowed[BORROWED_MAX];
 	struct lent lent[LENT_MAX];
 	uint64_t lease_ask_after_us;
--- a/src/query/entries.c
+++ b/src/query/entries.c
@@ -83,8 +83,7 @@
 		return false;
 	for (i = 0; i < service->home_count; i++) {
 		home = &service->homes[i];
-		if (!usable(state, home->peer, &instance) ||
-		    (i == service->self_home && service->cut_off))
+		if (!usable(state, home->peer, &instance) || instance.aside)
 			continue;
 		busy = home->fresh_until_us > now.mono_us &&
 		       home->load_permille >= BUSY_PERMILLE;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -76,6 +76,30 @@
 	       now.mono_us < backend->health.caution_until_us;
 }
 
+bool backend_unreached(const struct backend *backend, struct instant now)
+{
+	return backend->health.unreached &&
+	       now.mono_us < backend->health.trial_until_us;
+}
+
+bool backend_cut_here(const struct backend *backend, struct instant now)
+{
+	const struct health_view *view;
+	uint32_t i;
+
+	if (backend->health.path_cut)
+		return true;
+	if (!backend_unreached(backend, now))
+		return false;
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view_fresh(view, now) && view->ok_requests > 0 &&
+		    view->failed_requests == 0)
+			return true;
+	}
+	return false;
+}
+
 bool backend_idempotent_only(const struct backend *backend)
 {
 	return backend->health.state == HEALTH_TRICKLE;
@@ -119,7 +143,7 @@
 		if (backend->health.out || backend_draining(backend, now))
 			continue;
 		wanted++;
-		if (!backend->health.path_cut)
+		if (!backend_cut_here(backend, now))
 			continue;
 		cut++;
 		if (!first_cut)
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -65,6 +65,24 @@
  */
 bool backend_avoided_here(const struct backend *backend, struct instant now);
 
+/**
+ * backend_unreached() - whether the latest work here found no way to it
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: false too when that was long ago.
+ */
+bool backend_unreached(const struct backend *backend, struct instant now);
+
+/**
+ * backend_cut_here() - whether only this instance has no way to it
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true when it is not reached from here and another home works with it.
+ */
+bool backend_cut_here(const struct backend *backend, struct instant now);
+
 /**
  * backend_idempotent_only() - whether it gets idempotent work alone
  * @backend: the backend server
--- a/src/query/health_digest.c
+++ b/src/query/health_digest.c
@@ -133,5 +133,7 @@
 	entry->charged = backend->health.charged;
 	entry->draining = own_draining(backend, now);
 	entry->cold = own_cold(backend, now);
-	entry->avoided = backend_avoided_here(backend, now);
+	/* No way from here is nothing that holds elsewhere. */
+	entry->avoided = backend_avoided_here(backend, now) &&
+			 !backend_cut_here(backend, now);
 }
--- a/src/query/homes.c
+++ b/src/query/homes.c
@@ -11,6 +11,7 @@
 struct candidate {
 	struct net_addr peer;
 	struct name domain;
+	uint32_t cpu_permille;
 	uint64_t score;
 	uint32_t place_in_domain;
 };
@@ -21,7 +22,7 @@
 			    uint32_t owners[HOMES_MAX]);
 static bool in_domain(const struct service *service, uint32_t home,
 		      const struct backend *backend);
-static GArray *collect(const struct state *state, uint64_t seed);
+static GArray *collect(const struct state *state, uint64_t seed, bool aside);
 static void add_candidate(GArray *list, const struct instance_doc *instance,
 			  uint64_t seed);
 static int by_score(const void *a, const void *b);
@@ -38,11 +39,16 @@
 					   &doc->home_group :
 					   &doc->service;
 	uint64_t seed = hash_bytes(group->text, NAME_BYTES_MAX, 0);
-	GArray *list = collect(state, seed);
+	GArray *list = collect(state, seed, false);
 	uint32_t domains;
 	uint32_t count;
 	uint32_t i;
 
+	/* When all stepped aside, it is no place but the backend servers. */
+	if (list->len == 0) {
+		g_array_unref(list);
+		list = collect(state, seed, true);
+	}
 	g_array_sort(list, by_score);
 	domains = number_within_domains(list);
 	g_array_sort(list, by_place);
@@ -135,20 +141,25 @@
 	       name_equal(&service->homes[home].domain, &backend->domain);
 }
 
-/* The published list decides, not who answers: a partition moves no share. */
-static GArray *collect(const struct state *state, uint64_t seed)
+/*
+ * The published list decides, not who answers: a partition moves no share. With
+ * @aside also those that stepped aside.
+ */
+static GArray *collect(const struct state *state, uint64_t seed, bool aside)
 {
 	const struct membership *membership = &state->membership;
 	GArray *list = g_array_new(FALSE, FALSE, sizeof(struct candidate));
 	const struct member *member;
 	guint i;
 
-	if (membership->self_listed || !membership->list_known)
+	if ((membership->self_listed || !membership->list_known) &&
+	    (aside || !membership->self.aside))
 		add_candidate(list, &membership->self, seed);
 	for (i = 0; i < membership->members->len; i++) {
 		member = &g_array_index(membership->members, struct member, i);
 		if (member->in_list && member->listed.status == INSTANCE_LIVE &&
-		    member->status != MEMBER_LEAVING)
+		    member->status != MEMBER_LEAVING &&
+		    (aside || !member->listed.aside))
 			add_candidate(list, &member->listed, seed);
 	}
 	return list;
@@ -160,17 +171,23 @@
 	struct candidate candidate = {
 		.peer = instance->peer,
 		.domain = instance->domain,
+		.cpu_permille = instance->cpu_permille ?
+					instance->cpu_permille :
+					PERMILLE_ONE,
 		.score = hash_pair(instance->peer, instance->peer, seed),
 	};
 
 	g_array_append_val(list, candidate);
 }
 
+/* The strongest go first; a home carries as many requests as any other. */
 static int by_score(const void *a, const void *b)
 {
 	const struct candidate *x = a;
 	const struct candidate *y = b;
 
+	if (x->cpu_permille != y->cpu_permille)
+		return x->cpu_permille > y->cpu_permille ? -1 : 1;
 	if (x->score != y->score)
 		return x->score > y->score ? -1 : 1;
 	return addr_compare(x->peer, y->peer);
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -20,11 +20,27 @@
 /* A request waits this long for a backend server that it can trust. */
 #define TRUST_WAIT_US (200 * US_PER_MS)
 
+/**
+ * struct choice - the best backend server of a round
+ * @backend: it, or NULL
+ * @rank: the lowest goes first
+ * @ties: how many had that rank
+ */
+struct choice {
+	const struct backend *backend;
+	uint64_t rank;
+	uint32_t ties;
+};
+
 static bool long_fits(const struct state *state, const struct service *service,
 		      struct instant now);
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
+static void consider(const struct state *state, struct choice *choice,
+		     const struct backend *backend, uint64_t rank);
+static bool unreached(const struct backend *backend,
+		      const struct ticket *ticket, struct instant now);
 static void count_choice(enum caution_level caution,
 			 struct trace_choice *choice);
 static enum caution_level caution_for(const struct state *state,
@@ -137,49 +153,78 @@
 		     struct pick *out)
 {
 	bool round_robin = state->policy.picking == PICKING_ROUND_ROBIN;
-	const struct backend *best = NULL;
+	struct choice best = { 0 };
+	struct choice cut = { 0 };
 	const struct backend *backend;
 	enum caution_level caution;
-	uint64_t best_rank = 0;
+	uint32_t reached = 0;
 	uint64_t rank;
-	uint32_t ties = 0;
 	uint32_t open;
-	uint32_t index;
 	uint32_t i;
 
 	for (i = 0; i < service->backend_count; i++) {
-		index = (i + service->round_robin_next) %
-			service->backend_count;
-		backend = &service->backends[index];
+		backend = &service->backends[(i + service->round_robin_next) %
+					     service->backend_count];
 		open = open_slots(backend, now);
 		if (open == 0 || !allowed(backend, ticket)) {
 			out->choice.closed++;
 			continue;
 		}
+		reached += !unreached(backend, ticket, now);
 		if (!has_room(backend, open, ticket->long_work)) {
 			out->choice.full++;
 			continue;
 		}
 		caution = caution_for(state, backend, ticket, now);
-		count_choice(caution, &out->choice);
-		if (!worth_it(caution, ticket, now))
-			continue;
 		rank = rank_of(backend, caution, open) +
 		       doubt_of(backend, ticket, now);
-		if (best && rank > best_rank)
+		if (unreached(backend, ticket, now)) {
+			out->choice.closed++;
+			consider(state, &cut, backend, rank);
 			continue;
-		/* Of equal ones each is as likely as another. */
-		ties = !best || rank < best_rank ? 1 : ties + 1;
-		if (ties > 1 &&
-		    g_rand_int_range(state->rand, 0, (gint32)ties) != 0)
+		}
+		count_choice(caution, &out->choice);
+		if (!worth_it(caution, ticket, now))
 			continue;
-		best = backend;
-		best_rank = rank;
-		out->backend_index = index;
+		consider(state, &best, backend, rank);
 		if (round_robin)
 			break;
 	}
-	return best != NULL;
+	/* Where nothing can be reached, any may have become so. */
+	if (reached == 0)
+		best = cut;
+	if (!best.backend)
+		return false;
+	out->backend_index = (uint32_t)(best.backend - service->backends);
+	return true;
+}
+
+/* Of equal ones each is as likely as another. */
+static void consider(const struct state *state, struct choice *choice,
+		     const struct backend *backend, uint64_t rank)
+{
+	if (choice->backend && rank > choice->rank)
+		return;
+	choice->ties =
+		!choice->backend || rank < choice->rank ? 1 : choice->ties + 1;
+	if (choice->ties > 1 &&
+	    g_rand_int_range(state->rand, 0, (gint32)choice->ties) != 0)
+		return;
+	choice->backend = backend;
+	choice->rank = rank;
+}
+
+/*
+ * One that could not be reached just now costs each request the time that a
+ * connection may take, so a single one finds out whether it can be reached again,
+ * and none that has lost time already.
+ */
+static bool unreached(const struct backend *backend,
+		      const struct ticket *ticket, struct instant now)
+{
+	return backend_unreached(backend, now) &&
+	       (backend->in_use_slots > 0 || ticket->tried_count > 0 ||
+		now.mono_us < backend->health.caution_until_us);
 }
 
 static void count_choice(enum caution_level caution,
--- /dev/null
+++ b/test/unit/aside_test.cc
@@ -0,0 +1,248 @@
+/* A home that cannot reach its backend servers steps aside and comes back. */
+#include "world.h"
+
+extern "C" {
+#include "command/aside.h"
+#include "command/member.h"
+#include "query/health.h"
+#include "query/homes.h"
+}
+
+namespace
+{
+
+/* This instance is a home of three, backend servers in domains "a" and "b". */
+struct World *new_world()
+{
+	struct World *world = new World(0, 3);
+	struct doc_shape shape;
+
+	shape.backends = 6;
+	world->list(3, 3);
+	world->accept(make_doc(shape));
+	world->tick();
+	return world;
+}
+
+void cut(World &world, uint32_t count, uint32_t others_ok,
+	 uint32_t others_failed)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		struct health *health = &world.service()->backends[i].health;
+
+		health->unreached = true;
+		health->caution_until_us = world.now.mono_us + US_PER_S;
+		health->trial_until_us = world.now.mono_us + 9 * US_PER_S;
+		health->views[0].home = instance_of(1, 3).peer;
+		health->views[0].fresh_until_us = world.now.mono_us + US_PER_S;
+		health->views[0].ok_requests = others_ok;
+		health->views[0].failed_requests = others_failed;
+	}
+}
+
+struct aside_case {
+	const char *name;
+	uint32_t cut;
+	uint32_t others_ok;
+	uint32_t others_failed;
+	bool leaving;
+	bool aside;
+};
+
+const struct aside_case aside_cases[] = {
+	{ "nothing is cut", 0, 5, 0, false, false },
+	{ "half of them is not most", 3, 5, 0, false, false },
+	{ "most of them, and others work with them", 4, 5, 0, false, true },
+	{ "nobody works with them", 6, 0, 0, false, false },
+	{ "others fail there too", 6, 3, 2, false, false },
+	{ "not in a planned stop", 6, 5, 0, true, false },
+};
+
+TEST(AsideTest, WhoIsCutOffStepsAside)
+{
+	for (const auto &c : aside_cases) {
+		SCOPED_TRACE(c.name);
+		std::unique_ptr<World> world(new_world());
+
+		world->state->leaving = c.leaving;
+		cut(*world, c.cut, c.others_ok, c.others_failed);
+		world->forget();
+		world->pass_ms(50);
+		EXPECT_EQ(world->state->membership.self.aside, c.aside);
+		EXPECT_EQ(world->count_audit(AUDIT_STEPPED_BACK), c.aside);
+		if (!c.aside)
+			continue;
+		/* All others hear of it at once. */
+		EXPECT_GE(world->count(EVENT_PEER_SEND), 2u);
+		EXPECT_GE(world->service()->self_home,
+			  world->service()->home_count);
+		world->pass_ms(9000);
+		EXPECT_TRUE(world->state->membership.self.aside);
+		world->pass_ms(1100);
+		EXPECT_FALSE(world->state->membership.self.aside);
+		EXPECT_LT(world->service()->self_home,
+			  world->service()->home_count);
+		EXPECT_FALSE(backend_unreached(&world->service()->backends[0],
+					       world->now));
+		/* The second time in a row lasts longer. */
+		for (uint32_t i = 1; i < 3; i++)
+			membership_find(&world->state->membership,
+					instance_of(i, 3).peer)
+				->status = MEMBER_ALIVE;
+		cut(*world, 4, 5, 0);
+		world->pass_ms(12000);
+		EXPECT_TRUE(world->state->membership.self.aside);
+	}
+}
+
+struct majority_case {
+	const char *name;
+	uint32_t others_aside;
+	bool aside;
+};
+
+const struct majority_case majority_cases[] = {
+	{ "alone", 0, true },
+	{ "with one of three", 1, false },
+	{ "with all others", 2, false },
+};
+
+TEST(AsideTest, NeverMostOfThem)
+{
+	for (const auto &c : majority_cases) {
+		SCOPED_TRACE(c.name);
+		std::unique_ptr<World> world(new_world());
+
+		for (uint32_t i = 1; i <= c.others_aside; i++)
+			membership_find(&world->state->membership,
+					instance_of(i, 3).peer)
+				->listed.aside = true;
+		cut(*world, 6, 5, 0);
+		world->pass_ms(50);
+		EXPECT_EQ(world->state->membership.self.aside, c.aside);
+	}
+}
+
+struct fact_case {
+	const char *name;
+	uint32_t known_incarnation;
+	uint32_t incarnation;
+	bool direct;
+	bool taken;
+};
+
+const struct fact_case fact_cases[] = {
+	{ "its own word", 5, 5, true, true },
+	{ "its own newer word", 5, 6, true, true },
+	{ "its own word from before", 5, 4, true, false },
+	{ "a rumour of a newer word", 5, 6, false, true },
+	{ "a rumour of the word that is known", 5, 5, false, false },
+	{ "an old rumour", 5, 4, false, false },
+};
+
+TEST(AsideTest, TheNewestWordCounts)
+{
+	for (const auto &c : fact_cases) {
+		SCOPED_TRACE(c.name);
+		std::unique_ptr<World> world(new_world());
+		const struct instance_doc about = instance_of(1, 3);
+		struct command command = {};
+		struct peer_message *message = g_new0(struct peer_message, 1);
+		struct member *member =
+			membership_find(&world->state->membership, about.peer);
+
+		member->incarnation = c.known_incarnation;
+		command.kind = COMMAND_PEER_MESSAGE;
+		command.peer_message = message;
+		message->kind = PEER_ACK;
+		message->sender = instance_of(c.direct ? 1 : 2, 3).peer;
+		message->caller = instance_of(c.direct ? 1 : 2, 3).caller;
+		message->domain = instance_of(c.direct ? 1 : 2, 3).domain;
+		if (c.direct) {
+			message->incarnation = c.incarnation;
+			message->cpu_permille = 500;
+			message->aside = true;
+		} else {
+			message->rumour_count = 1;
+			message->rumours[0].peer = about.peer;
+			message->rumours[0].caller = about.caller;
+			message->rumours[0].domain = about.domain;
+			message->rumours[0].incarnation = c.incarnation;
+			message->rumours[0].cpu_permille = 500;
+			message->rumours[0].aside = true;
+		}
+		world->apply(command);
+		member = membership_find(&world->state->membership, about.peer);
+		EXPECT_EQ(member->listed.aside, c.taken);
+		EXPECT_EQ(member->listed.cpu_permille, c.taken ? 500u : 0u);
+	}
+}
+
+struct strength_case {
+	const char *name;
+	uint32_t cpu_permille[8]; /* instances 0 to 7, domains by turns */
+	uint32_t aside_mask;
+	uint32_t homes_mask; /* instances that must be homes */
+	uint32_t others_mask; /* that must not */
+};
+
+const struct strength_case strength_cases[] = {
+	{ "the strongest of each domain",
+	  { 100, 100, 100, 100, 500, 500, 100, 100 },
+	  0,
+	  0x30,
+	  0xcf },
+	{ "one that has not told counts as a whole core",
+	  { 500, 500, 500, 0, 500, 500, 500, 500 },
+	  0,
+	  0x08,
+	  0 },
+	{ "not one that stepped aside",
+	  { 100, 100, 100, 100, 500, 500, 100, 100 },
+	  0x10,
+	  0x20,
+	  0x10 },
+	{ "all stepped aside: the strongest all the same",
+	  { 100, 100, 100, 100, 500, 500, 100, 100 },
+	  0xff,
+	  0x30,
+	  0xcf },
+};
+
+TEST(AsideTest, HomesAreTheStrongestThatReachTheirServers)
+{
+	for (const auto &c : strength_cases) {
+		SCOPED_TRACE(c.name);
+		World world(0, 2);
+		struct doc_shape shape;
+
+		shape.backends = 2;
+		world.list(8, 2);
+		for (uint32_t i = 0; i < 8; i++) {
+			struct instance_doc *about =
+				i == 0 ? &world.state->membership.self :
+					 &membership_find(
+						  &world.state->membership,
+						  instance_of(i, 2).peer)
+						  ->listed;
+
+			about->cpu_permille = c.cpu_permille[i];
+			about->aside = c.aside_mask & (1u << i);
+		}
+		world.accept(make_doc(shape));
+		const struct service *service = world.service();
+		uint32_t homes = 0;
+
+		for (uint32_t i = 0; i < 8; i++) {
+			for (uint32_t j = 0; j < service->home_count; j++)
+				homes |= addr_equal(service->homes[j].peer,
+						    instance_of(i, 2).peer)
+					 << i;
+		}
+		EXPECT_EQ(service->home_count, 2u);
+		EXPECT_EQ(homes & c.homes_mask, c.homes_mask);
+		EXPECT_EQ(homes & c.others_mask, 0u);
+	}
+}
+
+} // namespace
--- a/test/unit/deploy_test.cc
+++ b/test/unit/deploy_test.cc
@@ -59,6 +59,7 @@
 		{ "{{bounds.retryBudgetRatio}}", c.retry_ratio },
 		{ "{{bounds.budgetSlack}}", c.retry_slack },
 		{ "{{limits.cpuShare}}", c.cpu_share },
+		{ "{{limits.cores}}", "1" },
 	};
 	std::ifstream file("deploy/settings.json");
 	std::stringstream stream;
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -353,7 +353,7 @@
 			->status = c.other;
 		world.state->leaving = c.leaving;
 		world.state->stepped_back = c.stepped_back;
-		world.service()->cut_off = c.cut_off;
+		world.state->membership.self.aside = c.cut_off;
 		struct query query = {};
 		query.kind = QUERY_ENTRIES;
 		name_set(&query.service, "s");
--- a/test/unit/peer_rpc_test.cc
+++ b/test/unit/peer_rpc_test.cc
@@ -56,8 +56,12 @@
 	message.rumour_count = PEER_RUMOURS_MAX;
 	for (uint32_t i = 0; i < PEER_RUMOURS_MAX; i++)
 		message.rumours[i] = { addr(0x7f000100 + i, 1),
-				       addr(0x7f000100 + i, 2), named("b"), i,
-				       (member_status)(i % 4) };
+				       addr(0x7f000100 + i, 2),
+				       named("b"),
+				       i,
+				       (member_status)(i % 4),
+				       i * 100,
+				       i % 2 == 0 };
 	message.offer_count = PEER_OFFERS_MAX;
 	for (uint32_t i = 0; i < PEER_OFFERS_MAX; i++)
 		message.offers[i] = { named("gallery"), i + 1, UINT64_MAX - i };
@@ -428,6 +432,8 @@
 		instance.peer = addr(0x7f000001 + i, 81);
 		instance.domain = named("a");
 		instance.status = i ? INSTANCE_LIVE : INSTANCE_LEAVING;
+		instance.cpu_permille = i * 100;
+		instance.aside = i == 1;
 		g_array_append_val(offers, offer);
 		g_array_append_val(instances, instance);
 	}
--- /dev/null
+++ b/test/unit/reach_test.cc
@@ -0,0 +1,129 @@
+/* A home that cannot reach a part of its backend servers. */
+#include "world.h"
+
+namespace
+{
+
+/* Backend servers 0 and 1 are in domain "a", where the home is; 2, 3 in "b". */
+class Reach {
+    public:
+	World world{ 0, 1 };
+	struct service *service;
+
+	Reach()
+	{
+		struct doc_shape shape;
+		struct policy policy = world.state->policy;
+
+		shape.slots = 3;
+		policy.sharing = SHARING_DOMAIN;
+		world.state->policy = policy;
+		world.list(1, 1);
+		world.accept(make_doc(shape));
+		service = world.service();
+		for (uint32_t i = 0; i < service->backend_count; i++) {
+			service->backends[i].far = i >= 2;
+			service->backends[i].own_slots = i >= 2 ? 1 : 3;
+			service->backends[i].own_long_slots = 0;
+			service->backends[i].health.state = HEALTH_IN_SERVICE;
+		}
+	}
+
+	/* As two requests in a row that found no way there. */
+	void cut(uint32_t index)
+	{
+		struct health *health = &service->backends[index].health;
+
+		health->unreached = true;
+		health->failed_in_row = 2;
+		health->caution_until_us = world.now.mono_us + US_PER_S;
+		health->trial_until_us = world.now.mono_us + 9 * US_PER_S;
+	}
+
+	uint32_t running(uint32_t index) const
+	{
+		return service->backends[index].in_use_slots;
+	}
+};
+
+struct reach_case {
+	const char *name;
+	uint32_t cut_mask;
+	uint64_t after_ms;
+	uint32_t requests;
+	uint32_t running[4]; /* at most, on each backend server */
+	uint32_t granted;
+};
+
+const struct reach_case reach_cases[] = {
+	{ "all reached", 0, 0, 20, { 3, 3, 1, 1 }, 8 },
+	{ "a near one cut takes nothing", 1, 0, 20, { 0, 3, 1, 1 }, 5 },
+	{ "nor does a far one", 8, 0, 20, { 3, 3, 1, 0 }, 7 },
+	{ "after the pause one request finds out",
+	  1,
+	  1100,
+	  20,
+	  { 1, 3, 1, 1 },
+	  6 },
+	{ "all cut: they are used all the same", 15, 0, 20, { 3, 3, 1, 1 }, 8 },
+};
+
+TEST(ReachTest, WorkGoesAroundACut)
+{
+	for (const auto &c : reach_cases) {
+		SCOPED_TRACE(c.name);
+		Reach reach;
+
+		for (uint32_t i = 0; i < 4; i++) {
+			if (c.cut_mask & (1u << i))
+				reach.cut(i);
+		}
+		reach.world.now.mono_us += c.after_ms * US_PER_MS;
+		for (uint32_t i = 0; i < c.requests; i++)
+			reach.world.request("/s/short", i);
+		/* What waits for one that it can trust takes any after this. */
+		reach.world.pass_ms(250);
+		for (uint32_t i = 0; i < 4; i++) {
+			SCOPED_TRACE(i);
+			EXPECT_LE(reach.running(i), c.running[i]);
+		}
+		EXPECT_EQ(reach.world.count(EVENT_GRANT), c.granted);
+	}
+}
+
+struct end_case {
+	const char *name;
+	enum evidence_kind kind;
+	bool sent;
+	bool before;
+	bool unreached;
+};
+
+const struct end_case end_cases[] = {
+	{ "no connection", EVIDENCE_CONNECT, false, false, true },
+	{ "a whole answer", EVIDENCE_OK, true, true, false },
+	{ "its own error", EVIDENCE_SERVER_ERROR, true, true, false },
+	{ "a shed", EVIDENCE_SHED, true, true, false },
+	{ "never sent, for it came too late", EVIDENCE_LATE, false, true,
+	  true },
+	{ "the caller left before it was sent", EVIDENCE_CANCELLED, false, true,
+	  true },
+};
+
+TEST(ReachTest, WhatWasSentProvesTheWay)
+{
+	for (const auto &c : end_cases) {
+		SCOPED_TRACE(c.name);
+		Reach reach;
+		uint32_t number = reach.world.request("/s/short");
+		struct grant_event grant = reach.world.about(number)->grant;
+		struct backend *backend =
+			service_backend(reach.service, grant.backend);
+
+		backend->health.unreached = c.before;
+		reach.world.finish(grant, ended(c.kind, c.sent));
+		EXPECT_EQ(backend->health.unreached, c.unreached);
+	}
+}
+
+} // namespace
--- a/test/unit/report_text_test.cc
+++ b/test/unit/report_text_test.cc
@@ -75,11 +75,11 @@
 		  r->cause = CAUSE_PROBE;
 		  r->subject = { 0x7f000002, 8081 };
 		  r->figures_kind = FIGURES_MEMBER;
-		  r->member = { MEMBER_SUSPECT, 2 };
+		  r->member = { MEMBER_SUSPECT, 2, true };
 	  },
 	  R"({"sequence":7,"time":"2026-05-04T10:03:00.250Z",)"
 	  R"("kind":"member","cause":"probe","subject":"127.0.0.2:8081",)"
-	  R"("status":"suspect","incarnation":2})" },
+	  R"("status":"suspect","incarnation":2,"aside":true})" },
 	{ "homes",
 	  [](struct audit_record *r) {
 		  r->kind = AUDIT_HOME_SET;
