Documents go compressed from instance to instance

Cause: each instance pulls every version of every document whole, 27 to 33 KB for 200 servers, from a peer that is mostly in another failure domain.

Change: the pull's reply carries a zlib stream and the text's length; both are bounded when it is read. zlib1g-dev is a package of the build.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets a user wants first: demo, check. See README.md.
 CC = gcc
 CXX = g++
-PKGS = glib-2.0 json-c libcurl libtirpc libxxhash
+PKGS = glib-2.0 json-c libcurl libtirpc libxxhash zlib
 BUILD ?= build/release
 SAN ?=
 OPT ?= -O2
--- a/src/codec/gen/peer.h
+++ b/src/codec/gen/peer.h
@@ -21,6 +21,7 @@
 #define WIRE_LIST_MAX 4096
 #define WIRE_INSTANCES_MAX 1025
 #define WIRE_TEXT_MAX 1048576
+#define WIRE_PACKED_MAX 1050000
 
 struct wire_addr {
 	u_int ip;
@@ -139,10 +140,11 @@
 struct wire_document {
 	u_quad_t doc_version;
 	u_quad_t hash;
+	u_int text_bytes;
 	struct {
-		u_int text_len;
-		char *text_val;
-	} text;
+		u_int packed_len;
+		char *packed_val;
+	} packed;
 };
 typedef struct wire_document wire_document;
 
--- a/src/codec/gen/peer_xdr.c
+++ b/src/codec/gen/peer_xdr.c
@@ -397,7 +397,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->hash))
 		 return FALSE;
-	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, WIRE_TEXT_MAX))
+	 if (!xdr_u_int (xdrs, &objp->text_bytes))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->packed.packed_val, (u_int *) &objp->packed.packed_len, WIRE_PACKED_MAX))
 		 return FALSE;
 	return TRUE;
 }
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -12,6 +12,7 @@
 const WIRE_LIST_MAX = 4096;
 const WIRE_INSTANCES_MAX = 1025;
 const WIRE_TEXT_MAX = 1048576;
+const WIRE_PACKED_MAX = 1050000;
 
 struct wire_addr {
 	unsigned int ip;
@@ -111,7 +112,8 @@
 struct wire_document {
 	unsigned hyper doc_version;
 	unsigned hyper hash;
-	opaque text<WIRE_TEXT_MAX>;
+	unsigned int text_bytes;
+	opaque packed<WIRE_PACKED_MAX>;
 };
 
 union wire_pull_result switch (bool found) {
--- a/src/codec/peer_pull_rpc.c
+++ b/src/codec/peer_pull_rpc.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "codec/peer_wire.h"
+#include "codec/text_pack.h"
 
 #define RECORD_BUFFER_BYTES 4096
 
@@ -75,18 +76,24 @@
 {
 	wire_pull_result wire;
 	wire_document *body = &wire.wire_pull_result_u.document;
-	gsize text_bytes;
+	GByteArray *packed = NULL;
+	GByteArray *out;
 
 	memset(&wire, 0, sizeof(wire));
-	if (document->text) {
+	if (document->text)
+		packed = text_pack(document->text);
+	if (packed) {
 		wire.found = TRUE;
 		body->doc_version = document->version;
 		body->hash = document->hash;
-		body->text.text_val =
-			(char *)g_bytes_get_data(document->text, &text_bytes);
-		body->text.text_len = (u_int)text_bytes;
+		body->text_bytes = (u_int)g_bytes_get_size(document->text);
+		body->packed.packed_val = (char *)packed->data;
+		body->packed.packed_len = packed->len;
 	}
-	return encode_reply(xid, (xdrproc_t)xdr_wire_pull_result, &wire);
+	out = encode_reply(xid, (xdrproc_t)xdr_wire_pull_result, &wire);
+	if (packed)
+		g_byte_array_unref(packed);
+	return out;
 }
 
 bool peer_document_decode(const uint8_t *data, uint32_t data_bytes,
@@ -106,9 +113,10 @@
 		document = &wire.wire_pull_result_u.document;
 		out->version = document->doc_version;
 		out->hash = document->hash;
-		out->text = g_bytes_new(document->text.text_val,
-					document->text.text_len);
-		found = true;
+		out->text = text_unpack(document->packed.packed_val,
+					document->packed.packed_len,
+					document->text_bytes, error);
+		found = out->text != NULL;
 	} else {
 		g_set_error_literal(error, PEER_ERROR, PEER_ERROR_ABSENT,
 				    "the peer does not hold the document");
--- /dev/null
+++ b/test/unit/text_pack_test.cc
@@ -0,0 +1,113 @@
+/* Documents compressed between instances: whole, bounded, damage is found. */
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "codec/text_pack.h"
+#include "core/document.h"
+#include "core/error.h"
+}
+
+namespace
+{
+
+std::string entries(uint32_t count)
+{
+	std::string text = "{\"backends\":[";
+
+	for (uint32_t i = 0; i < count; i++)
+		text += "{\"ip\":\"10.1.64." + std::to_string(i) +
+			"\",\"port\":8462,\"slots\":3,\"connections\":330},";
+	return text + "]}";
+}
+
+GByteArray *pack(const std::string &text)
+{
+	GBytes *bytes = g_bytes_new(text.data(), text.size());
+	GByteArray *packed = text_pack(bytes);
+
+	g_bytes_unref(bytes);
+	return packed;
+}
+
+struct whole_case {
+	const char *name;
+	std::string text;
+	size_t packed_max;
+};
+
+TEST(TextPackTest, ComesBackWhole)
+{
+	const struct whole_case cases[] = {
+		{ "nothing", "", 16 },
+		{ "a byte", "x", 16 },
+		{ "a document of 200 servers", entries(200), 3000 },
+		{ "the longest", std::string(DOC_BYTES_MAX, 'x'), 20000 },
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		GByteArray *packed = pack(c.text);
+
+		ASSERT_NE(packed, nullptr);
+		EXPECT_LE(packed->len, c.packed_max);
+		GBytes *back = text_unpack((const char *)packed->data,
+					   packed->len, (uint32_t)c.text.size(),
+					   NULL);
+		ASSERT_NE(back, nullptr);
+		gsize bytes;
+		const char *data = (const char *)g_bytes_get_data(back, &bytes);
+
+		EXPECT_EQ(std::string(data ? data : "", bytes), c.text);
+		g_bytes_unref(back);
+		g_byte_array_unref(packed);
+	}
+	EXPECT_EQ(pack(std::string(DOC_BYTES_MAX + 1, 'x')), nullptr);
+}
+
+struct damage_case {
+	const char *name;
+	int32_t cut_bytes;
+	int32_t flip_at; /* -1 for none */
+	int32_t said_more_bytes;
+	uint32_t said_bytes; /* 0: as it is, and @said_more_bytes */
+};
+
+const struct damage_case damage_cases[] = {
+	{ "cut short", 1, -1, 0, 0 },
+	{ "nothing left", 1000000, -1, 0, 0 },
+	{ "a byte changed at the start", 0, 0, 0, 0 },
+	{ "a byte changed within", 0, 40, 0, 0 },
+	{ "longer than said", 0, -1, -1, 0 },
+	{ "shorter than said", 0, -1, 1, 0 },
+	{ "said to be longer than allowed", 0, -1, 0, DOC_BYTES_MAX + 1 },
+};
+
+TEST(TextPackTest, DamageIsFound)
+{
+	const std::string text = entries(50);
+
+	for (const auto &c : damage_cases) {
+		SCOPED_TRACE(c.name);
+		GByteArray *packed = pack(text);
+		uint32_t bytes =
+			packed->len - std::min(packed->len, (guint)c.cut_bytes);
+		uint32_t said = c.said_bytes ? c.said_bytes :
+					       (uint32_t)text.size() +
+						       c.said_more_bytes;
+		GError *error = NULL;
+
+		if (c.flip_at >= 0)
+			packed->data[c.flip_at] ^= 0x41;
+		EXPECT_EQ(text_unpack((const char *)packed->data, bytes, said,
+				      &error),
+			  nullptr);
+		EXPECT_TRUE(g_error_matches(error, PEER_ERROR,
+					    PEER_ERROR_MALFORMED));
+		g_clear_error(&error);
+		g_byte_array_unref(packed);
+	}
+}
+
+} // namespace
