Callers are told how long their connections may be idle

Cause: the settings let a caller's connection be idle for 16 s, while callers go by the platform's own limit, which a deployment may set higher: a request on a connection that was idle for longer would meet its close.

Change: answers that keep the connection say Keep-Alive: timeout, a second less than the connection gets.

Test first: FrontDuty.AnswersByteForByte.

--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -25,6 +25,7 @@
 static void drop_hop_fields(struct http_answer_reader *reader);
 static void restart(struct http_answer_reader *reader);
 static const char *reason_text(uint32_t status);
+static void add_connection(GString *text, uint32_t idle_s);
 static uint32_t cause_status(enum refusal_cause cause);
 static const char *field_value(const struct header *headers, uint32_t count,
 			       const char *name);
@@ -112,7 +113,7 @@
 
 GString *http_answer_text(const struct answer_head *head,
 			  enum http_framing framing, uint64_t body_bytes,
-			  bool close)
+			  uint32_t idle_s)
 {
 	GString *text = g_string_new(NULL);
 	uint32_t i;
@@ -137,13 +138,26 @@
 	case FRAMING_CLOSE:
 		break;
 	}
-	g_string_append_printf(text, "Connection: %s\r\n\r\n",
-			       close ? "close" : "keep-alive");
+	add_connection(text, idle_s);
 	return text;
 }
 
+/* Ends the head. */
+static void add_connection(GString *text, uint32_t idle_s)
+{
+	if (idle_s == 0)
+		g_string_append(text, "Connection: close\r\n\r\n");
+	else
+		g_string_append_printf(text,
+				       "Connection: keep-alive\r\n"
+				       "Keep-Alive: timeout=%" PRIu32
+				       "\r\n\r\n",
+				       idle_s);
+}
+
 GString *http_json_text(uint32_t status, const char *json, enum outcome outcome,
-			const char *retry_after, bool with_body, bool close)
+			const char *retry_after, bool with_body,
+			uint32_t idle_s)
 {
 	GString *text = g_string_new(NULL);
 
@@ -158,8 +172,7 @@
 	if (retry_after)
 		g_string_append_printf(text, "Retry-After: %s\r\n",
 				       retry_after);
-	g_string_append_printf(text, "Connection: %s\r\n\r\n",
-			       close ? "close" : "keep-alive");
+	add_connection(text, idle_s);
 	if (with_body)
 		g_string_append(text, json);
 	return text;
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -112,13 +112,14 @@
  * @head: the answer
  * @framing: how the body goes out
  * @body_bytes: with FRAMING_LENGTH
- * @close: the connection ends after this answer
+ * @idle_s: how long the caller may leave the connection idle; 0 when it ends
+ *	after this answer
  *
  * Return: owned text, ended by the empty line.
  */
 GString *http_answer_text(const struct answer_head *head,
 			  enum http_framing framing, uint64_t body_bytes,
-			  bool close);
+			  uint32_t idle_s);
 
 /**
  * http_json_text() - write an answer of this system's own
@@ -127,12 +128,14 @@
  * @outcome: goes into the outcome field
  * @retry_after: goes into Retry-After unless NULL
  * @with_body: false for HEAD
- * @close: the connection ends after this answer
+ * @idle_s: how long the caller may leave the connection idle; 0 when it ends
+ *	after this answer
  *
  * Return: owned text of the whole answer.
  */
 GString *http_json_text(uint32_t status, const char *json, enum outcome outcome,
-			const char *retry_after, bool with_body, bool close);
+			const char *retry_after, bool with_body,
+			uint32_t idle_s);
 
 /**
  * http_refusal_status() - status for a refusal
--- a/src/duty/caller.c
+++ b/src/duty/caller.c
@@ -11,6 +11,8 @@
 /* A caller that sends ahead is not read from beyond this. */
 #define UNREAD_MAX_BYTES 65536
 #define LINGER_MAX_US (500 * US_PER_MS)
+/* A caller is told that its connection may be idle for this much less. */
+#define IDLE_MARGIN_S UINT32_C(1)
 
 static void read_socket(struct caller *caller);
 static void take_what_came(struct caller *caller);
@@ -136,6 +138,16 @@
 	}
 }
 
+uint32_t caller_idle_s(const struct caller *caller)
+{
+	uint32_t idle_s =
+		caller->links->settings->idle_max_ms / (uint32_t)MS_PER_S;
+
+	if (caller->close)
+		return 0;
+	return idle_s > IDLE_MARGIN_S ? idle_s - IDLE_MARGIN_S : 1;
+}
+
 void caller_enter(struct caller *caller, enum caller_state state,
 		  uint64_t deadline_us)
 {
--- a/src/duty/caller.h
+++ b/src/duty/caller.h
@@ -155,6 +155,16 @@
  */
 void caller_cancel(struct caller *caller);
 
+/**
+ * caller_idle_s() - what the caller is told of its connection
+ * @caller: the caller
+ *
+ * It is told less than it gets, for a request takes its time to come here.
+ *
+ * Return: whole seconds it may be idle after this answer; 0 when it is closed.
+ */
+uint32_t caller_idle_s(const struct caller *caller);
+
 /**
  * caller_enter() - go to a state
  * @caller: the connection
--- a/src/duty/caller_answer.c
+++ b/src/duty/caller_answer.c
@@ -40,7 +40,7 @@
 	GString *text = http_json_text(
 		status, json, refusal->outcome,
 		http_retry_after(settings, refusal, clock_now().unix_ms, retry),
-		!caller->head_only, caller->close);
+		!caller->head_only, caller_idle_s(caller));
 
 	caller_finish(caller, text);
 	g_string_free(text, TRUE);
@@ -133,7 +133,7 @@
 
 	caller->framing = framing_for(caller, head);
 	text = http_answer_text(head, caller->framing, head->body_bytes,
-				caller->close);
+				caller_idle_s(caller));
 	append_text(caller, text);
 	g_string_free(text, TRUE);
 	answer_head_free(head);
--- a/src/duty/caller_request.c
+++ b/src/duty/caller_request.c
@@ -55,7 +55,7 @@
 	}
 	json = entries_to_json(&caller->service, &reply.entries);
 	text = http_json_text(200, json, OUTCOME_COMPLETE, NULL, true,
-			      caller->close);
+			      caller_idle_s(caller));
 	caller_finish(caller, text);
 	g_string_free(text, TRUE);
 	g_free(json);
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -389,24 +389,29 @@
 const struct text_case text_cases[] = {
 	{ "whole", "GET /whole HTTP/1.1\r\nHost: h\r\n\r\n",
 	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
-	  "Content-Length: 5\r\nConnection: keep-alive\r\n\r\nwhole" },
+	  "Content-Length: 5\r\nConnection: keep-alive\r\n"
+	  "Keep-Alive: timeout=19\r\n\r\nwhole" },
 	{ "chunked", "GET /chunked HTTP/1.1\r\nHost: h\r\n\r\n",
 	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
-	  "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n\r\n"
+	  "Transfer-Encoding: chunked\r\nConnection: keep-alive\r\n"
+	  "Keep-Alive: timeout=19\r\n\r\n"
 	  "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n" },
 	{ "HEAD", "HEAD /head HTTP/1.1\r\nHost: h\r\n\r\n",
 	  "HTTP/1.1 200 OK\r\nX-Own: 1\r\nNutmegcrank-Outcome: complete\r\n"
-	  "Content-Length: 7\r\nConnection: keep-alive\r\n\r\n" },
+	  "Content-Length: 7\r\nConnection: keep-alive\r\n"
+	  "Keep-Alive: timeout=19\r\n\r\n" },
 	{ "HEAD of a refusal", "HEAD /queue HTTP/1.1\r\nHost: h\r\n\r\n",
 	  "HTTP/1.1 503 Service Unavailable\r\n"
 	  "Content-Type: application/json\r\nCache-Control: no-store\r\n"
 	  "Content-Length: 42\r\nNutmegcrank-Outcome: not-run\r\n"
-	  "Connection: keep-alive\r\n\r\n" },
+	  "Connection: keep-alive\r\n"
+	  "Keep-Alive: timeout=19\r\n\r\n" },
 	{ "refusal", "GET /queue HTTP/1.1\r\nHost: h\r\n\r\n",
 	  "HTTP/1.1 503 Service Unavailable\r\n"
 	  "Content-Type: application/json\r\nCache-Control: no-store\r\n"
 	  "Content-Length: 42\r\nNutmegcrank-Outcome: not-run\r\n"
-	  "Connection: keep-alive\r\n\r\n"
+	  "Connection: keep-alive\r\n"
+	  "Keep-Alive: timeout=19\r\n\r\n"
 	  "{\"error\":\"queue_full\",\"outcome\":\"not-run\"}" },
 };
 
