--- a/Makefile
+++ b/Makefile
@@ -76,6 +76,14 @@
 	$(MAKE) -s -j$$(nproc) all
 	sh test/faults.sh $(BUILD)
 
+# make soak FIRST=100 COUNT=50: seeds of the soak beyond those of every check
+FIRST ?= 100
+COUNT ?= 50
+soak: deps
+	$(MAKE) -s -j$$(nproc) all
+	NUTMEGCRANK_SOAK="$(FIRST) $(COUNT)" $(PROCESS) \
+		--gtest_filter=SoakTest.DrawnSeeds
+
 demo: deps
 	$(MAKE) -s -j$$(nproc) all
 	sh test/demo.sh $(BUILD)
@@ -112,4 +120,4 @@
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
 
-.PHONY: all install deps check demo faults bench clean format lint
+.PHONY: all install deps check demo faults soak bench clean format lint
