--- a/src/core/health.h
+++ b/src/core/health.h
@@ -75,7 +75,6 @@
  * @failed_in_row: failed or hanging work since it was last trusted
  * @proved_us: when the latest work was given to it that went well
  * @ok_in_row: whole answers since the last such work
- * @unreached: the latest work found no way to it
  * @caution_until_us: no new work before this while others have room
  * @trial_until_us: until then work that may be repeated goes there first
  * @buckets: own evidence, a circle
@@ -88,6 +87,7 @@
  * @trickle_ok: whole answers in time in a row while in HEALTH_TRICKLE
  * @trickle_slow: slow answers while in HEALTH_TRICKLE
  * @ramp_permille: open part of its slots while in HEALTH_RAMP
+ * @unreached: the latest work found no way to it
  * @out: sick and not yet fully readmitted; does not count as capacity
  * @charged: this home's part of the ejection budget pays for @out
  * @charge_ends_us: a charge given back still binds the budget until then, for
@@ -112,7 +112,6 @@
 	uint32_t failed_in_row;
 	uint32_t ok_in_row;
 	uint64_t proved_us;
-	bool unreached;
 	uint64_t caution_until_us;
 	uint64_t trial_until_us;
 	struct health_bucket buckets[HEALTH_BUCKETS];
@@ -126,6 +125,7 @@
 	uint32_t trickle_ok;
 	uint32_t trickle_slow;
 	uint32_t ramp_permille;
+	bool unreached;
 	bool out;
 	bool charged;
 	uint64_t charge_ends_us;
