Test: callers read their answers whole before they leave

The test took the first bytes of an answer for all of it and closed its connection; the front then closes the ring of that request, and the scripted dispatch could not push the parts that were left.

Change: the tests read an answer whole and wait until its last part was pushed; what they expect of it is as before.

--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -169,6 +169,7 @@
 				EXPECT_EQ(ring_push_reserved(request->answer,
 							     &part),
 					  RING_OK);
+			answered_++;
 		}
 		command_clear(command);
 	}
@@ -209,16 +210,33 @@
 		return text;
 	}
 
-	static std::string read_some(int fd)
+	/*
+	 * Reads up to the end of an answer to @get_line, or for 2 s. Its last
+	 * part may still be on its way inside then, and is waited for: a caller
+	 * that leaves sooner closes the ring it goes to.
+	 */
+	std::string read_whole(int fd) const
 	{
+		const std::string body = "\r\n\r\nwhole";
 		struct pollfd poll_fd = { fd, POLLIN, 0 };
+		std::string text;
+		uint32_t admitted;
 		char bytes[4096];
 		ssize_t n;
 
-		if (poll(&poll_fd, 1, 2000) <= 0)
-			return "";
-		n = recv(fd, bytes, sizeof(bytes), 0);
-		return std::string(bytes, n > 0 ? (size_t)n : 0);
+		while (text.find(body) == std::string::npos &&
+		       poll(&poll_fd, 1, 2000) > 0) {
+			n = recv(fd, bytes, sizeof(bytes), 0);
+			if (n <= 0)
+				break;
+			text.append(bytes, (size_t)n);
+		}
+		/* Others may be admitted meanwhile. */
+		admitted = admits_;
+		for (int i = 0; i < 2000 && answered_ < admitted; i++)
+			g_usleep(1000);
+		EXPECT_GE(answered_, admitted);
+		return text;
 	}
 	void answer_late()
 	{
@@ -235,6 +253,7 @@
 	struct front_duty *front_ = nullptr;
 	std::thread thread_;
 	std::atomic<uint32_t> admits_{ 0 };
+	std::atomic<uint32_t> answered_{ 0 };
 	std::atomic<uint32_t> cancels_{ 0 };
 	std::atomic<struct request *> late_{ nullptr };
 };
@@ -527,12 +546,12 @@
 		send_text(fds.back(), get_line + "\r\n");
 	}
 	for (int fd : fds) {
-		EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+		EXPECT_EQ(read_whole(fd).substr(0, 12), "HTTP/1.1 200");
 	}
 	EXPECT_EQ(own_threads(), before);
 	begun_us = clock_now_us();
 	send_text(fds[0], get_line + "\r\n");
-	EXPECT_EQ(read_some(fds[0]).substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(read_whole(fds[0]).substr(0, 12), "HTTP/1.1 200");
 	EXPECT_LT(clock_now_us(), begun_us + 500 * US_PER_MS);
 	for (int fd : fds) {
 		EXPECT_EQ(read_all(fd, 0, &closed), "");
@@ -564,7 +583,7 @@
 	EXPECT_LE(kept, connections_max * 3 / 4);
 	fd = connect_caller();
 	send_text(fd, get_line + "\r\n");
-	EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(read_whole(fd).substr(0, 12), "HTTP/1.1 200");
 	close(fd);
 	for (int each : fds)
 		close(each);
@@ -582,7 +601,7 @@
 	EXPECT_FALSE(closed);
 	EXPECT_EQ(answer.size() - answer.find("\r\n\r\n") - 4, large_bytes);
 	send_text(fd, get_line + "\r\n");
-	EXPECT_EQ(read_some(fd).substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(read_whole(fd).substr(0, 12), "HTTP/1.1 200");
 	close(fd);
 }
 
@@ -610,7 +629,7 @@
 	EXPECT_EQ(read_all(fd, 1000, &closed), "");
 	EXPECT_TRUE(closed);
 	send_text(other_fd, get_line + "\r\n");
-	EXPECT_EQ(read_some(other_fd).substr(0, 12), "HTTP/1.1 200");
+	EXPECT_EQ(read_whole(other_fd).substr(0, 12), "HTTP/1.1 200");
 	close(fd);
 	close(other_fd);
 }
