Test: messages are compared without the padding of temporaries

Cause: PeerRpc.MessageComesBackAsItWas failed once under the address sanitizer (case digest): whole messages are compared byte by byte, and entries were filled by copying temporaries, whose padding is whatever was on the stack.

Change: entries are filled field by field in zeroed messages, addresses come with zeroed padding. The comparison is as before.

--- a/test/unit/peer_rpc_test.cc
+++ b/test/unit/peer_rpc_test.cc
@@ -13,7 +13,13 @@
 
 net_addr addr(uint32_t ip, uint16_t port)
 {
-	return net_addr{ ip, port };
+	net_addr out;
+
+	/* Whole messages are compared, so padding is zero as well. */
+	memset(&out, 0, sizeof(out));
+	out.ip = ip;
+	out.port = port;
+	return out;
 }
 
 name named(const char *text)
@@ -54,14 +60,16 @@
 
 	message.status = MEMBER_LEAVING;
 	message.rumour_count = PEER_RUMOURS_MAX;
-	for (uint32_t i = 0; i < PEER_RUMOURS_MAX; i++)
-		message.rumours[i] = { addr(0x7f000100 + i, 1),
-				       addr(0x7f000100 + i, 2),
-				       named("b"),
-				       i,
-				       (member_status)(i % 4),
-				       i * 100,
-				       i % 2 == 0 };
+	/* Field by field: a copied temporary brings padding of its own. */
+	for (uint32_t i = 0; i < PEER_RUMOURS_MAX; i++) {
+		message.rumours[i].peer = addr(0x7f000100 + i, 1);
+		message.rumours[i].caller = addr(0x7f000100 + i, 2);
+		message.rumours[i].domain = named("b");
+		message.rumours[i].incarnation = i;
+		message.rumours[i].status = (member_status)(i % 4);
+		message.rumours[i].cpu_permille = i * 100;
+		message.rumours[i].aside = i % 2 == 0;
+	}
 	message.offer_count = PEER_OFFERS_MAX;
 	for (uint32_t i = 0; i < PEER_OFFERS_MAX; i++)
 		message.offers[i] = { named("gallery"), i + 1, UINT64_MAX - i };
@@ -77,16 +85,19 @@
 	message.digest.load_permille = 1000;
 	message.digest.queue_requests = 12;
 	message.digest.entry_count = PEER_DIGEST_ENTRIES_MAX;
-	for (uint32_t i = 0; i < PEER_DIGEST_ENTRIES_MAX; i++)
-		message.digest.entries[i] = { addr(0x7f000200 + i, 9001),
-					      i,
-					      i * 2,
-					      i * 3,
-					      i % 2 == 0,
-					      i % 3 == 0,
-					      i % 5 == 0,
-					      i % 7 == 0,
-					      i % 11 == 0 };
+	for (uint32_t i = 0; i < PEER_DIGEST_ENTRIES_MAX; i++) {
+		digest_entry &entry = message.digest.entries[i];
+
+		entry.backend = addr(0x7f000200 + i, 9001);
+		entry.ok_requests = i;
+		entry.failed_requests = i * 2;
+		entry.slow_requests = i * 3;
+		entry.ejected = i % 2 == 0;
+		entry.charged = i % 3 == 0;
+		entry.draining = i % 5 == 0;
+		entry.cold = i % 7 == 0;
+		entry.avoided = i % 11 == 0;
+	}
 	return message;
 }
 
