Read-through: one way to cut an instance off its peers, comments true

The soak had written again what the fault matrix has; both use fleet::order_peers() now. The announcement is no longer of planned stops alone, and retry.c says what becomes of less than a thousandth. No product behaviour changes.

--- a/src/command/member_spread.h
+++ b/src/command/member_spread.h
@@ -36,7 +36,7 @@
 void member_announce_offers(struct state *state, struct event_list *out);
 
 /**
- * member_announce_tick() - repeat the announcement of a planned stop
+ * member_announce_tick() - repeat what was announced of this instance
  * @state: the state
  * @now: the time
  * @out: gets datagrams
--- a/src/command/retry.c
+++ b/src/command/retry.c
@@ -67,7 +67,7 @@
 	}
 	since_us = MIN(since_us, window_us);
 	due_permille = coming_permille * since_us / window_us;
-	/* Whole thousandths only, so that nothing is lost in small steps. */
+	/* Less than a thousandth waits for a later call; the rest of one is lost. */
 	if (due_permille == 0)
 		return;
 	service->retry_filled_us = now.mono_us;
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -129,7 +129,7 @@
  * @config_digest: hash over all documents held
  * @list_pulls: pulls of whole lists in a row that ended no difference
  * @list_pull_due_us: no pull of a whole list before this
- * @announces_left: how often the planned stop is still announced
+ * @announces_left: how often what changed here is still announced
  * @announce_due_us: when it is announced next
  */
 struct membership {
--- a/test/process/fault_matrix_test.cc
+++ b/test/process/fault_matrix_test.cc
@@ -40,7 +40,6 @@
 	void begin_step();
 	void end_step();
 	void apply(enum fault_kind fault, bool on);
-	void order_peers(uint32_t instance, const char *to, const char *from);
 	uint32_t faulty_instance() const;
 	bool ejected(uint32_t backend) const;
 	void check();
@@ -346,16 +345,17 @@
 			backend, on ? "drop_down" : "pass", 0, source));
 		return;
 	case FAULT_CUT_TO_PEERS:
-		order_peers(faulty_instance(), on ? "drop_both" : "pass",
-			    "pass");
+		ASSERT_TRUE(system->order_peers(
+			faulty_instance(), on ? "drop_both" : "pass", "pass"));
 		return;
 	case FAULT_CUT_FROM_PEERS:
-		order_peers(faulty_instance(), "pass",
-			    on ? "drop_both" : "pass");
+		ASSERT_TRUE(system->order_peers(faulty_instance(), "pass",
+						on ? "drop_both" : "pass"));
 		return;
 	case FAULT_PARTITION:
-		order_peers(faulty_instance(), on ? "drop_both" : "pass",
-			    on ? "drop_both" : "pass");
+		ASSERT_TRUE(system->order_peers(faulty_instance(),
+						on ? "drop_both" : "pass",
+						on ? "drop_both" : "pass"));
 		return;
 	case FAULT_SILENT_CONNECTIONS:
 		if (on) {
@@ -395,22 +395,6 @@
 	ASSERT_TRUE(system->backends.order(FAULTY_BACKEND, on ? order : WELL));
 }
 
-/* What others send to an instance, and what it sends to others. */
-void FaultMatrix::order_peers(uint32_t instance, const char *to,
-			      const char *from)
-{
-	std::string own = "peer" + std::to_string(instance);
-
-	ASSERT_TRUE(system->faults->order(own, to));
-	for (uint32_t i = 0; i < system->instance_count(); i++) {
-		if (i == instance)
-			continue;
-		ASSERT_TRUE(system->faults->order("peer" + std::to_string(i),
-						  from, 0,
-						  system->ip(instance)));
-	}
-}
-
 /* The instance that the step is about, so that the fault hits the step. */
 uint32_t FaultMatrix::faulty_instance() const
 {
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -123,6 +123,19 @@
 			[&url] { return http_get(url).status == 200; });
 }
 
+bool fleet::order_peers(uint32_t index, const std::string &to,
+			const std::string &from)
+{
+	bool done = faults->order("peer" + std::to_string(index), to);
+
+	for (uint32_t i = 0; i < places.size(); i++) {
+		if (i != index)
+			done &= faults->order("peer" + std::to_string(i), from,
+					      0, ip(index));
+	}
+	return done;
+}
+
 child &fleet::instance(uint32_t index)
 {
 	return *places[index].process;
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -85,6 +85,13 @@
 	std::string operator_addr(uint32_t index) const;
 	uint32_t instance_count() const;
 
+	/*
+	 * Orders of the proxy for what others send to an instance, and for what
+	 * it sends to others.
+	 */
+	bool order_peers(uint32_t index, const std::string &to,
+			 const std::string &from);
+
 	/* Publishes the next version of the document; returns it. */
 	uint64_t publish();
 	/* Publishes the document as it is now with a version of choice. */
--- a/test/process/soak_test.cc
+++ b/test/process/soak_test.cc
@@ -96,7 +96,6 @@
     private:
 	void begin(const struct soak_event &event);
 	void end(const struct soak_event &event);
-	void order_peers(uint32_t instance, const char *kind);
 	void restart(uint32_t instance);
 	void check();
 	void check_stops(const std::vector<struct call_record> &records);
@@ -192,7 +191,8 @@
 		system.instance(event.instance).signal(SIGSTOP);
 		return;
 	case SOAK_PARTITION:
-		order_peers(event.instance, "drop_both");
+		EXPECT_TRUE(system.order_peers(event.instance, "drop_both",
+					       "drop_both"));
 		return;
 	case SOAK_CUT_UP:
 		EXPECT_TRUE(
@@ -245,7 +245,7 @@
 		system.instance(event.instance).signal(SIGCONT);
 		return;
 	case SOAK_PARTITION:
-		order_peers(event.instance, "pass");
+		EXPECT_TRUE(system.order_peers(event.instance, "pass", "pass"));
 		return;
 	case SOAK_CUT_UP:
 	case SOAK_CUT_DOWN:
@@ -268,19 +268,6 @@
 	}
 }
 
-/* What others send to an instance, and what it sends to others. */
-void Soak::order_peers(uint32_t instance, const char *kind)
-{
-	EXPECT_TRUE(
-		system.faults->order("peer" + std::to_string(instance), kind));
-	for (uint32_t i = 0; i < system.instance_count(); i++) {
-		if (i == instance)
-			continue;
-		EXPECT_TRUE(system.faults->order("peer" + std::to_string(i),
-						 kind, 0, system.ip(instance)));
-	}
-}
-
 void Soak::restart(uint32_t instance)
 {
 	watch.restarted(instance);
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -318,7 +318,7 @@
 	const char *caller_domain;
 	bool leaving;
 	bool stepped_back;
-	bool cut_off;
+	bool aside;
 	enum member_status other;
 	uint32_t entries;
 	const char *first_domain;
@@ -353,7 +353,7 @@
 			->status = c.other;
 		world.state->leaving = c.leaving;
 		world.state->stepped_back = c.stepped_back;
-		world.state->membership.self.aside = c.cut_off;
+		world.state->membership.self.aside = c.aside;
 		struct query query = {};
 		query.kind = QUERY_ENTRIES;
 		name_set(&query.service, "s");
