Logs tell how long a chosen request waits for its send, and how long a server was closed

Three hypotheses of the incident could not be told apart from the logs: a grant that waits in the exchange duty, a late choice, late knowledge. A line 'ended' now has the time from choice to send and how long the backend server was known to want no new work by then; metrics count such sends and the wait of messages before the dispatch duty, and a wait of half a second is logged, once a second at most.

--- a/src/codec/metrics_text.c
+++ b/src/codec/metrics_text.c
@@ -13,6 +13,7 @@
  * @METRIC_CAUSES: early refusals of struct metrics_report
  * @METRIC_COUNTER: a uint64_t of struct metrics_report
  * @METRIC_GAUGE: a uint32_t of struct metrics_report
+ * @METRIC_HISTOGRAM: a struct histogram of struct metrics_report
  */
 enum metric_kind {
 	METRIC_CLASS_COUNTER,
@@ -25,6 +26,7 @@
 	METRIC_CAUSES,
 	METRIC_COUNTER,
 	METRIC_GAUGE,
+	METRIC_HISTOGRAM,
 };
 
 /**
@@ -56,6 +58,9 @@
 	  IN_CLASS(queue_us) },
 	{ "slot_seconds", "Time on a slot of a backend server.",
 	  METRIC_CLASS_HISTOGRAM, IN_CLASS(slot_us) },
+	{ "unsent_seconds",
+	  "Time from the choice of a backend server to the send.",
+	  METRIC_CLASS_HISTOGRAM, IN_CLASS(unsent_us) },
 	{ "retries_total", "Exchanges repeated on another backend server.",
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.retries) },
 	{ "retries_denied_total",
@@ -70,6 +75,9 @@
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.leases_asked) },
 	{ "leased_slots_total", "Slots borrowed of other instances.",
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.leased_slots) },
+	{ "sent_closed_requests_total",
+	  "Requests sent to a backend server known to want no new work.",
+	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.sent_closed_requests) },
 	{ "config_version", "Version of the service's document in force.",
 	  METRIC_SERVICE_VERSION, IN_SERVICE(version) },
 	{ "waiting_requests", "Requests in the queues now.",
@@ -82,6 +90,9 @@
 	{ "dispatch_ring_refused_total",
 	  "Messages refused because the dispatch ring was full.",
 	  METRIC_COUNTER, IN_REPORT(dispatch_ring_refused) },
+	{ "dispatch_wait_seconds",
+	  "Time that messages waited for the dispatch duty.", METRIC_HISTOGRAM,
+	  IN_REPORT(dispatch_wait_us) },
 	{ "audit_records_total", "Changes of state recorded.", METRIC_COUNTER,
 	  IN_REPORT(audit_records) },
 	{ "instances_alive", "Other instances believed alive.", METRIC_GAUGE,
@@ -151,6 +162,9 @@
 	case METRIC_GAUGE:
 		write_line(out, metric, "", "", *(const uint32_t *)at);
 		break;
+	case METRIC_HISTOGRAM:
+		write_histogram(out, metric, "", (const struct histogram *)at);
+		break;
 	}
 }
 
@@ -189,6 +203,7 @@
 	case METRIC_CAUSES:
 	case METRIC_COUNTER:
 	case METRIC_GAUGE:
+	case METRIC_HISTOGRAM:
 		return;
 	}
 }
@@ -219,6 +234,7 @@
 	case METRIC_CAUSES:
 	case METRIC_COUNTER:
 	case METRIC_GAUGE:
+	case METRIC_HISTOGRAM:
 		return;
 	}
 }
@@ -266,7 +282,7 @@
 	for (i = 0; i < HISTOGRAM_BUCKETS; i++) {
 		total += histogram->count[i];
 		all = g_string_new(labels);
-		g_string_append(all, ",le=\"");
+		g_string_append(all, *labels ? ",le=\"" : "le=\"");
 		if (i + 1 < HISTOGRAM_BUCKETS)
 			append_seconds(all, histogram_bound_us(i));
 		else
@@ -275,8 +291,10 @@
 		write_line(out, metric, "_bucket", all->str, total);
 		g_string_free(all, TRUE);
 	}
-	g_string_append_printf(out, "nutmegcrank_%s_sum{%s} ", metric->name,
-			       labels);
+	g_string_append_printf(out, "nutmegcrank_%s_sum", metric->name);
+	if (*labels)
+		g_string_append_printf(out, "{%s}", labels);
+	g_string_append_c(out, ' ');
 	append_seconds(out, histogram->sum_us);
 	g_string_append_c(out, '\n');
 	write_line(out, metric, "_count", labels, total);
@@ -302,6 +320,7 @@
 	case METRIC_COUNTER:
 		return "counter";
 	case METRIC_CLASS_HISTOGRAM:
+	case METRIC_HISTOGRAM:
 		return "histogram";
 	case METRIC_SERVICE_VERSION:
 	case METRIC_SERVICE_GAUGE:
--- a/src/codec/trace_text.c
+++ b/src/codec/trace_text.c
@@ -64,6 +64,8 @@
 	json_add_flag(out, "sent", ended->sent);
 	json_add_number(out, "status", ended->status);
 	json_add_number(out, "service_us", ended->service_us);
+	json_add_number(out, "unsent_us", ended->unsent_us);
+	json_add_number(out, "closed_us", ended->closed_us);
 	json_add_text(out, "next", trace_follow_text(ended->follow));
 }
 
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -5,6 +5,7 @@
 #include "command/schedule.h"
 #include "command/ticket.h"
 #include "command/trace.h"
+#include "query/health.h"
 
 /* A mean moves by this part of the distance to a new value. */
 #define MEAN_SHARE 8
@@ -80,11 +81,18 @@
 static void learn(struct service *service, const struct ticket *ticket,
 		  const struct evidence *evidence, struct instant now)
 {
+	struct class_counters *counters =
+		&service->counters.classes[ticket->class_index];
 	uint64_t slot_us = now.mono_us - ticket->granted_us;
 	int64_t distance_us;
 
-	histogram_add(&service->counters.classes[ticket->class_index].slot_us,
-		      slot_us);
+	histogram_add(&counters->slot_us, slot_us);
+	if (evidence->request_sent)
+		histogram_add(&counters->unsent_us,
+			      ticket_unsent_us(ticket, evidence));
+	if (backend_sent_closed_us(&service->backends[ticket->backend_index],
+				   evidence) > 0)
+		service->counters.sent_closed_requests++;
 	if (evidence->kind != EVIDENCE_OK)
 		return;
 	if (service->mean_service_us == 0) {
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -28,6 +28,7 @@
 static void observe_trickle(struct health_change *change, enum work_end end);
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
+static void note_closed(struct backend *backend, struct instant now);
 static void observe_cold(struct health_change *change, bool cold);
 static struct health_view *view_of(struct health *health, struct net_addr home,
 				   struct instant now);
@@ -137,6 +138,7 @@
 		change.backend = backend;
 		if (known && !known[i])
 			health_ramp(&change, CAUSE_COLD_START);
+		note_closed(backend, now);
 		if (backend->drain_document && !backend->health.drain_audited) {
 			backend->health.drain_audited = true;
 			health_audit(&change, AUDIT_DRAIN_BEGUN,
@@ -202,6 +204,7 @@
 
 	backend->drain_seen_until_us =
 		MAX(backend->drain_seen_until_us, until_us);
+	note_closed(backend, change->now);
 	if (backend->health.drain_audited)
 		return;
 	backend->health.drain_audited = true;
@@ -210,6 +213,14 @@
 	health_audit(change, AUDIT_DRAIN_BEGUN, cause);
 }
 
+static void note_closed(struct backend *backend, struct instant now)
+{
+	if (!backend_draining(backend, now))
+		backend->closed_us = 0;
+	else if (backend->closed_us == 0)
+		backend->closed_us = now.mono_us;
+}
+
 static void observe_cold(struct health_change *change, bool cold)
 {
 	change->backend->cold = cold;
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -122,6 +122,14 @@
 	ticket_free(state, index);
 }
 
+uint64_t ticket_unsent_us(const struct ticket *ticket,
+			  const struct evidence *evidence)
+{
+	if (!evidence->request_sent || evidence->sent_us < ticket->granted_us)
+		return 0;
+	return evidence->sent_us - ticket->granted_us;
+}
+
 uint64_t ticket_typical_us(const struct ticket *ticket)
 {
 	return ticket->service->route_typical_us[ticket->route_index];
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -98,6 +98,17 @@
  */
 bool ticket_in_time(const struct ticket *ticket, struct instant now);
 
+/**
+ * ticket_unsent_us() - how long its request waited for the send
+ * @ticket: a running ticket
+ * @evidence: end of its exchange
+ *
+ * Return: time from the choice of the backend server to the send; 0 when
+ * nothing was sent.
+ */
+uint64_t ticket_unsent_us(const struct ticket *ticket,
+			  const struct evidence *evidence);
+
 /**
  * ticket_typical_us() - time its work usually takes on a slot
  * @ticket: the ticket
--- a/src/command/trace.c
+++ b/src/command/trace.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#include "command/ticket.h"
+#include "query/health.h"
+
 static void begin(const struct state *state, const struct ticket *ticket,
 		  const struct request *request, struct instant now,
 		  struct trace_record *record);
@@ -42,6 +45,8 @@
 	record.ended.sent = evidence->request_sent;
 	record.ended.status = evidence->status;
 	record.ended.service_us = evidence->service_us;
+	record.ended.unsent_us = ticket_unsent_us(ticket, evidence);
+	record.ended.closed_us = backend_sent_closed_us(backend, evidence);
 	record.ended.follow = follow;
 	append(state, &record, out);
 }
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -1,5 +1,6 @@
 #include "core/command.h"
 
+#include "core/clock.h"
 #include "core/report.h"
 
 struct query_port *query_port_new(void)
@@ -95,6 +96,7 @@
 {
 	struct message message = {
 		.kind = MESSAGE_COMMAND,
+		.pushed_us = clock_now_us(),
 		.command = *command,
 	};
 
@@ -121,7 +123,11 @@
 enum ring_result send_query(struct ring *dispatch, const struct query *query,
 			    struct query_port *port)
 {
-	struct message message = { .kind = MESSAGE_QUERY, .query = *query };
+	struct message message = {
+		.kind = MESSAGE_QUERY,
+		.pushed_us = clock_now_us(),
+		.query = *query,
+	};
 	enum ring_result result;
 
 	message.query.reply = query_port_ref(port);
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -318,11 +318,13 @@
 /**
  * struct message - item of the dispatch ring
  * @kind: which member of the union holds
+ * @pushed_us: since when it waits for the dispatch duty
  * @command: with MESSAGE_COMMAND
  * @query: with MESSAGE_QUERY
  */
 struct message {
 	enum message_kind kind;
+	uint64_t pushed_us;
 	union {
 		struct command command;
 		struct query query;
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -45,6 +45,7 @@
  * @draining: the answer had the service's drain marker
  * @status: HTTP status, 0 when there was none
  * @service_us: time from send to the end of the answer
+ * @sent_us: when the request began to go out, 0 when it did not
  */
 struct evidence {
 	enum evidence_kind kind;
@@ -53,6 +54,7 @@
 	bool draining;
 	uint32_t status;
 	uint64_t service_us;
+	uint64_t sent_us;
 };
 
 /**
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -26,6 +26,7 @@
  * @outcome_requests: by outcome, refusals included
  * @queue_us: time in the queue
  * @slot_us: time on a slot
+ * @unsent_us: time from the choice of a backend server to the send
  */
 struct class_counters {
 	uint64_t admitted_requests;
@@ -33,6 +34,7 @@
 	uint64_t outcome_requests[3];
 	struct histogram queue_us;
 	struct histogram slot_us;
+	struct histogram unsent_us;
 };
 
 /**
@@ -44,6 +46,8 @@
  * @ejections_withheld: not taken out because of the floor
  * @leases_asked: wishes sent to other homes
  * @leased_slots: slots borrowed so far
+ * @sent_closed_requests: requests sent to a backend server that was known to
+ *	want no new work
  */
 struct service_counters {
 	struct class_counters classes[DOC_CLASSES_MAX];
@@ -53,6 +57,7 @@
 	uint64_t ejections_withheld;
 	uint64_t leases_asked;
 	uint64_t leased_slots;
+	uint64_t sent_closed_requests;
 };
 
 /**
--- a/src/core/report.h
+++ b/src/core/report.h
@@ -102,6 +102,7 @@
 	uint32_t service_count;
 	uint64_t refused_early[REFUSAL_COUNT];
 	uint64_t dispatch_ring_refused;
+	struct histogram dispatch_wait_us;
 	uint32_t members_alive;
 	uint32_t members_suspect;
 	uint32_t members_dead;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -137,6 +137,7 @@
  * @in_use_long_slots: own slots in use by long work
  * @drain_document: the document says that it drains
  * @drain_seen_until_us: its answers or load report said so; 0 when not
+ * @closed_us: since when it shall get no new work, 0 while it may
  * @cold: its load report or its document says so
  * @health: its health
  */
@@ -157,6 +158,7 @@
 	uint32_t in_use_long_slots;
 	bool drain_document;
 	uint64_t drain_seen_until_us;
+	uint64_t closed_us;
 	bool cold;
 	struct health health;
 };
--- a/src/core/trace.h
+++ b/src/core/trace.h
@@ -77,6 +77,9 @@
  * @sent: a byte of the request may have gone out
  * @status: HTTP status, 0 for none
  * @service_us: time from send to end
+ * @unsent_us: time from the choice to the send, 0 when nothing was sent
+ * @closed_us: time from when the backend server was known to want no new work
+ *	to the send, 0 when it was sent before
  * @follow: what comes next
  */
 struct trace_end {
@@ -86,6 +89,8 @@
 	bool sent;
 	uint32_t status;
 	uint64_t service_us;
+	uint64_t unsent_us;
+	uint64_t closed_us;
 	enum trace_follow follow;
 };
 
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -8,16 +8,31 @@
 #include <pthread.h>
 
 #define TICK_EVERY_US (50 * US_PER_MS)
+/* A longer wait in the ring is logged, so often at most. */
+#define WAIT_LOGGED_US (500 * US_PER_MS)
+#define WAIT_LOG_EVERY_US (1 * US_PER_S)
 
+/**
+ * struct dispatch_duty - the duty
+ * @ring: ring of struct message
+ * @links: other duties
+ * @state: owned by its thread alone
+ * @wait_us: how long messages waited in the ring
+ * @wait_log_due_us: no wait is logged before this
+ * @thread: its thread
+ */
 struct dispatch_duty {
 	struct ring *ring;
 	struct dispatch_links links;
 	struct state *state;
+	struct histogram wait_us;
+	uint64_t wait_log_due_us;
 	pthread_t thread;
 };
 
 static void *dispatch_thread(void *data);
 static void take_message(struct dispatch_duty *duty, struct message *message);
+static void note_wait(struct dispatch_duty *duty, uint64_t pushed_us);
 static void apply(struct dispatch_duty *duty, struct command *command);
 static void answer(struct dispatch_duty *duty, struct query *query);
 static void record_start(struct dispatch_duty *duty);
@@ -83,6 +98,7 @@
 
 static void take_message(struct dispatch_duty *duty, struct message *message)
 {
+	note_wait(duty, message->pushed_us);
 	switch (message->kind) {
 	case MESSAGE_COMMAND:
 		apply(duty, &message->command);
@@ -93,6 +109,20 @@
 	}
 }
 
+static void note_wait(struct dispatch_duty *duty, uint64_t pushed_us)
+{
+	uint64_t now_us = clock_now_us();
+	uint64_t wait_us = now_us - pushed_us;
+
+	histogram_add(&duty->wait_us, wait_us);
+	if (wait_us < WAIT_LOGGED_US || now_us < duty->wait_log_due_us)
+		return;
+	duty->wait_log_due_us = now_us + WAIT_LOG_EVERY_US;
+	g_message("dispatch: a message waited %" G_GUINT64_FORMAT
+		  " ms in its ring, %u wait behind it",
+		  wait_us / US_PER_MS, ring_length(duty->ring));
+}
+
 static void apply(struct dispatch_duty *duty, struct command *command)
 {
 	struct event_list list;
@@ -107,8 +137,10 @@
 	struct query_reply reply;
 
 	query_answer(duty->state, query, clock_now(), &reply);
-	if (query->kind == QUERY_METRICS)
+	if (query->kind == QUERY_METRICS) {
 		reply.metrics->dispatch_ring_refused = ring_refused(duty->ring);
+		reply.metrics->dispatch_wait_us = duty->wait_us;
+	}
 	/* The port has room for the one reply; an asker that gave up frees it. */
 	if (ring_push(query->reply->ring, &reply) != RING_OK)
 		query_reply_clear(&reply);
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -390,8 +390,10 @@
 		},
 	};
 
-	if (exchange->sent)
+	if (exchange->sent) {
 		finish.evidence.service_us = now_us - exchange->sent_us;
+		finish.evidence.sent_us = exchange->sent_us;
+	}
 	/* Removing an unfinished transfer closes its connection. */
 	curl_multi_remove_handle(duty->multi, exchange->easy);
 	finish.held = transfer_deliver(exchange, &finish.evidence);
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -46,6 +46,15 @@
 	       view_says_draining(backend, now);
 }
 
+uint64_t backend_sent_closed_us(const struct backend *backend,
+				const struct evidence *evidence)
+{
+	if (!evidence->request_sent || backend->closed_us == 0 ||
+	    evidence->sent_us <= backend->closed_us)
+		return 0;
+	return evidence->sent_us - backend->closed_us;
+}
+
 bool backend_cold(const struct backend *backend, struct instant now)
 {
 	const struct health *health = &backend->health;
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -25,6 +25,17 @@
  */
 bool backend_draining(const struct backend *backend, struct instant now);
 
+/**
+ * backend_sent_closed_us() - how long a request went out too late
+ * @backend: the backend server
+ * @evidence: end of an exchange with it
+ *
+ * Return: time from when the backend server was known to want no new work to
+ * the send; 0 when it was sent before that or not at all.
+ */
+uint64_t backend_sent_closed_us(const struct backend *backend,
+				const struct evidence *evidence);
+
 /**
  * backend_cold() - whether it is starting and slow by right
  * @backend: the backend server
--- a/test/unit/trace_test.cc
+++ b/test/unit/trace_test.cc
@@ -110,6 +110,8 @@
 	ended_.ended.kind = EVIDENCE_TIMEOUT;
 	ended_.ended.sent = true;
 	ended_.ended.service_us = 9;
+	ended_.ended.unsent_us = 7;
+	ended_.ended.closed_us = 3;
 	ended_.ended.follow = FOLLOW_RETRY;
 	refused.refused = { REFUSAL_SHED, OUTCOME_NOT_RUN, 150 };
 	const struct {
@@ -127,7 +129,7 @@
 		  head + R"("ended",)" + common +
 			  R"("backend":"10.0.0.1:80","evidence":"timeout",)"
 			  R"("sent":true,"status":0,"service_us":9,)"
-			  R"("next":"retry"})" },
+			  R"("unsent_us":7,"closed_us":3,"next":"retry"})" },
 		{ "refused", refused,
 		  head + R"("refused",)" + common +
 			  R"("cause":"shed","outcome":"not-run",)"
