--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -282,7 +282,8 @@
 			std::to_string(backend_ports[i]) +
 			",\"failure_domain\":\"" + domain(i) +
 			"\",\"slots\":" + std::to_string(plan.slots) +
-			",\"connections\":350,\"draining\":" +
+			",\"connections\":" + std::to_string(plan.connections) +
+			",\"draining\":" +
 			(draining.count(i) != 0 ? "true" : "false") + "}";
 	return std::string("{\"service\":\"") + SERVICE +
 	       "\",\"path_prefix\":\"/gallery\",\"backends\":[" + list +
--- a/test/process/fleet.h
+++ b/test/process/fleet.h
@@ -21,6 +21,7 @@
  * @spares: settings only, started by the test
  * @backends: backend servers
  * @slots: of each backend server
+ * @connections: that each backend server takes from the whole fleet
  * @floor_percent: healthy floor
  * @budget_ms: time of a request that names no deadline
  */
@@ -29,6 +30,7 @@
 	uint32_t spares = 0;
 	uint32_t backends = 6;
 	uint32_t slots = 6;
+	uint32_t connections = 350;
 	uint32_t floor_percent = 50;
 	uint32_t budget_ms = 1500;
 };
