A chosen request that was not sent comes back when its server wants no new work

Cause: a grant was final. Between the choice and the send it may wait in the exchange duty's ring, for a connection or for processor time, and nothing asked again.

Why this works: everything that closes a server to new work now takes back the grants to it that were not sent. The flag in the request is read at the send point, the last moment before bytes go out, so how long a grant waited does not matter any more; what waits for a connection is ordered back and chosen anew. RecallTest also found that the exchange which brings the word hid another ticket from the recall, since it was no longer counted but still marked as running: the recall comes after the ticket's end.

--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -11,6 +11,7 @@
 #include "command/lease.h"
 #include "command/member.h"
 #include "command/member_join.h"
+#include "command/recall.h"
 #include "command/schedule.h"
 #include "command/tick.h"
 
@@ -152,4 +153,6 @@
 	if (!backend)
 		return;
 	health_observe_probe(state, service, backend, result, now, out);
+	if (result->draining)
+		recall_unsent(state, service, now, out);
 }
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -1,6 +1,7 @@
 #include "command/finish.h"
 
 #include "command/health.h"
+#include "command/recall.h"
 #include "command/retry.h"
 #include "command/schedule.h"
 #include "command/ticket.h"
@@ -15,7 +16,8 @@
 static void conclude(struct state *state, uint32_t index,
 		     struct finish_command *command, struct instant now,
 		     struct event_list *out);
-static void send_anew(struct state *state, uint32_t index, struct instant now,
+static void send_anew(struct state *state, uint32_t index,
+		      const struct evidence *evidence, struct instant now,
 		      struct event_list *out);
 static void complete(struct state *state, uint32_t index,
 		     struct finish_command *command, struct event_list *out);
@@ -49,6 +51,8 @@
 		       out);
 	schedule_release(state, index);
 	conclude(state, index, command, now, out);
+	if (command->evidence.draining)
+		recall_unsent(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
 
@@ -126,7 +130,7 @@
 	}
 	if (evidence->kind == EVIDENCE_LATE && !ticket->cancelled &&
 	    !evidence->request_sent) {
-		send_anew(state, index, now, out);
+		send_anew(state, index, evidence, now, out);
 		return;
 	}
 	if (may_retry(ticket, evidence, now)) {
@@ -155,18 +159,22 @@
 	ticket_refuse(state, index, refusal, now, out);
 }
 
-/* It was too late to send, as after a pause; the slot's lease may be over. */
-static void send_anew(struct state *state, uint32_t index, struct instant now,
+/* Nothing was sent: too late, as after a pause or a lease's end, or taken back. */
+static void send_anew(struct state *state, uint32_t index,
+		      const struct evidence *evidence, struct instant now,
 		      struct event_list *out)
 {
 	struct ticket *ticket = &state->tickets[index];
+	bool in_time = now.mono_us < ticket->deadline_us;
 	struct refusal refusal = {
 		.cause = REFUSAL_DEADLINE,
 		.outcome = ticket->outcome,
 	};
 
+	trace_end(state, ticket, evidence,
+		  in_time ? FOLLOW_CHOOSE_AGAIN : FOLLOW_REFUSAL, now, out);
 	retry_give_back(ticket);
-	if (now.mono_us < ticket->deadline_us)
+	if (in_time)
 		ticket_enqueue(state, index, now);
 	else
 		ticket_refuse(state, index, refusal, now, out);
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "command/health.h"
+#include "command/recall.h"
 #include "command/ticket.h"
 
 #define INDEX_NONE UINT32_MAX
@@ -81,6 +82,7 @@
 	move_counters(&remap);
 	move_typical(&remap);
 	health_take_document(state, service, remap.known, now, out);
+	recall_unsent(state, service, now, out);
 	g_free(remap.known);
 	g_free(remap.backends);
 	g_free(remap.old);
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -198,6 +198,7 @@
 
 	ticket->state = TICKET_RUNNING;
 	ticket->granted_us = now.mono_us;
+	ticket->recalled = false;
 	ticket->backend_index = pick->backend_index;
 	ticket->borrowed_index = pick->borrowed_index;
 	trace_grant(state, ticket, &pick->choice, now, out);
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -8,6 +8,7 @@
 #include "command/lease.h"
 #include "command/member.h"
 #include "command/patience.h"
+#include "command/recall.h"
 #include "command/schedule.h"
 
 static void tick_service(struct state *state, struct service *service,
@@ -43,6 +44,8 @@
 	home_tick(state, service, now, out);
 	lease_tick(state, service, now, out);
 	health_tick(state, service, now, out);
+	/* Other homes and reports may have spoken against a server since. */
+	recall_unsent(state, service, now, out);
 	overload_tick(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
--- a/src/core/event.c
+++ b/src/core/event.c
@@ -33,6 +33,9 @@
 		request_unref(event->deliver.request);
 		answer_held_free(event->deliver.held);
 		break;
+	case EVENT_RECALL:
+		request_unref(event->recall.request);
+		break;
 	case EVENT_PEER_SEND:
 		g_free(event->peer_send.message);
 		break;
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -17,6 +17,7 @@
 	EVENT_REFUSE,
 	EVENT_DELIVER,
 	EVENT_CANCEL,
+	EVENT_RECALL,
 	EVENT_AUDIT,
 	EVENT_TRACE,
 	EVENT_PEER_SEND,
@@ -76,8 +77,9 @@
  * enum cancel_cause - why an exchange is stopped
  * @CANCEL_CALLER_GONE: nobody waits for its answer
  * @CANCEL_HANGS: it takes much longer than usual and shall be tried elsewhere
+ * @CANCEL_RECALLED: its backend server wants no new work; what was sent goes on
  */
-enum cancel_cause { CANCEL_CALLER_GONE, CANCEL_HANGS };
+enum cancel_cause { CANCEL_CALLER_GONE, CANCEL_HANGS, CANCEL_RECALLED };
 
 /**
  * struct cancel_event - stop an exchange
@@ -89,6 +91,16 @@
 	enum cancel_cause cause;
 };
 
+/**
+ * struct recall_event - take a grant back unless it was sent
+ * @exchange: which
+ * @request: token; carries a reference
+ */
+struct recall_event {
+	struct exchange_id exchange;
+	struct request *request;
+};
+
 /**
  * struct peer_send_event - send a datagram
  * @to: peer address
@@ -161,6 +173,7 @@
 		struct refuse_event refuse;
 		struct deliver_event deliver;
 		struct cancel_event cancel;
+		struct recall_event recall;
 		struct audit_record audit;
 		struct trace_record trace;
 		struct peer_send_event peer_send;
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -129,6 +129,8 @@
  * struct request - one caller's request, shared by reference count
  * @refs: reference count, atomic
  * @caller_gone: set by the front when the caller is known to be gone, atomic
+ * @recalled: set by the dispatch duty when the backend server that was chosen
+ *	must not get the request any more, cleared with each choice, atomic
  * @answer_paused: set by the exchange when it waits for room in @answer, taken
  *	back by whoever sends ORDER_RESUME, atomic
  * @id: as its caller gave it, empty when it gave none
@@ -142,6 +144,7 @@
 struct request {
 	gint refs;
 	gint caller_gone;
+	gint recalled;
 	gint answer_paused;
 	char id[NAME_BYTES_MAX];
 	enum request_method method;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -91,6 +91,7 @@
  * @tried_count: used entries of @tried
  * @outcome: what is known of its earlier tries
  * @cancelled: its caller is gone
+ * @recalled: its grant was taken back unless it was sent
  */
 struct ticket {
 	enum ticket_state state;
@@ -117,6 +118,7 @@
 	uint32_t tried_count;
 	enum outcome outcome;
 	bool cancelled;
+	bool recalled;
 };
 
 /**
--- a/src/core/trace.c
+++ b/src/core/trace.c
@@ -24,6 +24,8 @@
 		return "refusal";
 	case FOLLOW_NOTHING:
 		return "nothing";
+	case FOLLOW_CHOOSE_AGAIN:
+		return "choose_again";
 	}
 	return "";
 }
--- a/src/core/trace.h
+++ b/src/core/trace.h
@@ -25,12 +25,14 @@
  * @FOLLOW_RETRY: another backend server is tried
  * @FOLLOW_REFUSAL: the caller is told what is known
  * @FOLLOW_NOTHING: the caller is gone
+ * @FOLLOW_CHOOSE_AGAIN: nothing was sent; a backend server is chosen again
  */
 enum trace_follow {
 	FOLLOW_ANSWER,
 	FOLLOW_RETRY,
 	FOLLOW_REFUSAL,
 	FOLLOW_NOTHING,
+	FOLLOW_CHOOSE_AGAIN,
 };
 
 /**
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -39,6 +39,7 @@
 static void carry_out(struct dispatch_duty *duty, struct event_list *list);
 static void hand_over(struct dispatch_duty *duty, struct event *event);
 static void hand_exchange(struct dispatch_duty *duty, struct event *event);
+static void recall(struct dispatch_duty *duty, struct event *event);
 static void refuse(struct event *event);
 static void deliver(struct event *event);
 static void check_handed(enum ring_result result, const char *duty_name,
@@ -180,6 +181,9 @@
 	case EVENT_CANCEL:
 		hand_exchange(duty, event);
 		break;
+	case EVENT_RECALL:
+		recall(duty, event);
+		break;
 	case EVENT_REFUSE:
 		refuse(event);
 		break;
@@ -227,6 +231,7 @@
 	struct command command = { .kind = COMMAND_FINISH };
 
 	if (event->kind == EVENT_GRANT) {
+		g_atomic_int_set(&event->grant.request->recalled, 0);
 		order.kind = ORDER_GRANT;
 		order.grant = event->grant;
 	} else {
@@ -244,6 +249,21 @@
 	apply(duty, &command);
 }
 
+/* The send point looks at the flag; the order is for what waits before it. */
+static void recall(struct dispatch_duty *duty, struct event *event)
+{
+	struct exchange_order order = {
+		.kind = ORDER_CANCEL,
+		.cancel = { .exchange = event->recall.exchange,
+			    .cause = CANCEL_RECALLED },
+	};
+
+	g_atomic_int_set(&event->recall.request->recalled, 1);
+	if (exchange_send(duty->links.exchange, &order) != RING_OK)
+		g_warning("dispatch: exchange ring refused a recall");
+	event_clear(event);
+}
+
 static void refuse(struct event *event)
 {
 	struct answer_part part = {
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -7,6 +7,8 @@
 
 #define ORDERS_ROOM 1024
 #define ORDERS_RESERVE_MIN 256
+/* A cancellation, a recall and a resumption. */
+#define REQUEST_RESERVED_ORDERS 3
 #define SPARE_HANDLES_MAX 64
 #define BACKLOG_RETRY_MS 1
 #define WAIT_MAX_MS 1000
@@ -74,7 +76,9 @@
 				     struct ring *dispatch, GError **error)
 {
 	struct exchange_duty *duty;
-	uint32_t reserve = MAX(ORDERS_RESERVE_MIN, 2 * settings->requests_max);
+	uint32_t reserve =
+		MAX(ORDERS_RESERVE_MIN,
+		    REQUEST_RESERVED_ORDERS * settings->requests_max);
 
 	if (curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
 		g_set_error_literal(error, DUTY_ERROR, DUTY_ERROR_LIBRARY,
@@ -229,6 +233,14 @@
 			drop_waiting(duty, key, EVIDENCE_LATE);
 		}
 		break;
+	case CANCEL_RECALLED:
+		if (exchange && !exchange->sent) {
+			exchange->stop = STOP_LATE;
+			end(exchange, CURLE_ABORTED_BY_CALLBACK);
+		} else if (!exchange) {
+			drop_waiting(duty, key, EVIDENCE_LATE);
+		}
+		break;
 	}
 }
 
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -53,6 +53,7 @@
 bool transfer_expired(const struct grant_event *grant, uint64_t now_us)
 {
 	return grant_too_late(grant, now_us) ||
+	       g_atomic_int_get(&grant->request->recalled) != 0 ||
 	       g_atomic_int_get(&grant->request->caller_gone) != 0;
 }
 
--- a/src/duty/transfer.h
+++ b/src/duty/transfer.h
@@ -93,7 +93,8 @@
  * @grant: the order
  * @now_us: the time
  *
- * Return: true when it is too late or the caller is gone.
+ * Return: true when it is too late, the grant was taken back or the caller is
+ * gone.
  */
 bool transfer_expired(const struct grant_event *grant, uint64_t now_us);
 
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -872,6 +872,7 @@
 	UNSENT_SLOT_EXPIRED,
 	UNSENT_DEADLINE,
 	UNSENT_CALLER_GONE,
+	UNSENT_RECALLED,
 	UNSENT_REFUSED
 };
 
@@ -885,6 +886,7 @@
 	{ "slot is not ours any more", UNSENT_SLOT_EXPIRED, EVIDENCE_LATE },
 	{ "deadline is past", UNSENT_DEADLINE, EVIDENCE_LATE },
 	{ "caller is gone", UNSENT_CALLER_GONE, EVIDENCE_CANCELLED },
+	{ "the grant was taken back", UNSENT_RECALLED, EVIDENCE_LATE },
 	{ "connection refused", UNSENT_REFUSED, EVIDENCE_CONNECT },
 };
 
@@ -907,6 +909,9 @@
 		case UNSENT_CALLER_GONE:
 			g_atomic_int_set(&request->caller_gone, 1);
 			break;
+		case UNSENT_RECALLED:
+			g_atomic_int_set(&request->recalled, 1);
+			break;
 		case UNSENT_REFUSED:
 			ordered.backend.port = 1;
 			break;
@@ -921,6 +926,54 @@
 	}
 }
 
+struct recalled_case {
+	const char *name;
+	uint32_t connections; /* the server takes */
+	uint32_t recalled; /* which of the two requests */
+	enum evidence_kind evidence;
+	bool request_sent;
+};
+
+const struct recalled_case recalled_cases[] = {
+	{ "what waits for a connection comes back", 1, 1, EVIDENCE_LATE,
+	  false },
+	{ "what was sent runs on", 2, 0, EVIDENCE_OK, true },
+};
+
+TEST_F(ExchangeDuty, ARecallTakesBackWhatWasNotSent)
+{
+	for (const auto &c : recalled_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({ { ok_reply, AFTER_KEEP, 300, "" } });
+		struct request *request = make_request(METHOD_POST);
+		struct exchange_order recall = {};
+		struct finish_command finish = {};
+		uint32_t first = next_index_;
+
+		for (uint32_t i = 0; i < 2; i++) {
+			struct grant_event ordered =
+				grant(server.port(), request, 2000);
+
+			ordered.connections_max = c.connections;
+			order(ordered);
+		}
+		while (server.reads() < c.connections)
+			g_usleep(1000);
+		recall.kind = ORDER_CANCEL;
+		recall.cancel.exchange.index = first + c.recalled;
+		recall.cancel.cause = CANCEL_RECALLED;
+		ASSERT_EQ(exchange_send(duty_, &recall), RING_OK);
+		for (uint32_t i = 0; i < 2; i++) {
+			ASSERT_TRUE(take_finish(&finish));
+			if (finish.exchange.index != first + c.recalled)
+				continue;
+			EXPECT_EQ(finish.evidence.kind, c.evidence);
+			EXPECT_EQ(finish.evidence.request_sent, c.request_sent);
+		}
+		request_unref(request);
+	}
+}
+
 TEST_F(ExchangeDuty, CancelClosesTheConnection)
 {
 	ScriptServer server({ { "", AFTER_STALL, 0, "" } });
--- /dev/null
+++ b/test/unit/recall_test.cc
@@ -0,0 +1,158 @@
+/* What was chosen and not sent comes back when its server wants no new work. */
+#include "world.h"
+
+namespace
+{
+
+const uint32_t BACKENDS = 3;
+/* Of each backend server's six, this one of three homes has two. */
+const uint32_t SLOTS_HERE = 2;
+
+/* How it is learned that backend server 0 wants no new work. */
+enum learned {
+	LEARNED_NOTHING,
+	LEARNED_DRAINS,
+	LEARNED_GONE,
+	LEARNED_ANOTHER_START,
+	LEARNED_ANSWER,
+	LEARNED_REPORT,
+	LEARNED_PEER,
+};
+
+struct recall_case {
+	const char *name;
+	enum learned learned;
+	bool recalled;
+};
+
+const struct recall_case recall_cases[] = {
+	{ "a new version says nothing of it", LEARNED_NOTHING, false },
+	{ "the document says that it drains", LEARNED_DRAINS, true },
+	{ "the document has it no more", LEARNED_GONE, true },
+	{ "another start has its address", LEARNED_ANOTHER_START, true },
+	{ "an answer says so", LEARNED_ANSWER, true },
+	{ "its load report says so", LEARNED_REPORT, true },
+	{ "another home says so", LEARNED_PEER, true },
+};
+
+struct service_doc *next_doc(enum learned learned)
+{
+	struct doc_shape shape;
+	struct service_doc *doc;
+
+	shape.backends = BACKENDS;
+	shape.budget_ms = 5000;
+	doc = make_doc(shape, 2);
+	if (learned == LEARNED_DRAINS)
+		doc->backends[0].draining = true;
+	if (learned == LEARNED_GONE)
+		doc->backends[0].addr = addr_of(250, 9000);
+	if (learned == LEARNED_ANOTHER_START)
+		name_set(&doc->backends[0].instance, "another");
+	return doc;
+}
+
+void learn(World &world, enum learned learned, const struct grant_event &other)
+{
+	struct evidence evidence = ended(EVIDENCE_OK);
+	struct command command = {};
+
+	switch (learned) {
+	case LEARNED_NOTHING:
+	case LEARNED_DRAINS:
+	case LEARNED_GONE:
+	case LEARNED_ANOTHER_START:
+		world.accept(next_doc(learned));
+		return;
+	case LEARNED_ANSWER:
+		evidence.draining = true;
+		world.finish(other, evidence);
+		return;
+	case LEARNED_REPORT:
+		command.kind = COMMAND_PROBE_RESULT;
+		name_set(&command.probe_result.service, "s");
+		command.probe_result.backend = addr_of(200, 9000);
+		command.probe_result.answered = true;
+		command.probe_result.healthy = true;
+		command.probe_result.draining = true;
+		world.apply(command);
+		return;
+	case LEARNED_PEER:
+		command.kind = COMMAND_PEER_MESSAGE;
+		command.peer_message = g_new0(struct peer_message, 1);
+		command.peer_message->kind = PEER_DIGEST;
+		command.peer_message->sender = instance_of(1, 3).peer;
+		name_set(&command.peer_message->digest.service, "s");
+		command.peer_message->digest.entry_count = 1;
+		command.peer_message->digest.entries[0].backend =
+			addr_of(200, 9000);
+		command.peer_message->digest.entries[0].draining = true;
+		world.apply(command);
+		world.tick();
+		return;
+	}
+}
+
+/* Takes every slot and frees those of the other backend servers again. */
+void grant_all(World &world, std::vector<struct grant_event> *there)
+{
+	std::vector<struct grant_event> others;
+
+	for (uint64_t i = 0; i < BACKENDS * SLOTS_HERE; i++) {
+		const struct event *event =
+			world.about(world.request("/s/write", i));
+
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_GRANT);
+		if (event->grant.backend.ip == addr_of(200, 9000).ip)
+			there->push_back(event->grant);
+		else
+			others.push_back(event->grant);
+	}
+	for (const struct grant_event &grant : others)
+		world.finish(grant, ended(EVIDENCE_OK));
+}
+
+TEST(RecallTest, GrantsToAServerThatWantsNoNewWorkComeBack)
+{
+	for (const auto &c : recall_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		struct doc_shape shape;
+		std::vector<struct grant_event> there;
+		uint32_t recalled = 0;
+
+		shape.backends = BACKENDS;
+		shape.budget_ms = 5000;
+		world.list(3);
+		world.accept(make_doc(shape));
+		world.pass_ms(10000);
+		world.forget();
+		grant_all(world, &there);
+		ASSERT_EQ(there.size(), SLOTS_HERE);
+		learn(world, c.learned, there[0]);
+		for (const struct event &event : world.events) {
+			if (event.kind != EVENT_RECALL)
+				continue;
+			recalled += event.recall.exchange.index ==
+				    there[1].exchange.index;
+		}
+		ASSERT_EQ(recalled, c.recalled ? 1u : 0u);
+		if (!c.recalled)
+			continue;
+		/* Once a grant, and chosen again for another server. */
+		world.forget();
+		world.tick();
+		EXPECT_EQ(world.count(EVENT_RECALL), 0u);
+		world.finish(there[1], ended(EVIDENCE_LATE, false));
+		ASSERT_EQ(world.count(EVENT_GRANT), 1u);
+		for (const struct event &event : world.events) {
+			if (event.kind != EVENT_GRANT)
+				continue;
+			EXPECT_NE(event.grant.backend.ip,
+				  addr_of(200, 9000).ip);
+		}
+	}
+}
+
+} // namespace
