A server that says in an answer that it leaves gets no new work for good

Cause: platform/ named no drain marker, so Server-Leaving was not read; a mark was believed for 30 s and lost when the server's entry lapsed and came back; the decisions heard of it when the answer's body had ended.

Why this works: platform/ writes the marker into each document. The head of any answer that is the request's own tells the decisions at once (COMMAND_NOTE_DRAIN), which take back what was not sent. A named start stays marked as long as it exists: the service remembers the latest 64 such starts beside its document. Servers without a name for each start keep the 30 s, for another one may have the address by then. Trailers and other values than the marker's do not count; other homes hear it by the digest.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -56,6 +56,24 @@
 	schedule_run(state, service, now, out);
 }
 
+void note_drain(struct state *state, const struct note_drain_command *command,
+		struct instant now, struct event_list *out)
+{
+	uint32_t index = ticket_find(state, command->exchange);
+	struct service *service;
+	struct ticket *ticket;
+
+	if (index == TICKET_NONE ||
+	    state->tickets[index].state != TICKET_RUNNING)
+		return;
+	ticket = &state->tickets[index];
+	service = ticket->service;
+	health_note_drain(state, service,
+			  &service->backends[ticket->backend_index], now, out);
+	recall_unsent(state, service, now, out);
+	schedule_run(state, service, now, out);
+}
+
 void cancel(struct state *state, const struct cancel_command *command,
 	    struct instant now, struct event_list *out)
 {
--- a/src/command/finish.h
+++ b/src/command/finish.h
@@ -19,6 +19,16 @@
 void finish(struct state *state, struct finish_command *command,
 	    struct instant now, struct event_list *out);
 
+/**
+ * note_drain() - take in what an answer's head says before its body has ended
+ * @state: the state
+ * @command: which exchange
+ * @now: the time
+ * @out: gets an audit record and EVENT_RECALL
+ */
+void note_drain(struct state *state, const struct note_drain_command *command,
+		struct instant now, struct event_list *out);
+
 /**
  * cancel() - a caller is gone
  * @state: the state
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -7,8 +7,11 @@
 #include "query/floor.h"
 #include "query/health.h"
 
-/* A drain that a load report does not renew is believed this long. */
-#define DRAIN_ANSWER_US (30 * US_PER_S)
+/*
+ * A backend server without a name for each start may be another one by then; a
+ * load report renews what it says.
+ */
+#define DRAIN_UNNAMED_US (30 * US_PER_S)
 #define DRAIN_REPORT_US (5 * US_PER_S)
 
 /* A backend server is not believed to be cold for longer. */
@@ -26,6 +29,10 @@
 #define TRICKLE_SLOW_REQUESTS 3
 
 static void observe_trickle(struct health_change *change, enum work_end end);
+static void observe_drain_answer(struct health_change *change);
+static void remember_drained(struct service *service, const struct name *start);
+static bool start_drained(const struct service *service,
+			  const struct name *start);
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
 static void note_closed(struct backend *backend, struct instant now);
@@ -53,8 +60,7 @@
 
 	evidence_wake(service, now);
 	if (evidence->draining)
-		observe_draining(&change, now.mono_us + DRAIN_ANSWER_US,
-				 CAUSE_DRAIN_ANSWER);
+		observe_drain_answer(&change);
 	end = evidence_judge(service, ticket, evidence);
 	if (end == WORK_SLOW && backend_cold(backend, now))
 		end = WORK_NOTHING;
@@ -74,6 +80,19 @@
 		observe_trickle(&change, end);
 }
 
+void health_note_drain(struct state *state, struct service *service,
+		       struct backend *backend, struct instant now,
+		       struct event_list *out)
+{
+	struct health_change change = { .state = state,
+					.service = service,
+					.backend = backend,
+					.now = now,
+					.out = out };
+
+	observe_drain_answer(&change);
+}
+
 void health_observe_probe(struct state *state, struct service *service,
 			  struct backend *backend,
 			  const struct probe_result *result, struct instant now,
@@ -138,6 +157,8 @@
 		change.backend = backend;
 		if (known && !known[i])
 			health_ramp(&change, CAUSE_COLD_START);
+		if (start_drained(service, &backend->instance))
+			backend->drain_seen_until_us = DEADLINE_NONE_US;
 		note_closed(backend, now);
 		if (backend->drain_document && !backend->health.drain_audited) {
 			backend->health.drain_audited = true;
@@ -197,6 +218,43 @@
 		health_ramp(change, CAUSE_TRICKLE_OK);
 }
 
+/* A start that drains never stops to, whatever documents say later. */
+static void observe_drain_answer(struct health_change *change)
+{
+	const struct name *start = &change->backend->instance;
+	uint64_t until_us = change->now.mono_us + DRAIN_UNNAMED_US;
+
+	if (start->text[0] != '\0') {
+		until_us = DEADLINE_NONE_US;
+		remember_drained(change->service, start);
+	}
+	observe_draining(change, until_us, CAUSE_DRAIN_ANSWER);
+}
+
+/* The latest are kept: an entry may lapse and come back. */
+static void remember_drained(struct service *service, const struct name *start)
+{
+	if (start_drained(service, start))
+		return;
+	service->drained_starts[service->drained_next] = *start;
+	service->drained_next =
+		(service->drained_next + 1) % DRAINED_STARTS_MAX;
+}
+
+static bool start_drained(const struct service *service,
+			  const struct name *start)
+{
+	uint32_t i;
+
+	if (start->text[0] == '\0')
+		return false;
+	for (i = 0; i < DRAINED_STARTS_MAX; i++) {
+		if (name_equal(&service->drained_starts[i], start))
+			return true;
+	}
+	return false;
+}
+
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause)
 {
--- a/src/command/health.h
+++ b/src/command/health.h
@@ -22,6 +22,18 @@
 		    const struct evidence *evidence, struct instant now,
 		    struct event_list *out);
 
+/**
+ * health_note_drain() - an answer says that its backend server drains
+ * @state: the state
+ * @service: its service
+ * @backend: the backend server
+ * @now: the time
+ * @out: gets an audit record
+ */
+void health_note_drain(struct state *state, struct service *service,
+		       struct backend *backend, struct instant now,
+		       struct event_list *out);
+
 /**
  * health_observe_probe() - take in a probe; it only adds suspicion or drain
  * @state: the state
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -16,6 +16,7 @@
 enum command_kind {
 	COMMAND_ADMIT,
 	COMMAND_FINISH,
+	COMMAND_NOTE_DRAIN,
 	COMMAND_CANCEL,
 	COMMAND_TICK,
 	COMMAND_ACCEPT_CONFIG,
@@ -53,6 +54,14 @@
 	struct answer_held *held;
 };
 
+/**
+ * struct note_drain_command - an answer's head says that its server drains
+ * @exchange: which; it goes on
+ */
+struct note_drain_command {
+	struct exchange_id exchange;
+};
+
 /**
  * struct cancel_command - a caller is gone
  * @request: token, compared only; carries a reference
@@ -160,6 +169,7 @@
 	union {
 		struct admit_command admit;
 		struct finish_command finish;
+		struct note_drain_command note_drain;
 		struct cancel_command cancel;
 		struct accept_config_command accept_config;
 		struct accept_routes_command accept_routes;
@@ -336,8 +346,8 @@
  * @dispatch: its ring
  * @command: taken over on success, untouched otherwise
  *
- * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_CANCEL and
- * COMMAND_LEAVE may use the ring's reserve.
+ * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_NOTE_DRAIN,
+ * COMMAND_CANCEL and COMMAND_LEAVE may use the ring's reserve.
  */
 enum ring_result send_command(struct ring *dispatch,
 			      const struct command *command);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -19,6 +19,7 @@
 #define TICKET_NONE UINT32_MAX
 #define BORROWED_MAX 64
 #define LENT_MAX 64
+#define DRAINED_STARTS_MAX 64
 
 /**
  * enum sharing_kind - how homes share a backend server's slots
@@ -138,7 +139,8 @@
  * @in_use_slots: own slots in use
  * @in_use_long_slots: own slots in use by long work
  * @drain_document: the document says that it drains
- * @drain_seen_until_us: its answers or load report said so; 0 when not
+ * @drain_seen_until_us: its answers or load report said so; 0 when not,
+ *	DEADLINE_NONE_US for a named start whose answers said so
  * @closed_us: since when it shall get no new work, 0 while it may
  * @cold: its load report or its document says so
  * @health: its health
@@ -274,6 +276,9 @@
  * @eject_basis: hash of home set and document version that split the budget
  * @eject_after_us: no ejection is begun before this, others may still hold an
  *	older basis
+ * @drained_starts: named starts of backend servers whose answers said that they
+ *	drain; the oldest is overwritten
+ * @drained_next: next entry of @drained_starts
  * @counters: metrics
  */
 struct service {
@@ -312,6 +317,8 @@
 	uint64_t digest_due_us;
 	uint64_t eject_basis;
 	uint64_t eject_after_us;
+	struct name drained_starts[DRAINED_STARTS_MAX];
+	uint32_t drained_next;
 	struct service_counters counters;
 };
 
--- a/src/duty/caller_answer.c
+++ b/src/duty/caller_answer.c
@@ -41,10 +41,10 @@
 
 	/* The caller shall go to another instance. */
 	caller->close |= refusal->cause == REFUSAL_LEAVING;
-	text = http_json_text(
-		status, json, refusal->outcome,
-		http_retry_after(settings, refusal, clock_now().unix_ms, retry),
-		!caller->head_only, caller_idle_s(caller));
+	text = http_json_text(status, json, refusal->outcome,
+			      http_retry_after(settings, refusal,
+					       clock_now().unix_ms, retry),
+			      !caller->head_only, caller_idle_s(caller));
 
 	caller_finish(caller, text);
 	g_string_free(text, TRUE);
--- a/src/duty/dispatch.h
+++ b/src/duty/dispatch.h
@@ -19,7 +19,10 @@
 
 /* Requests and messages that may wait for the dispatch thread. */
 #define DISPATCH_RING_MESSAGES 4096
-/* Room kept for ends of exchanges, of which there are at most TICKETS_MAX. */
+/*
+ * Room kept for ends of exchanges, cancellations and stops; the exchange duty keeps
+ * what finds none and tries again.
+ */
 #define DISPATCH_RING_RESERVE 2048
 
 struct dispatch_duty;
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -65,6 +65,8 @@
 static void free_exchange(struct exchange *exchange);
 static void send_finish(struct exchange_duty *duty,
 			const struct finish_command *finish);
+static void send_in_order(struct exchange_duty *duty,
+			  const struct command *command);
 static void flush_backlog(struct exchange_duty *duty);
 static void note_pause(struct exchange_duty *duty);
 static int32_t wait_ms(const struct exchange_duty *duty);
@@ -439,11 +441,27 @@
 	struct command command = { .kind = COMMAND_FINISH };
 
 	command.finish = *finish;
-	g_array_append_vals(duty->backlog, &command, 1);
+	send_in_order(duty, &command);
+}
+
+void exchange_note_drain(struct exchange *exchange)
+{
+	const struct command command = {
+		.kind = COMMAND_NOTE_DRAIN,
+		.note_drain = { .exchange = exchange->grant.exchange },
+	};
+
+	send_in_order(exchange->duty, &command);
+}
+
+static void send_in_order(struct exchange_duty *duty,
+			  const struct command *command)
+{
+	g_array_append_vals(duty->backlog, command, 1);
 	flush_backlog(duty);
 }
 
-/* Keeps the order of finish commands and never loses one. */
+/* Keeps the order of commands and never loses one. */
 static void flush_backlog(struct exchange_duty *duty)
 {
 	enum ring_result result = RING_OK;
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -289,6 +289,8 @@
 		exchange->draining = http_answer_marked(reader->head,
 							&exchange->grant.drain);
 		judge_shed(exchange);
+		if (exchange->draining)
+			exchange_note_drain(exchange);
 	}
 	if (valid)
 		return size * count;
--- a/src/duty/transfer.h
+++ b/src/duty/transfer.h
@@ -82,6 +82,12 @@
 	enum stop_cause stop;
 };
 
+/**
+ * exchange_note_drain() - tell the decisions that an answer's server drains
+ * @exchange: its exchange, which goes on
+ */
+void exchange_note_drain(struct exchange *exchange);
+
 /**
  * transfer_prepare() - set the handle up for the request
  * @exchange: with its grant, settings and handle
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -488,13 +488,26 @@
 		order.grant = grant;
 		ASSERT_EQ(exchange_send(duty_, &order), RING_OK);
 	}
+	/* The next command, whatever it is. */
+	bool take(struct message *message, uint32_t wait_ms)
+	{
+		return ring_pop(dispatch_, message,
+				clock_now_us() + wait_ms * US_PER_MS) ==
+		       RING_OK;
+	}
+
+	/* The end of an exchange; a drain may have been told before it. */
 	bool take_finish(struct finish_command *finish, uint32_t wait_ms = 3000)
 	{
 		struct message message;
+		bool told;
 
-		if (ring_pop(dispatch_, &message,
-			     clock_now_us() + wait_ms * US_PER_MS) != RING_OK)
+		if (!take(&message, wait_ms))
 			return false;
+		told = message.command.kind == COMMAND_NOTE_DRAIN;
+		if (told && !take(&message, wait_ms))
+			return false;
+		EXPECT_EQ(message.command.finish.evidence.draining, told);
 		EXPECT_EQ(message.command.kind, COMMAND_FINISH);
 		*finish = message.command.finish;
 		return true;
@@ -823,6 +836,49 @@
 	request_unref(request);
 }
 
+struct drain_head_case {
+	const char *name;
+	const char *fields;
+	bool told;
+};
+
+const struct drain_head_case drain_head_cases[] = {
+	{ "it drains", "X-Draining: 1\r\n", true },
+	{ "it says so twice", "X-Draining: 1\r\nX-Draining: 1\r\n", true },
+	{ "name in small letters", "x-draining: 1\r\n", true },
+	{ "it does not", "X-Draining: 0\r\n", false },
+	{ "no value", "X-Draining:\r\n", false },
+	{ "nothing", "", false },
+};
+
+TEST_F(ExchangeDuty, ADrainIsToldByTheHeadBeforeTheBodyEnds)
+{
+	for (const auto &c : drain_head_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server(
+			{ { std::string("HTTP/1.1 503 Busy\r\n") + c.fields +
+				    "Content-Length: 4\r\n\r\nok",
+			    AFTER_STALL, 0, "" } });
+		struct request *request = make_request(METHOD_GET);
+		struct grant_event ordered =
+			grant(server.port(), request, 1000);
+		struct message message;
+
+		order(ordered);
+		ASSERT_TRUE(take(&message, 3000));
+		if (c.told) {
+			ASSERT_EQ(message.command.kind, COMMAND_NOTE_DRAIN);
+			EXPECT_EQ(message.command.note_drain.exchange.index,
+				  ordered.exchange.index);
+			ASSERT_TRUE(take(&message, 3000));
+		}
+		ASSERT_EQ(message.command.kind, COMMAND_FINISH);
+		EXPECT_EQ(message.command.finish.evidence.draining, c.told);
+		command_clear(&message.command);
+		request_unref(request);
+	}
+}
+
 struct own_connection_case {
 	const char *name;
 	std::string reply;
--- a/test/unit/recall_test.cc
+++ b/test/unit/recall_test.cc
@@ -15,6 +15,7 @@
 	LEARNED_GONE,
 	LEARNED_ANOTHER_START,
 	LEARNED_ANSWER,
+	LEARNED_HEAD,
 	LEARNED_REPORT,
 	LEARNED_PEER,
 };
@@ -31,6 +32,7 @@
 	{ "the document has it no more", LEARNED_GONE, true },
 	{ "another start has its address", LEARNED_ANOTHER_START, true },
 	{ "an answer says so", LEARNED_ANSWER, true },
+	{ "an answer's head says so", LEARNED_HEAD, true },
 	{ "its load report says so", LEARNED_REPORT, true },
 	{ "another home says so", LEARNED_PEER, true },
 };
@@ -68,6 +70,11 @@
 		evidence.draining = true;
 		world.finish(other, evidence);
 		return;
+	case LEARNED_HEAD:
+		command.kind = COMMAND_NOTE_DRAIN;
+		command.note_drain.exchange = other.exchange;
+		world.apply(command);
+		return;
 	case LEARNED_REPORT:
 		command.kind = COMMAND_PROBE_RESULT;
 		name_set(&command.probe_result.service, "s");
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -216,6 +216,8 @@
 
 		ASSERT_NE(doc, nullptr);
 		EXPECT_EQ(doc->version, c.version);
+		EXPECT_STREQ(doc->drain.header, "Server-Leaving");
+		EXPECT_STREQ(doc->drain.value, "1");
 		ASSERT_EQ(doc->backend_count, c.instances.size());
 		for (size_t i = 0; i < c.instances.size(); i++)
 			EXPECT_EQ(doc->backends[i].instance.text,
