A server that refuses with Retry-After gets nothing from this instance until then

Cause: Retry-After of a backend server was not read at all; ejection alone kept the number low.

Why this works: the end of the pause is a deadline of the backend server, and the one query for open slots says none until then, so own and lent slots, retries and waiting requests all keep to it; what was chosen and not sent comes back at the send point. It speaks neither for nor against the server's health. While all servers pause beyond a request's deadline, it is refused at once with the time of the first return.

Not yet: a ramp at the end, word to other homes, an audit record, the date form.

--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -12,6 +12,8 @@
 #define STATUS_MAX 599
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
+/* A refusal has no say over a longer time. */
+#define RETRY_AFTER_MAX_S 60
 
 static bool status_line(struct http_answer_reader *reader, const char *line);
 static bool field_line(struct http_answer_reader *reader, char *line);
@@ -75,6 +77,32 @@
 	return valid;
 }
 
+uint32_t http_answer_retry_after_s(const struct answer_head *head)
+{
+	const char *value = NULL;
+	guint64 seconds;
+	uint32_t i;
+
+	for (i = 0; i < head->header_count; i++) {
+		if (strcasecmp(head->headers[i].name, "Retry-After") != 0)
+			continue;
+		if (value) {
+			g_message("exchange: Retry-After ignored: it stands "
+				  "twice");
+			return 0;
+		}
+		value = head->headers[i].value;
+	}
+	if (!value)
+		return 0;
+	if (!g_ascii_string_to_unsigned(value, 10, 0, G_MAXUINT64, &seconds,
+					NULL)) {
+		g_message("exchange: Retry-After ignored: no whole seconds");
+		return 0;
+	}
+	return (uint32_t)MIN(seconds, RETRY_AFTER_MAX_S);
+}
+
 bool http_answer_marked(const struct answer_head *head,
 			const struct marker_doc *marker)
 {
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -84,6 +84,17 @@
 bool http_answer_line(struct http_answer_reader *reader, const char *line,
 		      size_t line_bytes);
 
+/**
+ * http_answer_retry_after_s() - time for which a refusing server wants nothing
+ * @head: the answer
+ *
+ * Only whole seconds are understood. Anything else, and a field that stands twice,
+ * is logged and has no effect; more than 60 s counts as 60 s.
+ *
+ * Return: seconds, 0 when there is none.
+ */
+uint32_t http_answer_retry_after_s(const struct answer_head *head);
+
 /**
  * http_answer_marked() - whether an answer has a service's marker
  * @head: the answer
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -6,6 +6,7 @@
 #include "command/schedule.h"
 #include "command/ticket.h"
 #include "command/trace.h"
+#include "query/health.h"
 #include "query/pick.h"
 #include "query/route.h"
 
@@ -197,7 +198,8 @@
 	if (!leave_admits(state, ticket, now))
 		return false;
 	*cause = REFUSAL_NO_BACKEND;
-	if (ticket->service->backend_count == 0)
+	if (ticket->service->backend_count == 0 ||
+	    service_pause_ends_us(ticket->service, now) >= ticket->deadline_us)
 		return false;
 	/* The baseline has one queue without limits but the front's own. */
 	if (state->policy.queueing == QUEUEING_FIFO)
@@ -366,7 +368,14 @@
 {
 	struct ticket *ticket = &state->tickets[index];
 	struct refusal refusal = load_refusal(state, cause, now);
-
+	uint64_t pause_ends_us = service_pause_ends_us(ticket->service, now);
+
+	/* Sooner nobody could serve it. */
+	if (pause_ends_us > now.mono_us)
+		refusal.retry_at_unix_ms =
+			MAX(refusal.retry_at_unix_ms,
+			    now.unix_ms +
+				    (pause_ends_us - now.mono_us) / US_PER_MS);
 	if (cause != REFUSAL_DEADLINE && cause != REFUSAL_NO_BACKEND &&
 	    cause != REFUSAL_LEAVING)
 		overload_note(state, ticket->service, now, out);
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -51,7 +51,7 @@
 		       out);
 	schedule_release(state, index);
 	conclude(state, index, command, now, out);
-	if (command->evidence.draining)
+	if (command->evidence.draining || command->evidence.pause_until_us > 0)
 		recall_unsent(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -61,6 +61,8 @@
 	evidence_wake(service, now);
 	if (evidence->draining)
 		observe_drain_answer(&change);
+	backend->pause_until_us =
+		MAX(backend->pause_until_us, evidence->pause_until_us);
 	end = evidence_judge(service, ticket, evidence);
 	if (end == WORK_SLOW && backend_cold(backend, now))
 		end = WORK_NOTHING;
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -119,6 +119,9 @@
 	uint64_t slow_after_us = health_slow_after_us(
 		service->route_typical_us[ticket->route_index]);
 
+	/* A refusal that says when to come back is no fault. */
+	if (evidence->pause_until_us > 0)
+		return WORK_NOTHING;
 	switch (evidence->kind) {
 	case EVIDENCE_OK:
 		if (evidence->service_us > slow_after_us)
--- a/src/command/recall.c
+++ b/src/command/recall.c
@@ -19,8 +19,8 @@
 			continue;
 		left--;
 		if (!ticket->recalled &&
-		    backend_draining(&service->backends[ticket->backend_index],
-				     now))
+		    backend_closed(&service->backends[ticket->backend_index],
+				   now))
 			recall(ticket, i, out);
 	}
 }
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -43,6 +43,8 @@
  * @request_sent: a byte of the request may have reached the backend server
  * @head_given: the answer has begun to go to the caller
  * @draining: the answer had the service's drain marker
+ * @pause_until_us: the backend server wants no request until then, 0 when it did
+ *	not say so
  * @status: HTTP status, 0 when there was none
  * @service_us: time from send to the end of the answer
  * @sent_us: when the request began to go out, 0 when it did not
@@ -52,6 +54,7 @@
 	bool request_sent;
 	bool head_given;
 	bool draining;
+	uint64_t pause_until_us;
 	uint32_t status;
 	uint64_t service_us;
 	uint64_t sent_us;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -141,6 +141,7 @@
  * @drain_document: the document says that it drains
  * @drain_seen_until_us: its answers or load report said so; 0 when not,
  *	DEADLINE_NONE_US for a named start whose answers said so
+ * @pause_until_us: it refused work and wants none until then, 0 when not
  * @closed_us: since when it shall get no new work, 0 while it may
  * @cold: its load report or its document says so
  * @health: its health
@@ -162,6 +163,7 @@
 	uint32_t in_use_long_slots;
 	bool drain_document;
 	uint64_t drain_seen_until_us;
+	uint64_t pause_until_us;
 	uint64_t closed_us;
 	bool cold;
 	struct health health;
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -403,6 +403,7 @@
 			.kind = transfer_judge(exchange, code),
 			.request_sent = exchange->sent,
 			.draining = exchange->draining,
+			.pause_until_us = exchange->pause_until_us,
 			.status = exchange->status,
 		},
 	};
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -8,6 +8,7 @@
 
 #define CONNECT_MAX_MS 250
 #define HTTP_MISDIRECTED 421
+#define HTTP_UNAVAILABLE 503
 
 static bool set_limits(struct exchange *exchange, uint64_t now_us);
 static bool set_callbacks(struct exchange *exchange);
@@ -24,6 +25,7 @@
 			 int own_port);
 static size_t on_head(char *line, size_t size, size_t count, void *data);
 static void judge_shed(struct exchange *exchange);
+static void judge_pause(struct exchange *exchange);
 static size_t on_body(char *bytes, size_t size, size_t count, void *data);
 static bool begin_streaming(struct exchange *exchange);
 static enum ring_result push_chunk(struct exchange *exchange, const void *bytes,
@@ -289,6 +291,7 @@
 		exchange->draining = http_answer_marked(reader->head,
 							&exchange->grant.drain);
 		judge_shed(exchange);
+		judge_pause(exchange);
 		if (exchange->draining)
 			exchange_note_drain(exchange);
 	}
@@ -306,8 +309,9 @@
 	bool named = exchange->settings->headers.instance[0] != '\0' &&
 		     grant->instance.text[0] != '\0';
 
-	exchange->shed = (grant->shed.any_status ? exchange->status >= 400 :
-						   exchange->status == 503) &&
+	exchange->shed = (grant->shed.any_status ?
+				  exchange->status >= 400 :
+				  exchange->status == HTTP_UNAVAILABLE) &&
 			 http_answer_marked(reader->head, &grant->shed);
 	if (exchange->status != HTTP_MISDIRECTED || !named)
 		return;
@@ -315,6 +319,17 @@
 	exchange->draining = true;
 }
 
+static void judge_pause(struct exchange *exchange)
+{
+	uint32_t seconds;
+
+	if (exchange->status != HTTP_UNAVAILABLE)
+		return;
+	seconds = http_answer_retry_after_s(exchange->reader.head);
+	if (seconds > 0)
+		exchange->pause_until_us = clock_now_us() + seconds * US_PER_S;
+}
+
 static size_t on_body(char *bytes, size_t size, size_t count, void *data)
 {
 	struct exchange *exchange = data;
--- a/src/duty/transfer.h
+++ b/src/duty/transfer.h
@@ -52,6 +52,7 @@
  * @status: of the final head
  * @shed: the answer has the shed marker
  * @draining: the answer has the drain marker
+ * @pause_until_us: the backend server wants no request until then, 0 for none
  * @streaming: the answer has begun to go to the caller
  * @sent: the request may have begun to go out
  * @overslept: the process was paused while it ran
@@ -74,6 +75,7 @@
 	uint32_t status;
 	bool shed;
 	bool draining;
+	uint64_t pause_until_us;
 	bool streaming;
 	bool sent;
 	bool overslept;
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -19,7 +19,7 @@
 {
 	const struct health *health = &backend->health;
 
-	if (backend_draining(backend, now))
+	if (backend_closed(backend, now))
 		return 0;
 	switch (health->state) {
 	case HEALTH_IN_SERVICE:
@@ -46,6 +46,30 @@
 	       view_says_draining(backend, now);
 }
 
+bool backend_closed(const struct backend *backend, struct instant now)
+{
+	return now.mono_us < backend->pause_until_us ||
+	       backend_draining(backend, now);
+}
+
+uint64_t service_pause_ends_us(const struct service *service,
+			       struct instant now)
+{
+	const struct backend *backend;
+	uint64_t ends_us = DEADLINE_NONE_US;
+	uint32_t i;
+
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		if (backend_draining(backend, now))
+			continue;
+		if (now.mono_us >= backend->pause_until_us)
+			return 0;
+		ends_us = MIN(ends_us, backend->pause_until_us);
+	}
+	return ends_us == DEADLINE_NONE_US ? 0 : ends_us;
+}
+
 uint64_t backend_sent_closed_us(const struct backend *backend,
 				const struct evidence *evidence)
 {
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -25,6 +25,25 @@
  */
 bool backend_draining(const struct backend *backend, struct instant now);
 
+/**
+ * backend_closed() - whether it must get no request now
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true while it drains or has asked for a pause.
+ */
+bool backend_closed(const struct backend *backend, struct instant now);
+
+/**
+ * service_pause_ends_us() - until when no backend server wants a request
+ * @service: the service
+ * @now: the time
+ *
+ * Return: when the first pause ends; 0 when any that does not drain has none.
+ */
+uint64_t service_pause_ends_us(const struct service *service,
+			       struct instant now);
+
 /**
  * backend_sent_closed_us() - how long a request went out too late
  * @backend: the backend server
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -311,8 +311,7 @@
 			continue;
 		backend = &service->backends[borrowed->backend_index];
 		if (backend->health.state != HEALTH_IN_SERVICE ||
-		    backend_draining(backend, now) ||
-		    !allowed(backend, ticket) ||
+		    backend_closed(backend, now) || !allowed(backend, ticket) ||
 		    !worth_it(caution_for(state, backend, ticket, now), ticket,
 			      now))
 			continue;
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -775,6 +775,14 @@
 					 atoi(text.c_str() + at + field.size());
 }
 
+void name_request(struct request *request)
+{
+	struct header *id = &request->headers[request->header_count++];
+
+	id->name = g_strdup("x-id");
+	id->value = g_strdup("r1");
+}
+
 TEST_F(ExchangeDuty, HeaderFieldsOfTheUsers)
 {
 	g_strlcpy(settings_.headers.request_id, "X-Id", NAME_BYTES_MAX);
@@ -788,10 +796,8 @@
 		struct request *request = make_request(METHOD_GET);
 		struct grant_event ordered = grant(server.port(), request, 300);
 		struct finish_command finish = {};
-		struct header *id = &request->headers[request->header_count++];
 
-		id->name = g_strdup("x-id");
-		id->value = g_strdup("r1");
+		name_request(request);
 		name_set(&ordered.instance, "i-7");
 		g_strlcpy(ordered.shed.header, "X-Shed", NAME_BYTES_MAX);
 		g_strlcpy(ordered.shed.value, "1", NAME_BYTES_MAX);
@@ -879,6 +885,54 @@
 	}
 }
 
+struct pause_case {
+	const char *name;
+	std::string reply;
+	uint64_t pause_s;
+};
+
+const struct pause_case pause_cases[] = {
+	{ "a refusal with its marker",
+	  reply_of("503 Busy", own_id + "X-Shed: 1\r\nRetry-After: 3\r\n"), 3 },
+	{ "a refusal without it",
+	  reply_of("503 Busy", own_id + "Retry-After: 3\r\n"), 3 },
+	{ "no time", reply_of("503 Busy", own_id), 0 },
+	{ "another failure", reply_of("500 Oh", own_id + "Retry-After: 3\r\n"),
+	  0 },
+	{ "a success",
+	  reply_of("200 OK", own_id + signature + "Retry-After: 3\r\n"), 0 },
+	{ "another request's refusal",
+	  reply_of("503 Busy", "X-Id: r2\r\nRetry-After: 3\r\n"), 0 },
+};
+
+TEST_F(ExchangeDuty, OnlyARefusalOfItsOwnPausesABackendServer)
+{
+	g_strlcpy(settings_.headers.request_id, "X-Id", NAME_BYTES_MAX);
+	g_strlcpy(settings_.headers.signature, "X-Signature", NAME_BYTES_MAX);
+	for (const auto &c : pause_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({ { c.reply, AFTER_KEEP, 0, "" } });
+		struct request *request = make_request(METHOD_GET);
+		struct finish_command finish = {};
+		uint64_t begun_us = clock_now_us();
+		uint64_t pause_us;
+
+		name_request(request);
+		order(grant(server.port(), request, 1000));
+		ASSERT_TRUE(take_finish(&finish));
+		pause_us = finish.evidence.pause_until_us;
+		if (c.pause_s == 0) {
+			EXPECT_EQ(pause_us, 0u);
+		} else {
+			EXPECT_GE(pause_us, begun_us + c.pause_s * US_PER_S);
+			EXPECT_LE(pause_us,
+				  clock_now_us() + c.pause_s * US_PER_S);
+		}
+		answer_held_free(finish.held);
+		request_unref(request);
+	}
+}
+
 struct own_connection_case {
 	const char *name;
 	std::string reply;
--- /dev/null
+++ b/test/unit/pause_test.cc
@@ -0,0 +1,154 @@
+/* A backend server that refuses work and says for how long it wants none. */
+#include "world.h"
+
+extern "C" {
+#include "codec/http_answer.h"
+}
+
+namespace
+{
+
+const uint32_t BACKENDS = 2;
+/* Of each backend server, all at this one home. */
+const uint32_t SLOTS = 6;
+const uint64_t PAUSE_MS = 3000;
+
+struct field_case {
+	const char *name;
+	std::vector<const char *> values;
+	uint32_t seconds;
+};
+
+const struct field_case field_cases[] = {
+	{ "none", {}, 0 },
+	{ "seconds", { "3" }, 3 },
+	{ "none at all", { "0" }, 0 },
+	{ "absurd", { "86400" }, 60 },
+	{ "beyond 64 bits", { "99999999999999999999" }, 0 },
+	{ "negative", { "-3" }, 0 },
+	{ "a part", { "1.5" }, 0 },
+	{ "a date", { "Fri, 04 Dec 2026 22:00:00 GMT" }, 0 },
+	{ "empty", { "" }, 0 },
+	{ "twice", { "3", "3" }, 0 },
+};
+
+TEST(PauseTest, FieldsAreReadOrIgnored)
+{
+	for (const auto &c : field_cases) {
+		SCOPED_TRACE(c.name);
+		struct answer_head head = {};
+
+		for (const char *value : c.values) {
+			head.headers[head.header_count].name =
+				(char *)"retry-after";
+			head.headers[head.header_count].value = (char *)value;
+			head.header_count++;
+		}
+		EXPECT_EQ(http_answer_retry_after_s(&head), c.seconds);
+	}
+}
+
+bool is_there(const struct grant_event &grant)
+{
+	return grant.backend.ip == addr_of(200, 9000).ip;
+}
+
+uint32_t grants_there(const World &world)
+{
+	uint32_t count = 0;
+
+	for (const struct event &event : world.events)
+		count += event.kind == EVENT_GRANT && is_there(event.grant);
+	return count;
+}
+
+struct evidence refused(const World &world)
+{
+	struct evidence evidence = ended(EVIDENCE_SHED);
+
+	evidence.status = 503;
+	evidence.pause_until_us = world.now.mono_us + PAUSE_MS * US_PER_MS;
+	return evidence;
+}
+
+/* Every slot is taken with work that may be repeated. */
+std::vector<struct grant_event> fill(World &world)
+{
+	std::vector<struct grant_event> grants;
+
+	for (uint64_t i = 0; i < BACKENDS * SLOTS; i++) {
+		const struct event *event =
+			world.about(world.request("/s/short", i));
+
+		if (event && event->kind == EVENT_GRANT)
+			grants.push_back(event->grant);
+	}
+	return grants;
+}
+
+void start_world(World &world)
+{
+	struct doc_shape shape;
+
+	shape.backends = BACKENDS;
+	shape.slots = SLOTS;
+	shape.budget_ms = 2000;
+	world.list(1);
+	world.accept(make_doc(shape));
+	world.pass_ms(10000);
+	world.forget();
+}
+
+TEST(PauseTest, NoRequestGoesThereUntilItsEnd)
+{
+	World world;
+	uint32_t unsent_there = 0;
+	bool paused = false;
+
+	start_world(world);
+	std::vector<struct grant_event> grants = fill(world);
+
+	world.forget();
+	for (const struct grant_event &grant : grants) {
+		if (is_there(grant) && paused)
+			unsent_there++;
+		else if (is_there(grant))
+			world.finish(grant, refused(world));
+		else
+			world.finish(grant, ended(EVIDENCE_OK));
+		paused |= is_there(grant);
+	}
+	ASSERT_GT(unsent_there, 0u);
+	EXPECT_EQ(world.count(EVENT_RECALL), unsent_there);
+	world.forget();
+	for (uint64_t ms = 0; ms < PAUSE_MS - 100; ms += 100) {
+		world.request("/s/short", ms);
+		world.pass_ms(100);
+	}
+	EXPECT_EQ(grants_there(world), 0u);
+	/* It was no fault of the server's. */
+	EXPECT_EQ(world.service()->backends[0].health.failed_in_row, 0u);
+	world.pass_ms(200);
+	for (uint64_t i = 0; i < SLOTS; i++)
+		world.request("/s/short", i);
+	EXPECT_GT(grants_there(world), 0u);
+}
+
+TEST(PauseTest, WhenAllPauseBeyondTheDeadlineACallerHearsItAtOnce)
+{
+	World world;
+	const struct event *event;
+
+	start_world(world);
+	for (const struct grant_event &grant : fill(world))
+		world.finish(grant, refused(world));
+	event = world.about(world.request("/s/write", 99));
+	ASSERT_NE(event, nullptr);
+	ASSERT_EQ(event->kind, EVENT_REFUSE);
+	EXPECT_EQ(event->refuse.refusal.cause, REFUSAL_NO_BACKEND);
+	EXPECT_EQ(event->refuse.refusal.outcome, OUTCOME_NOT_RUN);
+	EXPECT_GE(event->refuse.refusal.retry_at_unix_ms,
+		  world.now.unix_ms + PAUSE_MS);
+}
+
+} // namespace
