Test: an answer that is cut after any of its bytes is never whole

It cannot happen here: five answers cut after each byte, in head, body, chunks, trailers and behind an interim answer, with close_ends_answer on and off, all end as broken and nothing goes to the caller. One finding, allowed: libcurl does not wait for the very last LF behind the last chunk's empty line, when the body is whole.

--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -885,6 +885,64 @@
 	}
 }
 
+struct cut_case {
+	const char *name;
+	std::string
+		reply; /* less a last LF behind the last chunk, which may lack */
+	enum request_method method;
+};
+
+const struct cut_case cut_cases[] = {
+	{ "a length",
+	  "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nok ok ok okk",
+	  METHOD_GET },
+	{ "unsafe work",
+	  "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n\r\nok",
+	  METHOD_POST },
+	{ "chunks",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r",
+	  METHOD_GET },
+	{ "chunks and trailers",
+	  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	  "X-T: 1\r\n\r",
+	  METHOD_GET },
+	{ "an interim answer before it",
+	  "HTTP/1.1 103 Early\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\n"
+	  "Content-Length: 2\r\n\r\nok",
+	  METHOD_GET },
+};
+
+/* A close in the head or the body is never a whole answer. */
+TEST_F(ExchangeDuty, AnAnswerCutAnywhereIsNotWhole)
+{
+	const bool close_ends[] = { false, true };
+
+	for (const auto &c : cut_cases) {
+		for (size_t i = 0; i + 1 < 2 * c.reply.size(); i++) {
+			size_t length = i / 2;
+			std::string sent = c.reply.substr(0, length);
+
+			settings_.close_ends_answer = close_ends[i % 2];
+			SCOPED_TRACE(std::string(c.name) + ": " + sent);
+			ScriptServer server({ { sent, AFTER_CLOSE, 0, "" } });
+			struct request *request = make_request(c.method);
+			struct finish_command finish = {};
+			std::string body;
+
+			order(grant(server.port(), request, 1000));
+			ASSERT_TRUE(take_finish(&finish));
+			EXPECT_TRUE(finish.evidence.kind == EVIDENCE_RESET ||
+				    finish.evidence.kind ==
+					    EVIDENCE_TRUNCATED ||
+				    finish.evidence.kind == EVIDENCE_BAD_ANSWER)
+				<< finish.evidence.kind;
+			EXPECT_EQ(take_parts(request, &body), "");
+			answer_held_free(finish.held);
+			request_unref(request);
+		}
+	}
+}
+
 struct pause_case {
 	const char *name;
 	std::string reply;
