Test: hanging work during a planned stop is tested in a stop that began

CautionTest.HangingWorkIsTakenAway set the flag of a planned stop without its deadlines, a state that cannot occur: the stop was over at once, and since now what still runs at its end is broken off, the case saw a cancellation. It begins a stop by the command; what is expected stays. The tests' world has one way to begin a stop.

--- a/test/unit/caution_test.cc
+++ b/test/unit/caution_test.cc
@@ -241,7 +241,8 @@
 		ticket->tries_max = c.tries_max;
 		service->retry_budget_permille = c.budget_permille;
 		service->route_typical_us[ticket->route_index] = c.typical_us;
-		world.state->leaving = c.leaving;
+		if (c.leaving)
+			world.begin_stop();
 		world.now.mono_us += c.after_ms * US_PER_MS;
 		world.tick();
 		EXPECT_EQ(world.count(EVENT_CANCEL), c.stopped);
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -410,11 +410,8 @@
 	if (c.busy)
 		grant = world.about(world.request("/s/short", 1, deadline_us))
 				->grant;
-	struct command command = {};
-	command.kind = COMMAND_LEAVE;
-	command.leave.hurry = c.hurry;
 
-	world.apply(command);
+	world.begin_stop(c.hurry);
 	for (uint64_t ms = 0; ms <= c.left_ms; ms += 100) {
 		if (c.late_request_ms && ms == c.late_request_ms) {
 			uint32_t late = world.request("/s/short");
--- a/test/unit/leave_test.cc
+++ b/test/unit/leave_test.cc
@@ -23,14 +23,6 @@
 	{ "late, a server may hang", 20000, 20, 11000, EVENT_REFUSE },
 };
 
-void begin_stop(World &world)
-{
-	struct command command = {};
-
-	command.kind = COMMAND_LEAVE;
-	world.apply(command);
-}
-
 TEST(LateInAStopTest, OnlyWhatEndsInTimeIsBegun)
 {
 	for (const auto &c : late_cases) {
@@ -45,7 +37,7 @@
 		for (uint32_t i = 0; i <= DOC_ROUTES_MAX; i++)
 			world.service()->route_typical_us[i] =
 				c.typical_ms * US_PER_MS;
-		begin_stop(world);
+		world.begin_stop();
 		world.now.mono_us += c.after_ms * US_PER_MS;
 		number = world.request("/s/write", 1,
 				       world.now.mono_us +
@@ -86,7 +78,7 @@
 		number = world.request("/s/write", 1,
 				       world.now.mono_us + 60 * US_PER_S);
 		grant = world.about(number)->grant;
-		begin_stop(world);
+		world.begin_stop();
 		world.pass_ms(STOP_MS - 100);
 		ASSERT_EQ(world.count(EVENT_CANCEL), 0u);
 		world.pass_ms(200);
--- a/test/unit/world.h
+++ b/test/unit/world.h
@@ -167,6 +167,15 @@
 		}
 	}
 
+	void begin_stop(bool hurry = false)
+	{
+		struct command command = {};
+
+		command.kind = COMMAND_LEAVE;
+		command.leave.hurry = hurry;
+		apply(command);
+	}
+
 	void list(uint32_t count, uint32_t domains = 3)
 	{
 		struct command command = {};
