A backend server that starts again under its old name is another start

A server that had said in an answer that it leaves, and then started again under the same id (its entry has a later born), would have got no request for as long as any instance remembered: capacity lost for good, and a server that joined and gets nothing.

Cause: the document named a start by the id alone, and the mark of a start that drains lasts as long as the start does. The document's text did not even change with born, so nobody noticed the new start; its health was the old one's too.

Evidence: StoreView.Steps, 'a new start under the same name is a change', fails on: the version stays 3. DrainedStartTest, 'a new start comes under the same name'.

Why this works: struct start_id is the name and the time of the start, and all that asks whether two backend servers are the same start compares both: health and drain are not carried over, and the mark of the old one does not meet the new one. The name alone goes into the request, as the protocol has it.

--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -84,7 +84,9 @@
 	  .range = { 1, CONNECTIONS_MAX, 0 } },
 	{ "draining", FIELD_BOOL, false, AT_BACKEND(draining) },
 	{ "warming", FIELD_BOOL, false, AT_BACKEND(warming) },
-	{ "instance", FIELD_NAME, false, AT_BACKEND(instance) },
+	{ "instance", FIELD_NAME, false, AT_BACKEND(start.instance) },
+	{ "started_unix_ms", FIELD_U64, false,
+	  AT_BACKEND(start.started_unix_ms), .range = { 0, INT64_MAX, 0 } },
 };
 
 static const struct json_field class_fields[] = {
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -30,9 +30,10 @@
 
 static void observe_trickle(struct health_change *change, enum work_end end);
 static void observe_drain_answer(struct health_change *change);
-static void remember_drained(struct service *service, const struct name *start);
+static void remember_drained(struct service *service,
+			     const struct start_id *start);
 static bool start_drained(const struct service *service,
-			  const struct name *start);
+			  const struct start_id *start);
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
 static void note_closed(struct backend *backend, struct instant now);
@@ -159,7 +160,7 @@
 		change.backend = backend;
 		if (known && !known[i])
 			health_ramp(&change, CAUSE_COLD_START);
-		if (start_drained(service, &backend->instance))
+		if (start_drained(service, &backend->start))
 			backend->drain_seen_until_us = DEADLINE_NONE_US;
 		note_closed(backend, now);
 		if (backend->drain_document && !backend->health.drain_audited) {
@@ -223,10 +224,10 @@
 /* A start that drains never stops to, whatever documents say later. */
 static void observe_drain_answer(struct health_change *change)
 {
-	const struct name *start = &change->backend->instance;
+	const struct start_id *start = &change->backend->start;
 	uint64_t until_us = change->now.mono_us + DRAIN_UNNAMED_US;
 
-	if (start->text[0] != '\0') {
+	if (start_named(start)) {
 		until_us = DEADLINE_NONE_US;
 		remember_drained(change->service, start);
 	}
@@ -234,7 +235,8 @@
 }
 
 /* The latest are kept: an entry may lapse and come back. */
-static void remember_drained(struct service *service, const struct name *start)
+static void remember_drained(struct service *service,
+			     const struct start_id *start)
 {
 	if (start_drained(service, start))
 		return;
@@ -244,14 +246,14 @@
 }
 
 static bool start_drained(const struct service *service,
-			  const struct name *start)
+			  const struct start_id *start)
 {
 	uint32_t i;
 
-	if (start->text[0] == '\0')
+	if (!start_named(start))
 		return false;
 	for (i = 0; i < DRAINED_STARTS_MAX; i++) {
-		if (name_equal(&service->drained_starts[i], start))
+		if (start_equal(&service->drained_starts[i], start))
 			return true;
 	}
 	return false;
--- a/src/command/replace.c
+++ b/src/command/replace.c
@@ -102,7 +102,7 @@
 		old = &remap->old[i];
 		backend = find_from(service, stated, old->addr, &next);
 		/* Another start at the same address is another one. */
-		if (backend && name_equal(&backend->instance, &old->instance)) {
+		if (backend && start_equal(&backend->start, &old->start)) {
 			carry_backend(backend, old);
 			remap->backends[i] =
 				(uint32_t)(backend - service->backends);
@@ -158,7 +158,7 @@
 	backend->capacity_slots = stated.capacity_slots;
 	backend->connections_max = stated.connections_max;
 	backend->drain_document = stated.drain_document;
-	if (stated.instance.text[0] != '\0')
+	if (start_named(&stated.start))
 		backend->cold = stated.cold;
 	backend->own_slots = MIN(old->own_slots, stated.capacity_slots);
 	backend->own_long_slots = MIN(old->own_long_slots, backend->own_slots);
--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -209,7 +209,7 @@
 	order->exchange.generation = ticket->generation;
 	order->request = request_ref(ticket->request);
 	order->backend = backend->addr;
-	order->instance = backend->instance;
+	order->instance = backend->start.instance;
 	order->deadline_us = ticket->deadline_us;
 	order->send_before_us = ticket->deadline_us;
 	if (pick->borrowed_index != TICKET_NONE)
--- a/src/command/trace.c
+++ b/src/command/trace.c
@@ -21,7 +21,7 @@
 
 	begin(state, ticket, ticket->request, now, &record);
 	record.granted.backend = backend->addr;
-	record.granted.instance = backend->instance;
+	record.granted.instance = backend->start.instance;
 	record.granted.own_slots = backend->own_slots;
 	record.granted.in_use_slots = backend->in_use_slots;
 	record.granted.borrowed = ticket->borrowed_index != TICKET_NONE;
@@ -40,7 +40,7 @@
 
 	begin(state, ticket, ticket->request, now, &record);
 	record.ended.backend = backend->addr;
-	record.ended.instance = backend->instance;
+	record.ended.instance = backend->start.instance;
 	record.ended.kind = evidence->kind;
 	record.ended.sent = evidence->request_sent;
 	record.ended.status = evidence->status;
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -43,8 +43,8 @@
  * @connections_max: connections it takes from the whole fleet
  * @draining: it shall get no new work
  * @warming: it has just started and is slow for now
- * @instance: names this start of it, so that a request never reaches another
- *	one at the same address; empty when the team does not name it
+ * @start: which start of it, so that a request never reaches another one at the
+ *	same address
  */
 struct backend_doc {
 	struct net_addr addr;
@@ -53,7 +53,7 @@
 	uint32_t connections_max;
 	bool draining;
 	bool warming;
-	struct name instance;
+	struct start_id start;
 };
 
 /**
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -41,6 +41,17 @@
 	return strcmp(a->text, b->text) == 0;
 }
 
+bool start_named(const struct start_id *start)
+{
+	return start->instance.text[0] != '\0';
+}
+
+bool start_equal(const struct start_id *a, const struct start_id *b)
+{
+	return a->started_unix_ms == b->started_unix_ms &&
+	       name_equal(&a->instance, &b->instance);
+}
+
 bool addr_equal(struct net_addr a, struct net_addr b)
 {
 	return a.ip == b.ip && a.port == b.port;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -34,6 +34,16 @@
 	uint16_t port;
 };
 
+/**
+ * struct start_id - one start of a backend server
+ * @instance: its name, empty when the team does not name it
+ * @started_unix_ms: when it began, for a name that is used again; 0 when not told
+ */
+struct start_id {
+	struct name instance;
+	uint64_t started_unix_ms;
+};
+
 /**
  * struct exchange_id - one admitted request; a reused index gets another
  *	generation, so a late message never meets its successor
@@ -69,6 +79,23 @@
  */
 bool name_equal(const struct name *a, const struct name *b);
 
+/**
+ * start_named() - whether a start can be told from others
+ * @start: the start
+ *
+ * Return: false when another one may look the same.
+ */
+bool start_named(const struct start_id *start);
+
+/**
+ * start_equal() - compare two starts
+ * @a: one
+ * @b: other
+ *
+ * Return: whether they look the same.
+ */
+bool start_equal(const struct start_id *a, const struct start_id *b);
+
 /**
  * addr_equal() - compare two addresses
  * @a: one
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -162,5 +162,5 @@
 	backend->connections_max = doc->connections_max;
 	backend->drain_document = doc->draining;
 	backend->cold = doc->warming;
-	backend->instance = doc->instance;
+	backend->start = doc->start;
 }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -125,7 +125,7 @@
 /**
  * struct backend - one backend server of a service, this instance's part
  * @addr: where it listens
- * @instance: names this start of it, may be empty
+ * @start: which start of it
  * @domain: its failure domain
  * @capacity_slots: requests it works on at once, for the whole fleet
  * @connections_max: connections this instance may hold
@@ -148,7 +148,7 @@
  */
 struct backend {
 	struct net_addr addr;
-	struct name instance;
+	struct start_id start;
 	struct name domain;
 	uint32_t capacity_slots;
 	uint32_t connections_max;
@@ -319,7 +319,7 @@
 	uint64_t digest_due_us;
 	uint64_t eject_basis;
 	uint64_t eject_after_us;
-	struct name drained_starts[DRAINED_STARTS_MAX];
+	struct start_id drained_starts[DRAINED_STARTS_MAX];
 	uint32_t drained_next;
 	struct service_counters counters;
 };
--- a/test/unit/drained_start_test.cc
+++ b/test/unit/drained_start_test.cc
@@ -5,7 +5,14 @@
 {
 
 /* What happens after backend server 0, of two, has said so. */
-enum since { SINCE_TIME, SINCE_READY, SINCE_LAPSE, SINCE_OTHERS, SINCE_START };
+enum since {
+	SINCE_TIME,
+	SINCE_READY,
+	SINCE_LAPSE,
+	SINCE_OTHERS,
+	SINCE_START,
+	SINCE_RESTART
+};
 
 struct since_case {
 	const char *name;
@@ -20,6 +27,7 @@
 	{ "its entry lapses and comes back", "i-1", SINCE_LAPSE, false },
 	{ "other servers change", "i-1", SINCE_OTHERS, false },
 	{ "a new start comes", "i-1", SINCE_START, true },
+	{ "a new start comes under the same name", "i-1", SINCE_RESTART, true },
 	{ "a minute passes, starts have no names", "", SINCE_TIME, true },
 };
 
@@ -31,7 +39,7 @@
 	shape.backends = 2;
 	doc = make_doc(shape, version);
 	if (start[0] != '\0')
-		name_set(&doc->backends[0].instance, start);
+		name_set(&doc->backends[0].start.instance, start);
 	return doc;
 }
 
@@ -56,7 +64,12 @@
 		return;
 	case SINCE_OTHERS:
 		doc = doc_of(2, c.start);
-		name_set(&doc->backends[1].instance, "another");
+		name_set(&doc->backends[1].start.instance, "another");
+		world.accept(doc);
+		return;
+	case SINCE_RESTART:
+		doc = doc_of(2, c.start);
+		doc->backends[0].start.started_unix_ms = 1000;
 		world.accept(doc);
 		return;
 	case SINCE_START:
--- a/test/unit/recall_test.cc
+++ b/test/unit/recall_test.cc
@@ -50,7 +50,7 @@
 	if (learned == LEARNED_GONE)
 		doc->backends[0].addr = addr_of(250, 9000);
 	if (learned == LEARNED_ANOTHER_START)
-		name_set(&doc->backends[0].instance, "another");
+		name_set(&doc->backends[0].start.instance, "another");
 	return doc;
 }
 
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -113,6 +113,14 @@
 	  { first_entry, first_config, { PUBLISH, "", "", 3 } },
 	  { "i-1" },
 	  3 },
+	{ "a new start under the same name is a change",
+	  { first_config,
+	    first_entry,
+	    { PUBLISH, "", "", 3 },
+	    { PUT, "servers/i-1", entry("rolls", "10.0.0.1:80", 2), 5 },
+	    { PUBLISH, "", "", 5 } },
+	  { "i-1" },
+	  5 },
 	{ "a change elsewhere leaves the version",
 	  { first_config,
 	    first_entry,
@@ -220,7 +228,7 @@
 		EXPECT_STREQ(doc->drain.value, "1");
 		ASSERT_EQ(doc->backend_count, c.instances.size());
 		for (size_t i = 0; i < c.instances.size(); i++)
-			EXPECT_EQ(doc->backends[i].instance.text,
+			EXPECT_EQ(doc->backends[i].start.instance.text,
 				  c.instances[i]);
 		service_doc_unref(doc);
 		store_view_free(view);
