A pause that a server asks for is known with its answer's head, not its body's end

What callers saw: nothing directly. A backend server that refused with Retry-After and was slow to end its body went on getting requests until the exchange ended, for as long as a request's whole time, though the pause counts from its answer.

Cause: only a drain was told to the decisions by the head; the pause came with the end of the exchange. And whatever followed such a head was no fault, a body that never ended too.

Evidence: ExchangeDuty.WhatAServerSaysIsToldByTheHeadBeforeTheBodyEnds, case 'a pause', fails on (adapted to its names): the first thing told is the end.

Why this works: struct backend_word is what a head says of its server, a drain, a pause or both, and one command tells it as soon as the head is whole; evidence carries the same struct. Only a refusal that came whole is no fault.

--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -39,8 +39,8 @@
 	case COMMAND_FINISH:
 		finish(state, &command->finish, now, out);
 		break;
-	case COMMAND_NOTE_DRAIN:
-		note_drain(state, &command->note_drain, now, out);
+	case COMMAND_NOTE_ANSWER:
+		note_answer(state, &command->note_answer, now, out);
 		break;
 	case COMMAND_CANCEL:
 		cancel(state, &command->cancel, now, out);
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -51,13 +51,13 @@
 		       out);
 	schedule_release(state, index);
 	conclude(state, index, command, now, out);
-	if (command->evidence.draining || command->evidence.pause_until_us > 0)
+	if (backend_word_said(&command->evidence.word))
 		recall_unsent(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
 
-void note_drain(struct state *state, const struct note_drain_command *command,
-		struct instant now, struct event_list *out)
+void note_answer(struct state *state, const struct note_answer_command *command,
+		 struct instant now, struct event_list *out)
 {
 	uint32_t index = ticket_find(state, command->exchange);
 	struct service *service;
@@ -68,8 +68,9 @@
 		return;
 	ticket = &state->tickets[index];
 	service = ticket->service;
-	health_note_drain(state, service,
-			  &service->backends[ticket->backend_index], now, out);
+	health_observe_word(state, service,
+			    &service->backends[ticket->backend_index],
+			    &command->word, now, out);
 	recall_unsent(state, service, now, out);
 	schedule_run(state, service, now, out);
 }
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -60,10 +60,7 @@
 	enum work_end end;
 
 	evidence_wake(service, now);
-	if (evidence->draining)
-		observe_drain_answer(&change);
-	backend->pause_until_us =
-		MAX(backend->pause_until_us, evidence->pause_until_us);
+	health_observe_word(state, service, backend, &evidence->word, now, out);
 	end = evidence_judge(service, ticket, evidence);
 	if (end == WORK_SLOW && backend_cold(backend, now))
 		end = WORK_NOTHING;
@@ -83,9 +80,10 @@
 		observe_trickle(&change, end);
 }
 
-void health_note_drain(struct state *state, struct service *service,
-		       struct backend *backend, struct instant now,
-		       struct event_list *out)
+void health_observe_word(struct state *state, struct service *service,
+			 struct backend *backend,
+			 const struct backend_word *word, struct instant now,
+			 struct event_list *out)
 {
 	struct health_change change = { .state = state,
 					.service = service,
@@ -93,7 +91,10 @@
 					.now = now,
 					.out = out };
 
-	observe_drain_answer(&change);
+	if (word->draining)
+		observe_drain_answer(&change);
+	backend->pause_until_us =
+		MAX(backend->pause_until_us, word->pause_until_us);
 }
 
 void health_observe_probe(struct state *state, struct service *service,
--- a/src/command/health.h
+++ b/src/command/health.h
@@ -23,16 +23,18 @@
 		    struct event_list *out);
 
 /**
- * health_note_drain() - an answer says that its backend server drains
+ * health_observe_word() - take in what an answer says of its backend server
  * @state: the state
  * @service: its service
  * @backend: the backend server
+ * @word: what it says
  * @now: the time
  * @out: gets an audit record
  */
-void health_note_drain(struct state *state, struct service *service,
-		       struct backend *backend, struct instant now,
-		       struct event_list *out);
+void health_observe_word(struct state *state, struct service *service,
+			 struct backend *backend,
+			 const struct backend_word *word, struct instant now,
+			 struct event_list *out);
 
 /**
  * health_observe_probe() - take in a probe; it only adds suspicion or drain
--- a/src/command/health_evidence.c
+++ b/src/command/health_evidence.c
@@ -119,9 +119,6 @@
 	uint64_t slow_after_us = health_slow_after_us(
 		service->route_typical_us[ticket->route_index]);
 
-	/* A refusal that says when to come back is no fault. */
-	if (evidence->pause_until_us > 0)
-		return WORK_NOTHING;
 	switch (evidence->kind) {
 	case EVIDENCE_OK:
 		if (evidence->service_us > slow_after_us)
@@ -139,8 +136,11 @@
 		    evidence->service_us < slow_after_us)
 			return WORK_NOTHING;
 		return WORK_FAILED;
-	case EVIDENCE_RESET:
 	case EVIDENCE_SERVER_ERROR:
+		/* A refusal that says when to come back is no fault. */
+		return evidence->word.pause_until_us > 0 ? WORK_NOTHING :
+							   WORK_FAILED;
+	case EVIDENCE_RESET:
 	case EVIDENCE_CONNECT:
 	case EVIDENCE_TRUNCATED:
 	case EVIDENCE_BAD_ANSWER:
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -81,7 +81,7 @@
 	case COMMAND_PEER_MESSAGE:
 		g_free(command->peer_message);
 		break;
-	case COMMAND_NOTE_DRAIN:
+	case COMMAND_NOTE_ANSWER:
 	case COMMAND_TICK:
 	case COMMAND_REFUSE_CONFIG:
 	case COMMAND_PROBE_RESULT:
@@ -103,7 +103,7 @@
 
 	switch (command->kind) {
 	case COMMAND_FINISH:
-	case COMMAND_NOTE_DRAIN:
+	case COMMAND_NOTE_ANSWER:
 	case COMMAND_CANCEL:
 	case COMMAND_LEAVE:
 		return ring_push_reserved(dispatch, &message);
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -16,7 +16,7 @@
 enum command_kind {
 	COMMAND_ADMIT,
 	COMMAND_FINISH,
-	COMMAND_NOTE_DRAIN,
+	COMMAND_NOTE_ANSWER,
 	COMMAND_CANCEL,
 	COMMAND_TICK,
 	COMMAND_ACCEPT_CONFIG,
@@ -55,11 +55,13 @@
 };
 
 /**
- * struct note_drain_command - an answer's head says that its server drains
+ * struct note_answer_command - an answer's head says something of its server
  * @exchange: which; it goes on
+ * @word: what
  */
-struct note_drain_command {
+struct note_answer_command {
 	struct exchange_id exchange;
+	struct backend_word word;
 };
 
 /**
@@ -169,7 +171,7 @@
 	union {
 		struct admit_command admit;
 		struct finish_command finish;
-		struct note_drain_command note_drain;
+		struct note_answer_command note_answer;
 		struct cancel_command cancel;
 		struct accept_config_command accept_config;
 		struct accept_routes_command accept_routes;
@@ -346,7 +348,7 @@
  * @dispatch: its ring
  * @command: taken over on success, untouched otherwise
  *
- * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_NOTE_DRAIN,
+ * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_NOTE_ANSWER,
  * COMMAND_CANCEL and COMMAND_LEAVE may use the ring's reserve.
  */
 enum ring_result send_command(struct ring *dispatch,
--- a/src/core/evidence.c
+++ b/src/core/evidence.c
@@ -1,5 +1,10 @@
 #include "core/evidence.h"
 
+bool backend_word_said(const struct backend_word *word)
+{
+	return word->draining || word->pause_until_us > 0;
+}
+
 bool evidence_not_run(const struct evidence *evidence)
 {
 	return evidence->kind == EVIDENCE_SHED || !evidence->request_sent;
--- a/src/core/evidence.h
+++ b/src/core/evidence.h
@@ -37,14 +37,30 @@
 	EVIDENCE_LATE,
 };
 
+/**
+ * struct backend_word - what an answer's head says of its backend server
+ * @draining: it wants no new work any more
+ * @pause_until_us: it wants no request until then, 0 when it did not say so
+ */
+struct backend_word {
+	bool draining;
+	uint64_t pause_until_us;
+};
+
+/**
+ * backend_word_said() - whether it says anything
+ * @word: the word
+ *
+ * Return: true when the backend server wants less than before.
+ */
+bool backend_word_said(const struct backend_word *word);
+
 /**
  * struct evidence - the end of one exchange
  * @kind: how it ended
  * @request_sent: a byte of the request may have reached the backend server
  * @head_given: the answer has begun to go to the caller
- * @draining: the answer had the service's drain marker
- * @pause_until_us: the backend server wants no request until then, 0 when it did
- *	not say so
+ * @word: what the answer's head said of the backend server
  * @status: HTTP status, 0 when there was none
  * @service_us: time from send to the end of the answer
  * @sent_us: when the request began to go out, 0 when it did not
@@ -53,8 +69,7 @@
 	enum evidence_kind kind;
 	bool request_sent;
 	bool head_given;
-	bool draining;
-	uint64_t pause_until_us;
+	struct backend_word word;
 	uint32_t status;
 	uint64_t service_us;
 	uint64_t sent_us;
--- a/src/duty/exchange.c
+++ b/src/duty/exchange.c
@@ -402,8 +402,7 @@
 		.evidence = {
 			.kind = transfer_judge(exchange, code),
 			.request_sent = exchange->sent,
-			.draining = exchange->draining,
-			.pause_until_us = exchange->pause_until_us,
+			.word = exchange->word,
 			.status = exchange->status,
 		},
 	};
@@ -445,11 +444,14 @@
 	send_in_order(duty, &command);
 }
 
-void exchange_note_drain(struct exchange *exchange)
+void exchange_note_answer(struct exchange *exchange)
 {
 	const struct command command = {
-		.kind = COMMAND_NOTE_DRAIN,
-		.note_drain = { .exchange = exchange->grant.exchange },
+		.kind = COMMAND_NOTE_ANSWER,
+		.note_answer = {
+			.exchange = exchange->grant.exchange,
+			.word = exchange->word,
+		},
 	};
 
 	send_in_order(exchange->duty, &command);
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -288,12 +288,12 @@
 			http_answer_owned(reader, exchange->grant.request);
 	}
 	if (valid && reader->complete && !before) {
-		exchange->draining = http_answer_marked(reader->head,
-							&exchange->grant.drain);
+		exchange->word.draining = http_answer_marked(
+			reader->head, &exchange->grant.drain);
 		judge_shed(exchange);
 		judge_pause(exchange);
-		if (exchange->draining)
-			exchange_note_drain(exchange);
+		if (backend_word_said(&exchange->word))
+			exchange_note_answer(exchange);
 	}
 	if (valid)
 		return size * count;
@@ -316,7 +316,7 @@
 	if (exchange->status != HTTP_MISDIRECTED || !named)
 		return;
 	exchange->shed = true;
-	exchange->draining = true;
+	exchange->word.draining = true;
 }
 
 static void judge_pause(struct exchange *exchange)
@@ -327,7 +327,8 @@
 		return;
 	seconds = http_answer_retry_after_s(exchange->reader.head);
 	if (seconds > 0)
-		exchange->pause_until_us = clock_now_us() + seconds * US_PER_S;
+		exchange->word.pause_until_us =
+			clock_now_us() + seconds * US_PER_S;
 }
 
 static size_t on_body(char *bytes, size_t size, size_t count, void *data)
--- a/src/duty/transfer.h
+++ b/src/duty/transfer.h
@@ -51,8 +51,7 @@
  * @length_bytes: body length that the head states, else UINT64_MAX
  * @status: of the final head
  * @shed: the answer has the shed marker
- * @draining: the answer has the drain marker
- * @pause_until_us: the backend server wants no request until then, 0 for none
+ * @word: what the head says of the backend server
  * @streaming: the answer has begun to go to the caller
  * @sent: the request may have begun to go out
  * @overslept: the process was paused while it ran
@@ -74,8 +73,7 @@
 	uint64_t length_bytes;
 	uint32_t status;
 	bool shed;
-	bool draining;
-	uint64_t pause_until_us;
+	struct backend_word word;
 	bool streaming;
 	bool sent;
 	bool overslept;
@@ -85,10 +83,11 @@
 };
 
 /**
- * exchange_note_drain() - tell the decisions that an answer's server drains
+ * exchange_note_answer() - tell the decisions what an answer's head says of its
+ *	server
  * @exchange: its exchange, which goes on
  */
-void exchange_note_drain(struct exchange *exchange);
+void exchange_note_answer(struct exchange *exchange);
 
 /**
  * transfer_prepare() - set the handle up for the request
--- a/test/unit/drained_start_test.cc
+++ b/test/unit/drained_start_test.cc
@@ -108,8 +108,8 @@
 			event = world.about(world.request("/s/short", i));
 			ASSERT_NE(event, nullptr);
 			ASSERT_EQ(event->kind, EVENT_GRANT);
-			evidence.draining = event->grant.backend.ip ==
-					    addr_of(200, 9000).ip;
+			evidence.word.draining = event->grant.backend.ip ==
+						 addr_of(200, 9000).ip;
 			world.finish(event->grant, evidence);
 		}
 		world.forget();
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -496,7 +496,7 @@
 		       RING_OK;
 	}
 
-	/* The end of an exchange; a drain may have been told before it. */
+	/* The end of an exchange; its head may have been told before it. */
 	bool take_finish(struct finish_command *finish, uint32_t wait_ms = 3000)
 	{
 		struct message message;
@@ -504,10 +504,12 @@
 
 		if (!take(&message, wait_ms))
 			return false;
-		told = message.command.kind == COMMAND_NOTE_DRAIN;
+		told = message.command.kind == COMMAND_NOTE_ANSWER;
 		if (told && !take(&message, wait_ms))
 			return false;
-		EXPECT_EQ(message.command.finish.evidence.draining, told);
+		EXPECT_EQ(backend_word_said(
+				  &message.command.finish.evidence.word),
+			  told);
 		EXPECT_EQ(message.command.kind, COMMAND_FINISH);
 		*finish = message.command.finish;
 		return true;
@@ -805,7 +807,7 @@
 		order(ordered);
 		ASSERT_TRUE(take_finish(&finish));
 		EXPECT_EQ(finish.evidence.kind, c.kind);
-		EXPECT_EQ(finish.evidence.draining, c.draining);
+		EXPECT_EQ(finish.evidence.word.draining, c.draining);
 		EXPECT_NE(server.last_request().find("X-Instance: i-7\r\n"),
 			  std::string::npos);
 		EXPECT_GT(field_number(server.last_request(), "X-Left: "), 0);
@@ -842,24 +844,27 @@
 	request_unref(request);
 }
 
-struct drain_head_case {
+struct head_case {
 	const char *name;
 	const char *fields;
-	bool told;
+	bool draining;
+	uint64_t pause_s;
 };
 
-const struct drain_head_case drain_head_cases[] = {
-	{ "it drains", "X-Draining: 1\r\n", true },
-	{ "it says so twice", "X-Draining: 1\r\nX-Draining: 1\r\n", true },
-	{ "name in small letters", "x-draining: 1\r\n", true },
-	{ "it does not", "X-Draining: 0\r\n", false },
-	{ "no value", "X-Draining:\r\n", false },
-	{ "nothing", "", false },
+const struct head_case head_cases[] = {
+	{ "it drains", "X-Draining: 1\r\n", true, 0 },
+	{ "it says so twice", "X-Draining: 1\r\nX-Draining: 1\r\n", true, 0 },
+	{ "name in small letters", "x-draining: 1\r\n", true, 0 },
+	{ "it does not", "X-Draining: 0\r\n", false, 0 },
+	{ "no value", "X-Draining:\r\n", false, 0 },
+	{ "a pause", "Retry-After: 3\r\n", false, 3 },
+	{ "both", "Retry-After: 3\r\nX-Draining: 1\r\n", true, 3 },
+	{ "nothing", "", false, 0 },
 };
 
-TEST_F(ExchangeDuty, ADrainIsToldByTheHeadBeforeTheBodyEnds)
+TEST_F(ExchangeDuty, WhatAServerSaysIsToldByTheHeadBeforeTheBodyEnds)
 {
-	for (const auto &c : drain_head_cases) {
+	for (const auto &c : head_cases) {
 		SCOPED_TRACE(c.name);
 		ScriptServer server(
 			{ { std::string("HTTP/1.1 503 Busy\r\n") + c.fields +
@@ -868,18 +873,28 @@
 		struct request *request = make_request(METHOD_GET);
 		struct grant_event ordered =
 			grant(server.port(), request, 1000);
+		uint64_t begun_us = clock_now_us();
+		const struct backend_word *word;
 		struct message message;
 
 		order(ordered);
 		ASSERT_TRUE(take(&message, 3000));
-		if (c.told) {
-			ASSERT_EQ(message.command.kind, COMMAND_NOTE_DRAIN);
-			EXPECT_EQ(message.command.note_drain.exchange.index,
+		if (c.draining || c.pause_s > 0) {
+			ASSERT_EQ(message.command.kind, COMMAND_NOTE_ANSWER);
+			EXPECT_EQ(message.command.note_answer.exchange.index,
 				  ordered.exchange.index);
+			word = &message.command.note_answer.word;
+			EXPECT_EQ(word->draining, c.draining);
+			EXPECT_GE(word->pause_until_us,
+				  c.pause_s > 0 ?
+					  begun_us + c.pause_s * US_PER_S :
+					  0);
 			ASSERT_TRUE(take(&message, 3000));
 		}
 		ASSERT_EQ(message.command.kind, COMMAND_FINISH);
-		EXPECT_EQ(message.command.finish.evidence.draining, c.told);
+		word = &message.command.finish.evidence.word;
+		EXPECT_EQ(word->draining, c.draining);
+		EXPECT_EQ(word->pause_until_us > 0, c.pause_s > 0);
 		command_clear(&message.command);
 		request_unref(request);
 	}
@@ -978,7 +993,7 @@
 		name_request(request);
 		order(grant(server.port(), request, 1000));
 		ASSERT_TRUE(take_finish(&finish));
-		pause_us = finish.evidence.pause_until_us;
+		pause_us = finish.evidence.word.pause_until_us;
 		if (c.pause_s == 0) {
 			EXPECT_EQ(pause_us, 0u);
 		} else {
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -67,7 +67,7 @@
 	struct evidence evidence = ended(EVIDENCE_SHED);
 
 	evidence.status = 503;
-	evidence.pause_until_us = world.now.mono_us + PAUSE_MS * US_PER_MS;
+	evidence.word.pause_until_us = world.now.mono_us + PAUSE_MS * US_PER_MS;
 	return evidence;
 }
 
--- a/test/unit/recall_test.cc
+++ b/test/unit/recall_test.cc
@@ -67,12 +67,13 @@
 		world.accept(next_doc(learned));
 		return;
 	case LEARNED_ANSWER:
-		evidence.draining = true;
+		evidence.word.draining = true;
 		world.finish(other, evidence);
 		return;
 	case LEARNED_HEAD:
-		command.kind = COMMAND_NOTE_DRAIN;
-		command.note_drain.exchange = other.exchange;
+		command.kind = COMMAND_NOTE_ANSWER;
+		command.note_answer.exchange = other.exchange;
+		command.note_answer.word.draining = true;
 		world.apply(command);
 		return;
 	case LEARNED_REPORT:
