A pause holds while its server's entry lapses, ends gently, and is on record

What callers saw: nothing directly. A backend server that asked for a pause got requests again as soon as its entry lapsed and came back, in the middle of the pause; at its end every instance sent all that it had at once, and no audit record, metric or status told an operator why a server got no work.

Cause: the pause lived in the server's place in the state, which goes with the entry; only drains were remembered beside it. And the slots of a pause opened all together.

After a pause one request goes to the server, then twice as many with each whole answer given since: as fast as the server itself shows that it can. Audit records pause_begun and pause_ended, gauges of draining and paused servers, 'paused' in status. A pausing server is no capacity in service, so no ejection leaves less than the floor beside it.

--- a/src/cli/status.c
+++ b/src/cli/status.c
@@ -97,6 +97,8 @@
 {
 	if (show_flag(backend, "draining"))
 		return "draining";
+	if (show_flag(backend, "paused"))
+		return "paused";
 	if (show_flag(backend, "cold"))
 		return "cold";
 	return show_text(backend, "state");
--- a/src/codec/report_text.c
+++ b/src/codec/report_text.c
@@ -153,6 +153,7 @@
 	json_add_text(out, "state", health_text(backend->state));
 	json_add_text(out, "cause", audit_cause_text(backend->state_cause));
 	json_add_flag(out, "draining", backend->draining);
+	json_add_flag(out, "paused", backend->paused);
 	json_add_flag(out, "cold", backend->cold);
 	json_add_number(out, "slots", backend->capacity_slots);
 	json_add_number(out, "own_slots", backend->own_slots);
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -4,6 +4,7 @@
 
 #include "command/health_change.h"
 #include "command/health_evidence.h"
+#include "command/start_word.h"
 #include "query/floor.h"
 #include "query/health.h"
 
@@ -30,10 +31,10 @@
 
 static void observe_trickle(struct health_change *change, enum work_end end);
 static void observe_drain_answer(struct health_change *change);
-static void remember_drained(struct service *service,
-			     const struct start_id *start);
-static bool start_drained(const struct service *service,
-			  const struct start_id *start);
+static void observe_pause(struct backend *backend, uint64_t until_us);
+static void open_more(struct backend *backend, const struct ticket *ticket);
+static void recall_word(struct backend *backend,
+			const struct backend_word *word);
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
 static void note_closed(struct backend *backend, struct instant now);
@@ -75,6 +76,8 @@
 	if (end == WORK_OK)
 		backend->health.proved_us =
 			MAX(backend->health.proved_us, ticket->granted_us);
+	if (end == WORK_OK)
+		open_more(backend, ticket);
 	evidence_count(&backend->health, end, now);
 	if (backend->health.state == HEALTH_TRICKLE)
 		observe_trickle(&change, end);
@@ -91,10 +94,12 @@
 					.now = now,
 					.out = out };
 
+	if (!backend_word_said(word))
+		return;
+	start_word_keep(service, &backend->start, word, now);
 	if (word->draining)
 		observe_drain_answer(&change);
-	backend->pause_until_us =
-		MAX(backend->pause_until_us, word->pause_until_us);
+	observe_pause(backend, word->pause_until_us);
 }
 
 void health_observe_probe(struct state *state, struct service *service,
@@ -153,6 +158,7 @@
 	struct health_change change = {
 		.state = state, .service = service, .now = now, .out = out
 	};
+	const struct backend_word *word;
 	struct backend *backend;
 	uint32_t i;
 
@@ -161,8 +167,9 @@
 		change.backend = backend;
 		if (known && !known[i])
 			health_ramp(&change, CAUSE_COLD_START);
-		if (start_drained(service, &backend->start))
-			backend->drain_seen_until_us = DEADLINE_NONE_US;
+		word = start_word_find(service, &backend->start);
+		if (word)
+			recall_word(backend, word);
 		note_closed(backend, now);
 		if (backend->drain_document && !backend->health.drain_audited) {
 			backend->health.drain_audited = true;
@@ -225,39 +232,38 @@
 /* A start that drains never stops to, whatever documents say later. */
 static void observe_drain_answer(struct health_change *change)
 {
-	const struct start_id *start = &change->backend->start;
 	uint64_t until_us = change->now.mono_us + DRAIN_UNNAMED_US;
 
-	if (start_named(start)) {
+	if (start_named(&change->backend->start))
 		until_us = DEADLINE_NONE_US;
-		remember_drained(change->service, start);
-	}
 	observe_draining(change, until_us, CAUSE_DRAIN_ANSWER);
 }
 
-/* The latest are kept: an entry may lapse and come back. */
-static void remember_drained(struct service *service,
-			     const struct start_id *start)
+static void observe_pause(struct backend *backend, uint64_t until_us)
 {
-	if (start_drained(service, start))
+	if (until_us <= backend->pause_until_us)
 		return;
-	service->drained_starts[service->drained_next] = *start;
-	service->drained_next =
-		(service->drained_next + 1) % DRAINED_STARTS_MAX;
+	backend->pause_until_us = until_us;
+	backend->return_slots = 1;
 }
 
-static bool start_drained(const struct service *service,
-			  const struct start_id *start)
+/* Many instances' pauses end together, so none sends its whole backlog at once. */
+static void open_more(struct backend *backend, const struct ticket *ticket)
 {
-	uint32_t i;
+	if (ticket->granted_us < backend->pause_until_us)
+		return;
+	backend->return_slots *= 2;
+	if (backend->return_slots >= backend->own_slots)
+		backend->return_slots = 0;
+}
 
-	if (!start_named(start))
-		return false;
-	for (i = 0; i < DRAINED_STARTS_MAX; i++) {
-		if (start_equal(&service->drained_starts[i], start))
-			return true;
-	}
-	return false;
+/* What a start has said holds when its entry lapsed and came back. */
+static void recall_word(struct backend *backend,
+			const struct backend_word *word)
+{
+	if (word->draining)
+		backend->drain_seen_until_us = DEADLINE_NONE_US;
+	observe_pause(backend, word->pause_until_us);
 }
 
 static void observe_draining(struct health_change *change, uint64_t until_us,
--- a/src/command/health_change.c
+++ b/src/command/health_change.c
@@ -178,7 +178,8 @@
 void health_audit(struct health_change *change, enum audit_kind kind,
 		  enum audit_cause cause)
 {
-	const struct health *health = &change->backend->health;
+	uint64_t until_us = MAX(change->backend->health.next_step_us,
+				change->backend->pause_until_us);
 	struct audit_record record = {
 		.kind = kind,
 		.cause = cause,
@@ -195,11 +196,10 @@
 		service_in_service_slots(change->service, change->now);
 	record.evidence.floor_slots =
 		service_doc_floor_slots(change->service->doc);
-	if (health->next_step_us > change->now.mono_us)
+	if (until_us > change->now.mono_us)
 		record.evidence.until_unix_ms =
 			change->now.unix_ms +
-			(health->next_step_us - change->now.mono_us) /
-				US_PER_MS;
+			(until_us - change->now.mono_us) / US_PER_MS;
 	state_audit(change->state, &record, change->now, change->out);
 }
 
--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -25,6 +25,7 @@
 static void settle_basis(struct service *service, struct instant now);
 static void tick_backend(struct health_change *change);
 static void tick_drain(struct health_change *change);
+static void tick_pause(struct health_change *change);
 static void tick_cold(struct health_change *change);
 static void tick_suspicion(struct health_change *change);
 static bool probe_suspects(const struct health_change *change);
@@ -89,6 +90,7 @@
 	if (change->now.mono_us >= health->charge_ends_us)
 		health->charge_ends_us = 0;
 	tick_drain(change);
+	tick_pause(change);
 	tick_cold(change);
 	change->verdict = health_verdict(change->state, change->service,
 					 change->backend, change->now);
@@ -113,6 +115,18 @@
 		health_audit(change, AUDIT_DRAIN_ENDED, CAUSE_NONE);
 }
 
+static void tick_pause(struct health_change *change)
+{
+	struct health *health = &change->backend->health;
+	bool pausing = change->now.mono_us < change->backend->pause_until_us;
+
+	if (pausing == health->pause_audited)
+		return;
+	health->pause_audited = pausing;
+	health_audit(change, pausing ? AUDIT_PAUSE_BEGUN : AUDIT_PAUSE_ENDED,
+		     CAUSE_RETRY_AFTER);
+}
+
 /* A cold start ramps once; a report that stays is not believed for ever. */
 static void tick_cold(struct health_change *change)
 {
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -102,6 +102,7 @@
  * @sick_us: when the verdict became sick, 0 for not
  * @probe_bad_until_us: the last probe spoke against it
  * @drain_audited: AUDIT_DRAIN_BEGUN was given
+ * @pause_audited: AUDIT_PAUSE_BEGUN was given
  * @sick_permille: failed and slow share when it was ejected
  * @withheld_until_us: a withheld ejection is not audited again before this
  * @ticked_us: last judgement
@@ -139,6 +140,7 @@
 	uint64_t sick_us;
 	uint64_t probe_bad_until_us;
 	bool drain_audited;
+	bool pause_audited;
 	uint32_t sick_permille;
 	uint64_t withheld_until_us;
 	uint64_t ticked_us;
--- a/src/core/report.h
+++ b/src/core/report.h
@@ -29,6 +29,7 @@
 	uint32_t failed_requests;
 	uint32_t slow_requests;
 	bool draining;
+	bool paused;
 	bool cold;
 };
 
@@ -92,6 +93,8 @@
 	struct service_counters counters;
 	uint32_t waiting_requests;
 	uint32_t running_requests;
+	uint32_t draining_backends;
+	uint32_t paused_backends;
 };
 
 /**
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -19,7 +19,7 @@
 #define TICKET_NONE UINT32_MAX
 #define BORROWED_MAX 64
 #define LENT_MAX 64
-#define DRAINED_STARTS_MAX 64
+#define START_WORDS_MAX 128
 
 /**
  * enum sharing_kind - how homes share a backend server's slots
@@ -122,6 +122,16 @@
 	bool recalled;
 };
 
+/**
+ * struct start_word - what one start of a backend server said of itself
+ * @start: which
+ * @word: what
+ */
+struct start_word {
+	struct start_id start;
+	struct backend_word word;
+};
+
 /**
  * struct backend - one backend server of a service, this instance's part
  * @addr: where it listens
@@ -142,6 +152,7 @@
  * @drain_seen_until_us: its answers or load report said so; 0 when not,
  *	DEADLINE_NONE_US for a named start whose answers said so
  * @pause_until_us: it refused work and wants none until then, 0 when not
+ * @return_slots: open slots after a pause, doubled by each whole answer; 0 for all
  * @closed_us: since when it shall get no new work, 0 while it may
  * @cold: its load report or its document says so
  * @health: its health
@@ -164,6 +175,7 @@
 	bool drain_document;
 	uint64_t drain_seen_until_us;
 	uint64_t pause_until_us;
+	uint32_t return_slots;
 	uint64_t closed_us;
 	bool cold;
 	struct health health;
@@ -278,9 +290,8 @@
  * @eject_basis: hash of home set and document version that split the budget
  * @eject_after_us: no ejection is begun before this, others may still hold an
  *	older basis
- * @drained_starts: named starts of backend servers whose answers said that they
- *	drain; the oldest is overwritten
- * @drained_next: next entry of @drained_starts
+ * @start_words: what named starts said in their answers
+ * @start_word_next: the oldest of @start_words
  * @counters: metrics
  */
 struct service {
@@ -319,8 +330,8 @@
 	uint64_t digest_due_us;
 	uint64_t eject_basis;
 	uint64_t eject_after_us;
-	struct start_id drained_starts[DRAINED_STARTS_MAX];
-	uint32_t drained_next;
+	struct start_word start_words[START_WORDS_MAX];
+	uint32_t start_word_next;
 	struct service_counters counters;
 };
 
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -6,6 +6,7 @@
 
 #define SUSPECTED_PART_SLOTS 4
 
+static uint32_t health_open_slots(const struct backend *backend);
 static uint32_t reduced_slots(uint32_t slots, uint32_t permille);
 static bool views_speak_against(const struct backend *backend,
 				struct instant now);
@@ -17,10 +18,19 @@
 
 uint32_t backend_open_slots(const struct backend *backend, struct instant now)
 {
-	const struct health *health = &backend->health;
+	uint32_t open;
 
 	if (backend_closed(backend, now))
 		return 0;
+	open = health_open_slots(backend);
+	return backend->return_slots > 0 ? MIN(open, backend->return_slots) :
+					   open;
+}
+
+static uint32_t health_open_slots(const struct backend *backend)
+{
+	const struct health *health = &backend->health;
+
 	switch (health->state) {
 	case HEALTH_IN_SERVICE:
 		if (health->suspected)
@@ -140,7 +150,7 @@
 
 bool backend_in_service(const struct backend *backend, struct instant now)
 {
-	return !backend->health.out && !backend_draining(backend, now) &&
+	return !backend->health.out && !backend_closed(backend, now) &&
 	       !backend_cold(backend, now) && !view_says_ejected(backend, now);
 }
 
--- a/src/query/list_metrics.c
+++ b/src/query/list_metrics.c
@@ -1,7 +1,9 @@
 #include "query/listing.h"
 
+#include "query/health.h"
+
 static void copy_service(const struct service *service,
-			 struct service_metrics *out);
+			 struct service_metrics *out, struct instant now);
 static void count_members(const struct state *state,
 			  struct metrics_report *report);
 
@@ -14,11 +16,11 @@
 	gpointer value;
 	uint32_t i;
 
-	(void)now;
 	report->services = g_new0(struct service_metrics, count);
 	g_hash_table_iter_init(&iter, state->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		copy_service(value, &report->services[report->service_count++]);
+		copy_service(value, &report->services[report->service_count++],
+			     now);
 	for (i = 0; i < REFUSAL_COUNT; i++)
 		report->refused_early[i] = state->refused_early[i];
 	count_members(state, report);
@@ -27,9 +29,10 @@
 }
 
 static void copy_service(const struct service *service,
-			 struct service_metrics *out)
+			 struct service_metrics *out, struct instant now)
 {
 	const struct service_doc *doc = service->doc;
+	const struct backend *backend;
 	uint32_t i;
 
 	out->service = doc->service;
@@ -40,6 +43,11 @@
 	out->counters = service->counters;
 	out->waiting_requests = service->waiting_requests;
 	out->running_requests = service->running_requests;
+	for (i = 0; i < service->backend_count; i++) {
+		backend = &service->backends[i];
+		out->draining_backends += backend_draining(backend, now);
+		out->paused_backends += now.mono_us < backend->pause_until_us;
+	}
 }
 
 static void count_members(const struct state *state,
--- a/src/query/list_status.c
+++ b/src/query/list_status.c
@@ -105,6 +105,7 @@
 	out->failed_requests = window.failed_requests;
 	out->slow_requests = window.slow_requests;
 	out->draining = backend_draining(backend, now);
+	out->paused = now.mono_us < backend->pause_until_us;
 	out->cold = backend->cold;
 }
 
@@ -178,6 +179,8 @@
 	case AUDIT_READMITTED:
 	case AUDIT_DRAIN_BEGUN:
 	case AUDIT_DRAIN_ENDED:
+	case AUDIT_PAUSE_BEGUN:
+	case AUDIT_PAUSE_ENDED:
 		return true;
 	case AUDIT_STARTED:
 	case AUDIT_CONFIG_ACCEPTED:
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -62,6 +62,17 @@
 	return count;
 }
 
+struct grant_event last_grant(const World &world)
+{
+	struct grant_event grant = {};
+
+	for (const struct event &event : world.events) {
+		if (event.kind == EVENT_GRANT)
+			grant = event.grant;
+	}
+	return grant;
+}
+
 struct evidence refused(const World &world)
 {
 	struct evidence evidence = ended(EVIDENCE_SHED);
@@ -86,11 +97,11 @@
 	return grants;
 }
 
-void start_world(World &world)
+void start_world(World &world, uint32_t backends = BACKENDS)
 {
 	struct doc_shape shape;
 
-	shape.backends = BACKENDS;
+	shape.backends = backends;
 	shape.slots = SLOTS;
 	shape.budget_ms = 2000;
 	world.list(1);
@@ -128,10 +139,44 @@
 	EXPECT_EQ(grants_there(world), 0u);
 	/* It was no fault of the server's. */
 	EXPECT_EQ(world.service()->backends[0].health.failed_in_row, 0u);
-	world.pass_ms(200);
-	for (uint64_t i = 0; i < SLOTS; i++)
+}
+
+TEST(PauseTest, AfterItTheSlotsOpenWithEachWholeAnswer)
+{
+	const uint32_t open[] = { 1, 2, 4, SLOTS, SLOTS };
+	World world;
+
+	start_world(world, 1);
+	for (const struct grant_event &grant : fill(world))
+		world.finish(grant, refused(world));
+	world.pass_ms(PAUSE_MS + 100);
+	world.forget();
+	for (uint64_t i = 0; i < 4 * SLOTS; i++)
 		world.request("/s/short", i);
-	EXPECT_GT(grants_there(world), 0u);
+	for (uint32_t slots : open) {
+		EXPECT_EQ(world.service()->backends[0].in_use_slots, slots);
+		world.finish(last_grant(world), ended(EVIDENCE_OK));
+	}
+}
+
+TEST(PauseTest, APauseIsAuditedOnceWithItsEnd)
+{
+	World world;
+	start_world(world);
+	for (const struct grant_event &grant : fill(world))
+		world.finish(grant, is_there(grant) ? refused(world) :
+						      ended(EVIDENCE_OK));
+	world.forget();
+	world.pass_ms(PAUSE_MS + 1000);
+	for (const struct event &event : world.events) {
+		if (event.kind != EVENT_AUDIT ||
+		    event.audit.kind != AUDIT_PAUSE_BEGUN)
+			continue;
+		EXPECT_EQ(event.audit.cause, CAUSE_RETRY_AFTER);
+		EXPECT_GT(event.audit.evidence.until_unix_ms, 0u);
+	}
+	EXPECT_EQ(world.count_audit(AUDIT_PAUSE_BEGUN), 1u);
+	EXPECT_EQ(world.count_audit(AUDIT_PAUSE_ENDED), 1u);
 }
 
 TEST(PauseTest, WhenAllPauseBeyondTheDeadlineACallerHearsItAtOnce)
