What waits is refused at once when all servers pause beyond its deadline

What callers saw: with all backend servers of a service pausing, a new request was refused at once, but one that waited already was held until its own deadline and told then, too late to go anywhere else.

Cause: the pause was asked about when a request came, and not again while it waited.

Why this works: the queue is looked through whenever the service is scheduled while all pause, by the same question as at admission (ticket_misses(): the usual time must fit behind the first return). Every refusal of a request that has not run names a time that is not before that return.

--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -39,8 +39,10 @@
 		      struct instant now, struct event_list *out);
 static uint32_t last_to_go(const struct state *state,
 			   const struct class_queue *queue);
-static struct refusal
-load_refusal(struct state *state, enum refusal_cause cause, struct instant now);
+static struct refusal load_refusal(struct state *state,
+				   const struct service *service,
+				   enum refusal_cause cause,
+				   struct instant now);
 static void refuse_new(struct state *state, uint32_t index,
 		       enum refusal_cause cause, struct instant now,
 		       struct event_list *out);
@@ -118,10 +120,13 @@
 void overload_shed(struct state *state, uint32_t index, struct instant now,
 		   struct event_list *out)
 {
+	struct service *service = state->tickets[index].service;
+
 	ticket_dequeue(state, index);
-	overload_note(state, state->tickets[index].service, now, out);
-	ticket_refuse(state, index, load_refusal(state, REFUSAL_OVERLOAD, now),
-		      now, out);
+	overload_note(state, service, now, out);
+	ticket_refuse(state, index,
+		      load_refusal(state, service, REFUSAL_OVERLOAD, now), now,
+		      out);
 }
 
 void overload_tick(struct state *state, struct service *service,
@@ -150,7 +155,7 @@
 	struct event event = {
 		.kind = EVENT_REFUSE,
 		.refuse = { .request = request_ref(request),
-			    .refusal = load_refusal(state, cause, now) },
+			    .refusal = load_refusal(state, NULL, cause, now) },
 	};
 
 	if (cause == REFUSAL_NO_SERVICE)
@@ -199,7 +204,7 @@
 		return false;
 	*cause = REFUSAL_NO_BACKEND;
 	if (ticket->service->backend_count == 0 ||
-	    service_pause_ends_us(ticket->service, now) >= ticket->deadline_us)
+	    ticket_misses(ticket, service_pause_ends_us(ticket->service, now)))
 		return false;
 	/* The baseline has one queue without limits but the front's own. */
 	if (state->policy.queueing == QUEUEING_FIFO)
@@ -351,12 +356,13 @@
 }
 
 static struct refusal load_refusal(struct state *state,
+				   const struct service *service,
 				   enum refusal_cause cause, struct instant now)
 {
 	struct refusal refusal = {
 		.cause = cause,
 		.outcome = OUTCOME_NOT_RUN,
-		.retry_at_unix_ms = retry_advice_unix_ms(state, now),
+		.retry_at_unix_ms = retry_advice_unix_ms(state, service, now),
 	};
 
 	return refusal;
@@ -367,15 +373,9 @@
 		       struct event_list *out)
 {
 	struct ticket *ticket = &state->tickets[index];
-	struct refusal refusal = load_refusal(state, cause, now);
-	uint64_t pause_ends_us = service_pause_ends_us(ticket->service, now);
-
-	/* Sooner nobody could serve it. */
-	if (pause_ends_us > now.mono_us)
-		refusal.retry_at_unix_ms =
-			MAX(refusal.retry_at_unix_ms,
-			    now.unix_ms +
-				    (pause_ends_us - now.mono_us) / US_PER_MS);
+	struct refusal refusal =
+		load_refusal(state, ticket->service, cause, now);
+
 	if (cause != REFUSAL_DEADLINE && cause != REFUSAL_NO_BACKEND &&
 	    cause != REFUSAL_LEAVING)
 		overload_note(state, ticket->service, now, out);
--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -174,7 +174,8 @@
 	refusal.cause = cause_of(evidence->kind);
 	refusal.outcome = outcome_of(ticket, evidence);
 	if (refusal.outcome == OUTCOME_NOT_RUN)
-		refusal.retry_at_unix_ms = retry_advice_unix_ms(state, now);
+		refusal.retry_at_unix_ms =
+			retry_advice_unix_ms(state, ticket->service, now);
 	ticket_refuse(state, index, refusal, now, out);
 }
 
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -93,7 +93,9 @@
 			   struct event_list *out)
 {
 	struct refusal refusal = {
-		.retry_at_unix_ms = retry_advice_unix_ms(state, now),
+		.cause = REFUSAL_LEAVING,
+		/* Another instance may serve it. */
+		.retry_at_unix_ms = retry_advice_unix_ms(state, NULL, now),
 	};
 	struct ticket *ticket;
 	uint32_t i;
@@ -103,12 +105,7 @@
 		if (ticket->state != TICKET_QUEUED ||
 		    leave_admits(state, ticket, now))
 			continue;
-		refusal.outcome = ticket->outcome;
-		refusal.cause = ticket->outcome == OUTCOME_NOT_RUN ?
-					REFUSAL_LEAVING :
-					REFUSAL_DEADLINE;
-		ticket_dequeue(state, i);
-		ticket_refuse(state, i, refusal, now, out);
+		ticket_refuse_waiting(state, i, refusal, now, out);
 	}
 }
 
--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -4,6 +4,7 @@
 
 #include "command/retry.h"
 #include "command/trace.h"
+#include "query/health.h"
 
 static void queue_insert(struct state *state, uint32_t index);
 static void count_caller(struct service *service, uint64_t caller_hash,
@@ -122,6 +123,26 @@
 	ticket_free(state, index);
 }
 
+void ticket_refuse_waiting(struct state *state, uint32_t index,
+			   struct refusal refusal, struct instant now,
+			   struct event_list *out)
+{
+	refusal.outcome = state->tickets[index].outcome;
+	if (refusal.outcome != OUTCOME_NOT_RUN) {
+		refusal.cause = REFUSAL_DEADLINE;
+		refusal.retry_at_unix_ms = 0;
+	}
+	ticket_dequeue(state, index);
+	ticket_refuse(state, index, refusal, now, out);
+}
+
+bool ticket_misses(const struct ticket *ticket, uint64_t begin_us)
+{
+	uint64_t needed_us = ticket->sends > 0 ? 0 : ticket_typical_us(ticket);
+
+	return ticket->deadline_us <= begin_us + needed_us;
+}
+
 uint64_t ticket_unsent_us(const struct ticket *ticket,
 			  const struct evidence *evidence)
 {
@@ -164,12 +185,19 @@
 	return ticket->late ? ticket->deadline_us : ticket->objective_us;
 }
 
-uint64_t retry_advice_unix_ms(struct state *state, struct instant now)
+uint64_t retry_advice_unix_ms(struct state *state,
+			      const struct service *service, struct instant now)
 {
-	return now.unix_ms + (uint64_t)g_rand_int_range(
-				     state->rand,
-				     (gint32)state->settings->retry_min_ms,
-				     (gint32)state->settings->retry_max_ms);
+	uint64_t pause_ends_us = service ? service_pause_ends_us(service, now) :
+					   0;
+	uint64_t wait_ms = (uint64_t)g_rand_int_range(
+		state->rand, (gint32)state->settings->retry_min_ms,
+		(gint32)state->settings->retry_max_ms);
+
+	if (pause_ends_us > now.mono_us)
+		wait_ms =
+			MAX(wait_ms, (pause_ends_us - now.mono_us) / US_PER_MS);
+	return now.unix_ms + wait_ms;
 }
 
 GArray *queue_of(const struct state *state, const struct ticket *ticket)
--- a/src/command/ticket.h
+++ b/src/command/ticket.h
@@ -98,6 +98,29 @@
  */
 bool ticket_in_time(const struct ticket *ticket, struct instant now);
 
+/**
+ * ticket_misses() - whether work begun then would miss its deadline
+ * @ticket: the ticket
+ * @begin_us: when
+ *
+ * Return: true when the usual time does not fit any more; what was offered to a
+ * backend server before uses all of its time.
+ */
+bool ticket_misses(const struct ticket *ticket, uint64_t begin_us);
+
+/**
+ * ticket_refuse_waiting() - take a waiting request out of its queue and refuse it
+ * @state: the state
+ * @index: the ticket
+ * @refusal: cause and advice while nothing ran; else the caller is told that the
+ *	deadline came, for the outcome is unknown
+ * @now: the time
+ * @out: gets EVENT_REFUSE
+ */
+void ticket_refuse_waiting(struct state *state, uint32_t index,
+			   struct refusal refusal, struct instant now,
+			   struct event_list *out);
+
 /**
  * ticket_unsent_us() - how long its request waited for the send
  * @ticket: a running ticket
@@ -143,10 +166,14 @@
 /**
  * retry_advice_unix_ms() - when a refused caller may come back
  * @state: the state
+ * @service: whose request was refused, NULL when that does not matter
  * @now: the time
  *
- * Return: wall clock, spread by chance over the span that the settings give.
+ * Return: wall clock, spread by chance over the span that the settings give, but
+ * not before one of the service's backend servers wants requests again.
  */
-uint64_t retry_advice_unix_ms(struct state *state, struct instant now);
+uint64_t retry_advice_unix_ms(struct state *state,
+			      const struct service *service,
+			      struct instant now);
 
 #endif
--- a/src/command/waiting.c
+++ b/src/command/waiting.c
@@ -2,15 +2,20 @@
 
 #include "command/admit.h"
 #include "command/ticket.h"
+#include "query/health.h"
 #include "query/pick.h"
 
+static void refuse_paused(struct state *state, const struct service *service,
+			  struct instant now, struct event_list *out);
+static void refuse_missing(struct state *state, const GArray *queue,
+			   uint64_t begin_us, struct instant now,
+			   struct event_list *out);
 static void sort_queue(struct state *state, GArray *queue, struct instant now,
 		       struct event_list *out);
 static void defer(struct state *state, uint32_t index, struct instant now,
 		  struct event_list *out);
 static void expire_queue(struct state *state, GArray *queue, struct instant now,
 			 struct event_list *out);
-static bool expired(const struct ticket *ticket, struct instant now);
 static void expire(struct state *state, uint32_t index, struct instant now,
 		   struct event_list *out);
 
@@ -24,6 +29,7 @@
 {
 	uint32_t i;
 
+	refuse_paused(state, service, now, out);
 	if (service->waiting_requests == 0)
 		return;
 	if (state->policy.queueing == QUEUEING_FIFO) {
@@ -37,6 +43,50 @@
 	}
 }
 
+/* While no backend server wants requests, those that cannot wait are refused. */
+static void refuse_paused(struct state *state, const struct service *service,
+			  struct instant now, struct event_list *out)
+{
+	uint64_t ends_us;
+	uint32_t i;
+
+	if (service->waiting_requests == 0)
+		return;
+	ends_us = service_pause_ends_us(service, now);
+	if (ends_us <= now.mono_us)
+		return;
+	for (i = 0; i < DOC_CLASSES_MAX; i++) {
+		refuse_missing(state, service->queues[i].short_tickets, ends_us,
+			       now, out);
+		refuse_missing(state, service->queues[i].long_tickets, ends_us,
+			       now, out);
+		refuse_missing(state, service->queues[i].late_tickets, ends_us,
+			       now, out);
+	}
+}
+
+static void refuse_missing(struct state *state, const GArray *queue,
+			   uint64_t begin_us, struct instant now,
+			   struct event_list *out)
+{
+	struct refusal refusal = { .cause = REFUSAL_NO_BACKEND };
+	const struct ticket *ticket;
+	uint32_t index;
+	guint i = 0;
+
+	while (i < queue->len) {
+		index = g_array_index(queue, uint32_t, i);
+		ticket = &state->tickets[index];
+		if (!ticket_misses(ticket, begin_us)) {
+			i++;
+			continue;
+		}
+		refusal.retry_at_unix_ms =
+			retry_advice_unix_ms(state, ticket->service, now);
+		ticket_refuse_waiting(state, index, refusal, now, out);
+	}
+}
+
 static void sort_queue(struct state *state, GArray *queue, struct instant now,
 		       struct event_list *out)
 {
@@ -58,7 +108,7 @@
 	const struct ticket *ticket = &state->tickets[index];
 
 	/* One that a server has worked on is not given up while there is time. */
-	if (expired(ticket, now))
+	if (ticket_misses(ticket, now.mono_us))
 		expire(state, index, now, out);
 	else if (ticket->sends > 0 || !service_backlogged(ticket->service, now))
 		ticket_defer(state, index);
@@ -74,29 +124,17 @@
 
 	while (i < queue->len) {
 		index = g_array_index(queue, uint32_t, i);
-		if (expired(&state->tickets[index], now))
+		if (ticket_misses(&state->tickets[index], now.mono_us))
 			expire(state, index, now, out);
 		else
 			i++;
 	}
 }
 
-/* Whether the time left is no offer; what was offered before uses all of it. */
-static bool expired(const struct ticket *ticket, struct instant now)
-{
-	uint64_t needed_us = ticket->sends > 0 ? 0 : ticket_typical_us(ticket);
-
-	return ticket->deadline_us <= now.mono_us + needed_us;
-}
-
 static void expire(struct state *state, uint32_t index, struct instant now,
 		   struct event_list *out)
 {
-	const struct refusal refusal = {
-		.cause = REFUSAL_DEADLINE,
-		.outcome = state->tickets[index].outcome,
-	};
+	const struct refusal refusal = { .cause = REFUSAL_DEADLINE };
 
-	ticket_dequeue(state, index);
-	ticket_refuse(state, index, refusal, now, out);
+	ticket_refuse_waiting(state, index, refusal, now, out);
 }
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -196,4 +196,46 @@
 		  world.now.unix_ms + PAUSE_MS);
 }
 
+struct wait_case {
+	const char *name;
+	uint64_t left_ms;
+	bool waits;
+};
+
+const struct wait_case wait_cases[] = {
+	{ "its deadline is before the end", 1000, false },
+	{ "its deadline is the end", PAUSE_MS, false },
+	{ "its deadline is later", PAUSE_MS + 1000, true },
+};
+
+TEST(PauseTest, WhatWaitsIsRefusedAtOnceWhenAllPauseBeyondItsDeadline)
+{
+	for (const auto &c : wait_cases) {
+		SCOPED_TRACE(c.name);
+		World world;
+		std::vector<struct grant_event> grants;
+		const struct event *event;
+		uint32_t waiting;
+
+		start_world(world, 1);
+		grants = fill(world);
+		waiting = world.request("/s/write", 99,
+					world.now.mono_us +
+						c.left_ms * US_PER_MS);
+		for (const struct grant_event &grant : grants)
+			world.finish(grant, refused(world));
+		event = world.about(waiting);
+		if (c.waits) {
+			EXPECT_EQ(event, nullptr);
+			continue;
+		}
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_REFUSE);
+		EXPECT_EQ(event->refuse.refusal.cause, REFUSAL_NO_BACKEND);
+		EXPECT_EQ(event->refuse.refusal.outcome, OUTCOME_NOT_RUN);
+		EXPECT_GE(event->refuse.refusal.retry_at_unix_ms,
+			  world.now.unix_ms + PAUSE_MS);
+	}
+}
+
 } // namespace
