A pause is believed for as long as it says, up to an hour, also as a date

What callers saw: nothing directly. A backend server that wanted nothing for five minutes got requests again after one, for 60 s was all that was believed; a date, the other form that HTTP has for the field, was ignored.

Cause: a bound without a reason in the target, and one of two forms read.

Evidence: PauseTest.FieldsAreReadOrIgnored, 'minutes' and 'a date', red before.

Why this works: a date counts from the answer's own Date, so no clock of ours takes part; without one, or behind it, it is ignored with a log line.

--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -1,5 +1,6 @@
 #include "codec/http_answer.h"
 
+#include <curl/curl.h>
 #include <http_parser.h>
 #include <inttypes.h>
 
@@ -12,9 +13,13 @@
 #define STATUS_MAX 599
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
-/* A refusal has no say over a longer time. */
-#define RETRY_AFTER_MAX_S 60
+/* A slip in a longer time shall not cost a backend server for good. */
+#define RETRY_AFTER_MAX_S 3600
 
+static uint32_t count_field(const struct answer_head *head, const char *name,
+			    const char **value);
+static bool date_seconds(const struct answer_head *head, const char *value,
+			 guint64 *seconds);
 static bool status_line(struct http_answer_reader *reader, const char *line);
 static bool field_line(struct http_answer_reader *reader, char *line);
 static bool note_field(struct http_answer_reader *reader,
@@ -81,23 +86,21 @@
 {
 	const char *value = NULL;
 	guint64 seconds;
-	uint32_t i;
 
-	for (i = 0; i < head->header_count; i++) {
-		if (strcasecmp(head->headers[i].name, "Retry-After") != 0)
-			continue;
-		if (value) {
-			g_message("exchange: Retry-After ignored: it stands "
-				  "twice");
-			return 0;
-		}
-		value = head->headers[i].value;
-	}
-	if (!value)
+	switch (count_field(head, "Retry-After", &value)) {
+	case 0:
+		return 0;
+	case 1:
+		break;
+	default:
+		g_message("exchange: Retry-After ignored: it stands twice");
 		return 0;
+	}
 	if (!g_ascii_string_to_unsigned(value, 10, 0, G_MAXUINT64, &seconds,
-					NULL)) {
-		g_message("exchange: Retry-After ignored: no whole seconds");
+					NULL) &&
+	    !date_seconds(head, value, &seconds)) {
+		g_message("exchange: Retry-After ignored: neither whole "
+			  "seconds nor a date behind the answer's own");
 		return 0;
 	}
 	return (uint32_t)MIN(seconds, RETRY_AFTER_MAX_S);
@@ -141,6 +144,41 @@
 					     names->signature) != NULL;
 }
 
+/* Return: how often the field is there; @value is the first one's. */
+static uint32_t count_field(const struct answer_head *head, const char *name,
+			    const char **value)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < head->header_count; i++) {
+		if (strcasecmp(head->headers[i].name, name) != 0)
+			continue;
+		if (count++ == 0)
+			*value = head->headers[i].value;
+	}
+	return count;
+}
+
+/* The server's clock may be off, so its date counts from its own date. */
+static bool date_seconds(const struct answer_head *head, const char *value,
+			 guint64 *seconds)
+{
+	const char *date = NULL;
+	time_t begin;
+	time_t end;
+
+	/* libcurl reads more than the dates of HTTP, which begin with a day. */
+	if (!g_ascii_isalpha(value[0]) || count_field(head, "Date", &date) != 1)
+		return false;
+	begin = curl_getdate(date, NULL);
+	end = curl_getdate(value, NULL);
+	if (begin < 0 || end <= begin)
+		return false;
+	*seconds = (guint64)(end - begin);
+	return true;
+}
+
 GString *http_answer_text(const struct answer_head *head,
 			  enum http_framing framing, uint64_t body_bytes,
 			  uint32_t idle_s)
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -88,8 +88,9 @@
  * http_answer_retry_after_s() - time for which a refusing server wants nothing
  * @head: the answer
  *
- * Only whole seconds are understood. Anything else, and a field that stands twice,
- * is logged and has no effect; more than 60 s counts as 60 s.
+ * Whole seconds are understood, and a date in an answer that has a Date of its own.
+ * Anything else, and a field that stands twice, is logged and has no effect; more
+ * than an hour counts as an hour.
  *
  * Return: seconds, 0 when there is none.
  */
