A backend server that pauses is not probed

What callers saw: nothing. With a health or load path a backend server that had asked for a pause got a request a second all the same, four in a pause of three seconds: the probes.

Cause: the plan of probes did not ask about pauses.

Evidence: PauseTest.NoProbeGoesThereUntilItsEnd; without the new condition the plan still has the server.

Why this works: the plan is computed again when a pause begins and when it ends, and leaves out who pauses.

--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -123,6 +123,7 @@
 	if (pausing == health->pause_audited)
 		return;
 	health->pause_audited = pausing;
+	change->state->probes_dirty = true;
 	health_audit(change, pausing ? AUDIT_PAUSE_BEGUN : AUDIT_PAUSE_ENDED,
 		     CAUSE_RETRY_AFTER);
 }
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -33,9 +33,10 @@
 static uint32_t load_permille(const struct service *service,
 			      struct instant now);
 static void add_targets(const struct state *state,
-			const struct service *service, GArray *targets);
+			const struct service *service, GArray *targets,
+			struct instant now);
 static bool probes(const struct state *state, const struct service *service,
-		   const struct backend *backend);
+		   const struct backend *backend, struct instant now);
 
 void home_refresh(struct state *state, struct instant now,
 		  struct event_list *out)
@@ -82,7 +83,8 @@
 	}
 }
 
-void home_probe_plan(struct state *state, struct event_list *out)
+void home_probe_plan(struct state *state, struct instant now,
+		     struct event_list *out)
 {
 	GArray *targets =
 		g_array_new(FALSE, FALSE, sizeof(struct probe_target));
@@ -93,7 +95,7 @@
 	state->probes_dirty = false;
 	g_hash_table_iter_init(&iter, state->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
-		add_targets(state, value, targets);
+		add_targets(state, value, targets, now);
 	event.probe_plan.targets = targets;
 	event_list_add(out, &event);
 }
@@ -318,7 +320,8 @@
 }
 
 static void add_targets(const struct state *state,
-			const struct service *service, GArray *targets)
+			const struct service *service, GArray *targets,
+			struct instant now)
 {
 	const struct service_doc *doc = service->doc;
 	struct probe_target target;
@@ -328,7 +331,7 @@
 	    (doc->probe_path[0] == '\0' && doc->load_path[0] == '\0'))
 		return;
 	for (i = 0; i < service->backend_count; i++) {
-		if (!probes(state, service, &service->backends[i]))
+		if (!probes(state, service, &service->backends[i], now))
 			continue;
 		memset(&target, 0, sizeof(target));
 		target.service = doc->service;
@@ -341,12 +344,15 @@
 
 /* The first home that is not known to be gone probes a backend server. */
 static bool probes(const struct state *state, const struct service *service,
-		   const struct backend *backend)
+		   const struct backend *backend, struct instant now)
 {
 	uint32_t by_rank[HOMES_MAX];
 	const struct member *member;
 	uint32_t i;
 
+	/* A probe is a request like any other. */
+	if (now.mono_us < backend->pause_until_us)
+		return false;
 	homes_rank(service, backend->addr, by_rank);
 	for (i = 0; by_rank[i] != service->self_home; i++) {
 		member = membership_find(&state->membership,
--- a/src/command/home.h
+++ b/src/command/home.h
@@ -42,8 +42,10 @@
 /**
  * home_probe_plan() - choose what this instance probes
  * @state: the state
+ * @now: the time
  * @out: gets EVENT_PROBE_PLAN
  */
-void home_probe_plan(struct state *state, struct event_list *out);
+void home_probe_plan(struct state *state, struct instant now,
+		     struct event_list *out);
 
 #endif
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -24,7 +24,7 @@
 	if (state->homes_dirty)
 		home_refresh(state, now, out);
 	if (state->probes_dirty)
-		home_probe_plan(state, out);
+		home_probe_plan(state, now, out);
 	g_hash_table_iter_init(&iter, state->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		tick_service(state, value, now, out);
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -210,6 +210,51 @@
 		  world.now.unix_ms + PAUSE_MS);
 }
 
+/* Whether the last plan has a probe of backend server 0; -1 without a plan. */
+int32_t probed(const World &world)
+{
+	int32_t found = -1;
+
+	for (const struct event &event : world.events) {
+		if (event.kind != EVENT_PROBE_PLAN)
+			continue;
+		found = 0;
+		for (guint i = 0; i < event.probe_plan.targets->len; i++) {
+			const struct probe_target *target =
+				&g_array_index(event.probe_plan.targets,
+					       struct probe_target, i);
+
+			found |= target->backend.ip == addr_of(200, 9000).ip;
+		}
+	}
+	return found;
+}
+
+TEST(PauseTest, NoProbeGoesThereUntilItsEnd)
+{
+	World world;
+	struct doc_shape shape;
+	struct service_doc *doc;
+
+	shape.backends = BACKENDS;
+	shape.slots = SLOTS;
+	doc = make_doc(shape);
+	g_strlcpy(doc->probe_path, "/health", PATH_BYTES_MAX);
+	world.list(1);
+	world.accept(doc);
+	world.pass_ms(10000);
+	EXPECT_EQ(probed(world), 1);
+	for (const struct grant_event &grant : fill(world))
+		world.finish(grant, is_there(grant) ? refused(world) :
+						      ended(EVIDENCE_OK));
+	world.forget();
+	world.pass_ms(PAUSE_MS - 100);
+	EXPECT_EQ(probed(world), 0);
+	world.forget();
+	world.pass_ms(400);
+	EXPECT_EQ(probed(world), 1);
+}
+
 struct wait_case {
 	const char *name;
 	uint64_t left_ms;
