Test: the soak's second kept seed has its plan again

It names 350 connections, as all others do, and the floor of 50 per cent that it had; seed and all checks are as before.

--- a/test/process/soak_test.cc
+++ b/test/process/soak_test.cc
@@ -328,7 +328,7 @@
 
 const struct soak_case soak_cases[] = {
 	{ 1, "three instances", {} },
-	{ 2, "five instances", { 5, 0, 8, 6, 50, 1500 } },
+	{ 2, "five instances", { 5, 0, 8, 6, 350, 50, 1500 } },
 };
 
 TEST(SoakTest, KeptSeeds)
