Tests: real processes obey what a server says in its answers alone

The stand-in backend server can leave by its answers alone, its load path and its document saying that all is well, and can shed with Retry-After; its log has what it shed, with the time; the header's name is an option, for the platform's is another one. The log's offset, which nobody gave, is gone.

StorePlatform.WhatLeavesGetsNothingMore has a case 'its answers say so, its entry is ready'. The soak draws a leave by answers alone and sheds with Retry-After, and checks the former. Backend servers of the tests name their starts, as the platform's do.

--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -284,7 +284,8 @@
 			"\",\"slots\":" + std::to_string(plan.slots) +
 			",\"connections\":" + std::to_string(plan.connections) +
 			",\"draining\":" +
-			(draining.count(i) != 0 ? "true" : "false") + "}";
+			(draining.count(i) != 0 ? "true" : "false") +
+			",\"instance\":\"start-" + std::to_string(i) + "\"}";
 	return std::string("{\"service\":\"") + SERVICE +
 	       "\",\"path_prefix\":\"/gallery\",\"backends\":[" + list +
 	       "],\"classes\":[{\"name\":\"judge\",\"priority\":0,"
--- a/test/process/promises.cc
+++ b/test/process/promises.cc
@@ -10,6 +10,20 @@
 /* Instances are asked one after the other: one look may mix two moments. */
 const uint32_t LOOKS_BELOW_FLOOR = 3;
 
+/* What may still come after a refusal that asks for a pause. */
+const uint64_t PAUSE_GRACE_US = 500000;
+const uint32_t PAUSE_REQUESTS_MAX = 2;
+
+std::map<std::string, const struct call_record *>
+index(const std::vector<struct call_record> &records)
+{
+	std::map<std::string, const struct call_record *> by_id;
+
+	for (const auto &record : records)
+		by_id[record.id] = &record;
+	return by_id;
+}
+
 std::string describe(const struct call_record &record)
 {
 	return record.method + " " + record.id + " by " + record.entry +
@@ -91,6 +105,78 @@
 		<< "last new work " << late_us / 1000 << " ms after the limit";
 }
 
+uint32_t check_said_drain(const std::vector<struct call_record> &records,
+			  const std::vector<struct run_record> &arrivals,
+			  uint16_t port, uint64_t from_unix_us,
+			  uint64_t bound_ms)
+{
+	std::map<std::string, const struct call_record *> by_id =
+		index(records);
+	std::map<std::string, uint64_t> told_us; /* by instance */
+	uint32_t late = 0;
+
+	for (const auto &arrival : arrivals) {
+		auto found = by_id.find(arrival.id);
+
+		if (arrival.port != port || found == by_id.end() ||
+		    arrival.begin_unix_us < from_unix_us ||
+		    found->second->outcome != "complete")
+			continue;
+		uint64_t end_us = found->second->end_unix_us;
+		auto told =
+			told_us.insert({ found->second->entry, end_us }).first;
+
+		told->second = std::min(told->second, end_us);
+	}
+	for (const auto &arrival : arrivals) {
+		auto found = by_id.find(arrival.id);
+
+		if (arrival.port != port || found == by_id.end())
+			continue;
+		auto told = told_us.find(found->second->entry);
+
+		late += told != told_us.end() &&
+			found->second->begin_unix_us >
+				told->second + bound_ms * 1000;
+	}
+	EXPECT_EQ(late, 0u) << "requests to a server that had said it drains";
+	return (uint32_t)told_us.size();
+}
+
+uint32_t check_paused(const std::vector<struct call_record> &records,
+		      const std::vector<struct run_record> &arrivals,
+		      uint16_t port, uint64_t pause_ms)
+{
+	std::map<std::string, const struct call_record *> by_id =
+		index(records);
+	std::map<std::string, std::vector<uint64_t>> came_us; /* by instance */
+	std::map<std::string, std::vector<uint64_t>> refused_us;
+
+	for (const auto &arrival : arrivals) {
+		auto found = by_id.find(arrival.id);
+
+		if (arrival.port != port || found == by_id.end())
+			continue;
+		came_us[found->second->entry].push_back(arrival.begin_unix_us);
+		if (arrival.end == "shed")
+			refused_us[found->second->entry].push_back(
+				arrival.begin_unix_us);
+	}
+	for (const auto &instance : refused_us) {
+		for (uint64_t at_us : instance.second) {
+			uint32_t count = 0;
+
+			for (uint64_t came : came_us[instance.first])
+				count += came > at_us + PAUSE_GRACE_US &&
+					 came < at_us + pause_ms * 1000;
+			EXPECT_LE(count, PAUSE_REQUESTS_MAX)
+				<< "in a pause that " << instance.first
+				<< " was told of";
+		}
+	}
+	return (uint32_t)refused_us.size();
+}
+
 observer::observer(const fleet &fleet)
     : system(fleet), stopping(false), versions(fleet.instance_count()),
       below_floor(0), thread([this] { run(); })
--- a/test/process/promises.h
+++ b/test/process/promises.h
@@ -45,6 +45,36 @@
 void check_drained(const std::vector<struct run_record> &runs, uint16_t port,
 		   uint64_t after_unix_us);
 
+/**
+ * check_said_drain() - once a backend server's answer has gone to a caller with its
+ *	word that it drains, that instance sends it nothing that comes later
+ * @records: the callers' records
+ * @arrivals: what came to backend servers
+ * @port: the backend server
+ * @from_unix_us: since when its answers say so
+ * @bound_ms: time that an instance has
+ *
+ * Return: how many instances were told.
+ */
+uint32_t check_said_drain(const std::vector<struct call_record> &records,
+			  const std::vector<struct run_record> &arrivals,
+			  uint16_t port, uint64_t from_unix_us,
+			  uint64_t bound_ms);
+
+/**
+ * check_paused() - after a refusal with a pause the instance that was refused sends
+ *	at most two requests until its end
+ * @records: the callers' records
+ * @arrivals: what came to backend servers; whatever was shed began a pause
+ * @port: the backend server
+ * @pause_ms: what its refusals say
+ *
+ * Return: how many instances were refused.
+ */
+uint32_t check_paused(const std::vector<struct call_record> &records,
+		      const std::vector<struct run_record> &arrivals,
+		      uint16_t port, uint64_t pause_ms);
+
 /**
  * class observer - watches all instances' status while a test runs
  *
--- a/test/process/soak_test.cc
+++ b/test/process/soak_test.cc
@@ -39,17 +39,18 @@
 	SOAK_SICK,
 	SOAK_PLATFORM,
 	SOAK_CHANGE,
+	SOAK_LEAVE,
 	SOAK_COUNT,
 };
 
 /* Longest time from a fault's start to its end; 0 for those without an end. */
 const uint32_t lasts_max_ms[SOAK_COUNT] = {
-	800, 0, 2500, 3000, 3000, 3000, 3000, 0, 0, 4000, 3000, 0,
+	800, 0, 2500, 3000, 3000, 3000, 3000, 0, 0, 4000, 3000, 0, 0,
 };
 
 const char *const kind_names[SOAK_COUNT] = {
-	"kill",	 "term",    "pause", "partition", "cut up",   "cut down",
-	"delay", "silence", "reset", "sick",	  "platform", "change",
+	"kill",	   "term",  "pause", "partition", "cut up", "cut down", "delay",
+	"silence", "reset", "sick",  "platform",  "change", "leave",
 };
 
 const char *const sick_orders[] = {
@@ -62,11 +63,18 @@
 	R"({"slow_permille":10000})",
 	R"({"shed_permille":1000})",
 	R"({"fault":"status","flap_ms":300})",
+	R"({"shed_permille":1000,"retry_after_s":1})",
+	R"({"shed_permille":300,"retry_after_s":2})",
 };
 
 const char *const WELL =
 	R"({"fault":"none","fault_permille":1000,"slow_permille":1000,)"
-	R"("shed_permille":0,"flap_ms":0})";
+	R"("shed_permille":0,"retry_after_s":0,"flap_ms":0})";
+
+/* One server only, and for good: the others carry the service. */
+const uint32_t LEAVES = 0;
+const uint32_t DRAIN_MS = 2000;
+const char *const SAYS_THAT_IT_LEAVES = R"({"draining":true,"load":"good"})";
 
 const char *const platform_modes[] = { "refuse", "hang", "stale" };
 
@@ -99,6 +107,7 @@
 	void restart(uint32_t instance);
 	void check();
 	void check_stops(const std::vector<struct call_record> &records);
+	void check_leave(const std::vector<struct call_record> &records);
 
 	fleet system;
 	observer watch;
@@ -107,6 +116,7 @@
 	std::set<uint32_t> down;
 	std::set<uint32_t> stopped;
 	std::set<uint32_t> harmed; /* killed or paused once */
+	uint64_t leaves_us = 0; /* when a server first said so */
 };
 
 Soak::Soak(uint32_t seed, const struct fleet_plan &plan)
@@ -225,6 +235,11 @@
 	case SOAK_CHANGE:
 		system.publish();
 		return;
+	case SOAK_LEAVE:
+		EXPECT_TRUE(system.backends.order(LEAVES, SAYS_THAT_IT_LEAVES));
+		if (leaves_us == 0)
+			leaves_us = unix_us();
+		return;
 	case SOAK_COUNT:
 		return;
 	}
@@ -263,6 +278,7 @@
 	case SOAK_SILENCE:
 	case SOAK_RESET:
 	case SOAK_CHANGE:
+	case SOAK_LEAVE:
 	case SOAK_COUNT:
 		return;
 	}
@@ -300,6 +316,8 @@
 	watch.stop();
 	counts = check_calls(records, system.backends.counts());
 	check_stops(records);
+	if (leaves_us > 0)
+		check_leave(records);
 	printf("complete %u, not-run %u, unknown %u, broken %u\n",
 	       counts.complete, counts.not_run, counts.unknown, counts.broken);
 }
@@ -320,6 +338,26 @@
 	}
 }
 
+/* An instance that ran all the while keeps to what it was told. */
+void Soak::check_leave(const std::vector<struct call_record> &records)
+{
+	std::vector<struct call_record> steady;
+
+	for (const auto &record : records) {
+		bool ran = true;
+
+		for (const auto *hit : { &harmed, &stopped }) {
+			for (uint32_t instance : *hit)
+				ran &= record.entry !=
+				       system.caller_addr(instance);
+		}
+		if (ran)
+			steady.push_back(record);
+	}
+	check_said_drain(steady, system.backends.arrivals(),
+			 system.backends.port(LEAVES), leaves_us, DRAIN_MS);
+}
+
 struct soak_case {
 	uint32_t seed;
 	const char *why; /* cause of the failure it once showed, or its size */
--- a/test/process/standins.cc
+++ b/test/process/standins.cc
@@ -115,13 +115,15 @@
 	return strtoull(json_text(body, "reads").c_str(), NULL, 10);
 }
 
-backend_standin::backend_standin(uint32_t count)
+backend_standin::backend_standin(uint32_t count,
+				 const std::string &drain_header)
     : first(free_ports(count)), admin(free_port()),
       process("backend",
 	      { "standin", "backend", "--ports",
 		std::to_string(first) + "-" + std::to_string(first + count - 1),
 		"--admin", std::to_string(admin), "--threads",
-		std::to_string(BACKEND_THREADS) })
+		std::to_string(BACKEND_THREADS), "--drain-header",
+		drain_header })
 {
 	wait_up("http://" + local(admin) + "/standin/counts");
 }
@@ -143,11 +145,21 @@
 	return http_put("http://" + local(admin) + "/standin/backend", order);
 }
 
-std::vector<struct run_record> backend_standin::runs(uint64_t since)
+std::vector<struct run_record> backend_standin::runs()
+{
+	std::vector<struct run_record> runs;
+
+	for (const auto &arrival : arrivals()) {
+		if (arrival.end != "shed")
+			runs.push_back(arrival);
+	}
+	return runs;
+}
+
+std::vector<struct run_record> backend_standin::arrivals()
 {
 	struct http_reply reply =
-		http_get("http://" + local(admin) +
-			 "/standin/log?since=" + std::to_string(since));
+		http_get("http://" + local(admin) + "/standin/log");
 	std::istringstream lines(reply.body);
 	std::vector<struct run_record> runs;
 	std::string line;
--- a/test/process/standins.h
+++ b/test/process/standins.h
@@ -83,7 +83,8 @@
  */
 class backend_standin {
     public:
-	explicit backend_standin(uint32_t count);
+	explicit backend_standin(
+		uint32_t count, const std::string &drain_header = "X-Draining");
 
 	uint16_t port(uint32_t index) const;
 
@@ -93,7 +94,9 @@
 	/* Orders all of them. */
 	bool order_all(const std::string &order);
 
-	std::vector<struct run_record> runs(uint64_t since = 0);
+	/* What ran; and with what was shed, whose end is "shed". */
+	std::vector<struct run_record> runs();
+	std::vector<struct run_record> arrivals();
 	std::map<std::string, uint32_t> counts();
 
     private:
--- a/test/process/store_test.cc
+++ b/test/process/store_test.cc
@@ -36,7 +36,7 @@
 
 class store_fleet {
     public:
-	store_fleet() : store(PAGE_ITEMS), backends(BACKENDS)
+	store_fleet() : store(PAGE_ITEMS), backends(BACKENDS, "Server-Leaving")
 	{
 		for (uint32_t i = 0; i < INSTANCES; i++) {
 			struct place place = {};
@@ -317,16 +317,36 @@
 	}
 }
 
+enum leave_way { LEAVE_ENTRY_DRAINS, LEAVE_ENTRY_GOES, LEAVE_ANSWERS_SAY };
+
 struct leave_case {
 	const char *name;
-	bool removed; /* else it says that it drains */
+	enum leave_way way;
 };
 
 const struct leave_case leave_cases[] = {
-	{ "drains", false },
-	{ "is removed", true },
+	{ "its entry drains", LEAVE_ENTRY_DRAINS },
+	{ "its entry is removed", LEAVE_ENTRY_GOES },
+	{ "its answers say so, its entry is ready", LEAVE_ANSWERS_SAY },
 };
 
+/* More than it takes until each instance has an answer of each server. */
+const uint32_t TELLING_REQUESTS = 60;
+
+bool begin_leave(store_fleet &fleet, uint32_t index, enum leave_way way)
+{
+	switch (way) {
+	case LEAVE_ENTRY_DRAINS:
+		return fleet.write_backend(index, "draining");
+	case LEAVE_ENTRY_GOES:
+		return fleet.store.write("servers/i-" + std::to_string(index),
+					 "");
+	case LEAVE_ANSWERS_SAY:
+		return fleet.backends.order(index, R"({"draining":true})");
+	}
+	return false;
+}
+
 TEST(StorePlatform, WhatLeavesGetsNothingMore)
 {
 	for (const auto &c : leave_cases) {
@@ -336,14 +356,12 @@
 
 		/* Two of the gallery's three leave, one stays. */
 		for (uint32_t index : { 0u, 2u }) {
-			ASSERT_TRUE(
-				c.removed ?
-					fleet.store.write(
-						"servers/i-" +
-							std::to_string(index),
-						"") :
-					fleet.write_backend(index, "draining"));
+			ASSERT_TRUE(begin_leave(fleet, index, c.way));
 		}
+		for (uint32_t i = 0;
+		     c.way == LEAVE_ANSWERS_SAY && i < TELLING_REQUESTS; i++)
+			fleet.ask(i % INSTANCES, "/works/1",
+				  "tells-" + std::to_string(i));
 		left_us = unix_us();
 		pause_ms(IN_FORCE_MS);
 		for (uint32_t i = 0; i < 40; i++)
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -39,10 +39,12 @@
 /**
  * struct fleet - all backend servers of the process; @lock guards all
  * @rand: draws which requests a fault hits
+ * @drain_header: header of answers that say that their server drains
  */
 struct fleet {
 	GMutex lock;
 	GRand *rand;
+	const char *drain_header;
 	struct server servers[PORTS_MAX];
 	uint32_t server_count;
 };
@@ -52,7 +54,8 @@
  * @conn: its connection
  * @server: who works on it
  * @fault: what goes wrong, drawn once
- * @draining: the answer says that the server drains
+ * @drain_header: header that says that the server drains, NULL when it does not
+ * @retry_after_s: what a refusal says, 0 for nothing
  * @work_us: time it takes
  * @run: its place in the run log
  * @body: request body
@@ -61,7 +64,8 @@
 	struct mg_connection *conn;
 	struct server *server;
 	struct fault fault;
-	bool draining;
+	const char *drain_header;
+	uint32_t retry_after_s;
 	uint64_t work_us;
 	uint32_t run;
 	char *body;
@@ -73,6 +77,7 @@
 	uint32_t admin_port;
 	uint32_t threads;
 	uint32_t seed;
+	const char *drain_header;
 };
 
 static int handle(struct mg_connection *conn, void *data);
@@ -85,6 +90,8 @@
 		       struct server *server);
 static int serve(struct fleet *fleet, struct mg_connection *conn,
 		 struct server *server);
+static int shed(const struct work *work);
+static void append_word(const struct work *work, GString *fields);
 static bool begin(struct fleet *fleet, struct work *work);
 static enum run_end run(struct work *work);
 static enum run_end answer(struct work *work, uint32_t status);
@@ -110,6 +117,8 @@
 	{ "admin", 'a', "PORT", 0, "Take orders here", 0 },
 	{ "threads", 't', "N", 0, "Connections served at once", 0 },
 	{ "seed", 's', "N", 0, "Seed of the faults' draw", 0 },
+	{ "drain-header", 'd', "NAME", 0,
+	  "Header of answers that say that their server drains", 0 },
 	{ 0 },
 };
 
@@ -122,7 +131,11 @@
 int backend_main(int argc, char **argv)
 {
 	struct backend_args args = {
-		.ip = "127.0.0.1", .ports = "9001", .threads = 256, .seed = 1
+		.ip = "127.0.0.1",
+		.ports = "9001",
+		.threads = 256,
+		.seed = 1,
+		.drain_header = "X-Draining",
 	};
 	static struct fleet fleet;
 	char *listens;
@@ -131,6 +144,7 @@
 		return EXIT_FAILURE;
 	g_mutex_init(&fleet.lock);
 	fleet.rand = g_rand_new_with_seed(args.seed);
+	fleet.drain_header = args.drain_header;
 	if (!read_ports(&fleet, args.ports)) {
 		fprintf(stderr, "standin: bad list of ports %s\n", args.ports);
 		return EXIT_FAILURE;
@@ -169,7 +183,7 @@
 		return http_answer_json(conn, runlog_counts());
 	if (strcmp(path, "log") != 0)
 		return http_answer(conn, 404, "", "");
-	text = runlog_text(http_query_uint(conn, "since", 0));
+	text = runlog_text();
 	status = http_answer(conn, 200, "", text);
 	g_free(text);
 	return status;
@@ -220,8 +234,9 @@
 	json_object_object_add(load, "busy",
 			       json_object_new_uint64(behaviour_load(
 				       behaviour, server->busy_slots)));
-	json_object_object_add(load, "draining",
-			       json_object_new_boolean(behaviour->draining));
+	json_object_object_add(
+		load, "draining",
+		json_object_new_boolean(behaviour_load_draining(behaviour)));
 	json_object_object_add(load, "cold",
 			       json_object_new_boolean(behaviour_cold(
 				       behaviour, clock_now_us())));
@@ -240,7 +255,7 @@
 		return http_answer(conn, 400, "", "");
 	if (!begin(fleet, &work)) {
 		g_free(work.body);
-		return http_answer(conn, 503, "X-Shed: 1\r\n", "");
+		return shed(&work);
 	}
 	end = run(&work);
 	g_mutex_lock(&fleet->lock);
@@ -253,6 +268,26 @@
 	return 200;
 }
 
+static int shed(const struct work *work)
+{
+	GString *fields = g_string_new("X-Shed: 1\r\n");
+	int status;
+
+	append_word(work, fields);
+	if (work->retry_after_s > 0)
+		g_string_append_printf(fields, "Retry-After: %u\r\n",
+				       work->retry_after_s);
+	status = http_answer(work->conn, 503, fields->str, "");
+	g_string_free(fields, TRUE);
+	return status;
+}
+
+static void append_word(const struct work *work, GString *fields)
+{
+	if (work->drain_header)
+		g_string_append_printf(fields, "%s: 1\r\n", work->drain_header);
+}
+
 /* Takes a slot and notes the work, or returns false when it is shed. */
 static bool begin(struct fleet *fleet, struct work *work)
 {
@@ -261,19 +296,21 @@
 	struct server *server = work->server;
 	const struct behaviour *behaviour = &server->behaviour;
 	uint64_t now_us = clock_now_us();
-	bool shed;
+	bool full;
 
 	g_mutex_lock(&fleet->lock);
-	shed = server->busy_slots >= behaviour->slots ||
+	if (behaviour->draining)
+		work->drain_header = fleet->drain_header;
+	work->retry_after_s = behaviour->retry_after_s;
+	full = server->busy_slots >= behaviour->slots ||
 	       (uint32_t)g_rand_int_range(fleet->rand, 0, PERMILLE_ONE) <
 		       behaviour->shed_permille ||
 	       (deadline != NULL && g_ascii_strtoull(deadline, NULL, 10) <
 					    unix_now_us() / US_PER_MS);
-	if (shed) {
+	if (full) {
 		server->shed_requests++;
 	} else {
 		server->busy_slots++;
-		work->draining = behaviour->draining;
 		work->fault =
 			behaviour_draw_fault(behaviour, fleet->rand, now_us);
 		work->work_us =
@@ -283,11 +320,11 @@
 					  now_us);
 	}
 	g_mutex_unlock(&fleet->lock);
-	if (shed)
-		return false;
 	work->run = runlog_begin(mg_get_header(work->conn, ID_HEADER),
 				 server->port, info->request_method);
-	return true;
+	if (full)
+		runlog_end(work->run, RUN_SHED);
+	return !full;
 }
 
 static enum run_end run(struct work *work)
@@ -399,10 +436,10 @@
 
 	g_string_printf(text,
 			"HTTP/1.1 %u %s\r\n"
-			"Content-Type: application/json\r\n%s",
+			"Content-Type: application/json\r\n",
 			status,
-			mg_get_response_code_text(work->conn, (int)status),
-			work->draining ? "X-Draining: 1\r\n" : "");
+			mg_get_response_code_text(work->conn, (int)status));
+	append_word(work, text);
 	if (id != NULL)
 		g_string_append_printf(text, ID_HEADER ": %s\r\n", id);
 	if (http_query_uint(work->conn, "chunked", 0) != 0) {
@@ -513,6 +550,9 @@
 	case 't':
 		args->threads = parse_uint(state, text);
 		return 0;
+	case 'd':
+		args->drain_header = text;
+		return 0;
 	case 's':
 		args->seed = parse_uint(state, text);
 		return 0;
--- a/test/standin/backend_behaviour.c
+++ b/test/standin/backend_behaviour.c
@@ -86,6 +86,11 @@
 	return now_us < behaviour->cold_until_us;
 }
 
+bool behaviour_load_draining(const struct behaviour *behaviour)
+{
+	return behaviour->draining && behaviour->load != WORD_GOOD;
+}
+
 uint32_t behaviour_load(const struct behaviour *behaviour, uint32_t busy_slots)
 {
 	switch (behaviour->load) {
@@ -112,6 +117,8 @@
 		behaviour->slow_permille = number;
 	else if (strcmp(name, "shed_permille") == 0)
 		behaviour->shed_permille = number;
+	else if (strcmp(name, "retry_after_s") == 0)
+		behaviour->retry_after_s = number;
 	else if (strcmp(name, "flap_ms") == 0)
 		behaviour->flap_ms = number;
 	else if (strcmp(name, "cold_ms") == 0)
--- a/test/standin/backend_behaviour.h
+++ b/test/standin/backend_behaviour.h
@@ -60,12 +60,14 @@
  * @work_ms: time for a request that does not name its own
  * @slow_permille: factor on that time
  * @shed_permille: share shed though slots are free
+ * @retry_after_s: what it sheds says that it wants nothing for so long, 0 for not
  * @fault: what goes wrong
  * @fault_permille: with which share
  * @flap_ms: the fault comes and goes with this half-period, 0 for always
  * @changed_us: when the last order came
  * @cold_until_us: until then it works slowly and says that it is cold
- * @draining: it says that it drains
+ * @draining: its answers say that it drains, its load path too unless it says
+ *	WORD_GOOD
  * @health: what its health path says
  * @load: what its load path says
  */
@@ -74,6 +76,7 @@
 	uint32_t work_ms;
 	uint32_t slow_permille;
 	uint32_t shed_permille;
+	uint32_t retry_after_s;
 	struct fault fault;
 	uint32_t fault_permille;
 	uint32_t flap_ms;
@@ -141,6 +144,14 @@
  */
 bool behaviour_cold(const struct behaviour *behaviour, uint64_t now_us);
 
+/**
+ * behaviour_load_draining() - whether the load path says that it drains
+ * @behaviour: only read
+ *
+ * Return: whether it does.
+ */
+bool behaviour_load_draining(const struct behaviour *behaviour);
+
 /**
  * behaviour_load() - busy slots that the load path tells
  * @behaviour: only read
--- a/test/standin/runlog.c
+++ b/test/standin/runlog.c
@@ -42,12 +42,12 @@
 	g_mutex_unlock(&lock);
 }
 
-char *runlog_text(uint64_t since)
+char *runlog_text(void)
 {
 	GString *text = g_string_new(NULL);
 
 	g_mutex_lock(&lock);
-	for (uint64_t i = since; runs != NULL && i < runs->len; i++) {
+	for (uint32_t i = 0; runs != NULL && i < runs->len; i++) {
 		const struct run *run = &g_array_index(runs, struct run, i);
 
 		g_string_append_printf(
@@ -70,9 +70,12 @@
 
 	g_mutex_lock(&lock);
 	for (uint32_t i = 0; runs != NULL && i < runs->len; i++) {
-		const char *id = g_array_index(runs, struct run, i).id.text;
+		const struct run *run = &g_array_index(runs, struct run, i);
+		const char *id = run->id.text;
 		json_object *count;
 
+		if (run->end == RUN_SHED)
+			continue;
 		if (json_object_object_get_ex(counts, id, &count))
 			json_object_int_inc(count, 1);
 		else
@@ -94,6 +97,8 @@
 		return "broken";
 	case RUN_CANCELLED:
 		return "cancelled";
+	case RUN_SHED:
+		return "shed";
 	}
 	return "";
 }
--- a/test/standin/runlog.h
+++ b/test/standin/runlog.h
@@ -2,7 +2,7 @@
 #define STANDIN_RUNLOG_H
 
 /**
- * DOC: run log: every piece of work that a backend server began
+ * DOC: run log: every piece of work that a backend server began or shed
  */
 
 #include <glib.h>
@@ -14,8 +14,13 @@
 
 /**
  * enum run_end - how a piece of work ended
+ * @RUN_RUNNING: not yet
+ * @RUN_WHOLE: with a whole answer
+ * @RUN_BROKEN: without one
+ * @RUN_CANCELLED: its caller was gone
+ * @RUN_SHED: it was refused and never ran
  */
-enum run_end { RUN_RUNNING, RUN_WHOLE, RUN_BROKEN, RUN_CANCELLED };
+enum run_end { RUN_RUNNING, RUN_WHOLE, RUN_BROKEN, RUN_CANCELLED, RUN_SHED };
 
 /**
  * struct run - one piece of work
@@ -36,7 +41,7 @@
 };
 
 /**
- * runlog_begin() - note that work begins now
+ * runlog_begin() - note that work begins now, or comes and is shed
  * @id: request id, or NULL
  * @port: which backend server
  * @method: request method
@@ -54,14 +59,13 @@
 
 /**
  * runlog_text() - write the log
- * @since: skip so many
  *
  * Return: owned text, one JSON object a line.
  */
-char *runlog_text(uint64_t since);
+char *runlog_text(void);
 
 /**
- * runlog_counts() - count the work by request id
+ * runlog_counts() - count the work that ran by request id
  *
  * Return: a JSON object of id to count, owned.
  */
