What the decisions must know goes before the requests that wait for them

Cause: one order for all messages to the dispatch duty. So the longer the ring, the older the knowledge, for as long as the load lasts.

Why this works: the ring has a second lane with room of its own, which is emptied first; messages that tell something and the queries on which documents travel use it. Ends of exchanges, cancellations and stops keep their reserve and their order with the requests.

--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -67,9 +67,8 @@
 static bool start(struct instance *instance, const struct settings *settings,
 		  GError **error)
 {
-	instance->dispatch_ring = ring_new(sizeof(struct message),
-					   DISPATCH_RING_MESSAGES,
-					   DISPATCH_RING_RESERVE);
+	instance->dispatch_ring =
+		message_ring_new(DISPATCH_RING_MESSAGES, DISPATCH_RING_RESERVE);
 	instance->left_ring = ring_new(sizeof(struct instant), 1, 0);
 	return start_senders(instance, settings, error) &&
 	       start_dispatch(instance, settings, error) &&
--- a/src/core/command.c
+++ b/src/core/command.c
@@ -3,6 +3,8 @@
 #include "core/clock.h"
 #include "core/report.h"
 
+static bool query_urgent(enum query_kind kind);
+
 struct query_port *query_port_new(void)
 {
 	struct query_port *port = g_new0(struct query_port, 1);
@@ -92,6 +94,15 @@
 	}
 }
 
+struct ring *message_ring_new(uint32_t room_messages, uint32_t reserve_messages)
+{
+	struct ring *ring = ring_new(sizeof(struct message), room_messages,
+				     reserve_messages);
+
+	ring_add_urgent(ring, MESSAGE_URGENT_MAX);
+	return ring;
+}
+
 enum ring_result send_command(struct ring *dispatch,
 			      const struct command *command)
 {
@@ -103,17 +114,18 @@
 
 	switch (command->kind) {
 	case COMMAND_FINISH:
-	case COMMAND_NOTE_ANSWER:
 	case COMMAND_CANCEL:
 	case COMMAND_LEAVE:
 		return ring_push_reserved(dispatch, &message);
-	case COMMAND_ADMIT:
-	case COMMAND_TICK:
+	case COMMAND_NOTE_ANSWER:
 	case COMMAND_ACCEPT_CONFIG:
 	case COMMAND_ACCEPT_ROUTES:
-	case COMMAND_REFUSE_CONFIG:
 	case COMMAND_ACCEPT_INSTANCES:
 	case COMMAND_PEER_MESSAGE:
+		return ring_push_urgent(dispatch, &message);
+	case COMMAND_ADMIT:
+	case COMMAND_TICK:
+	case COMMAND_REFUSE_CONFIG:
 	case COMMAND_PROBE_RESULT:
 	case COMMAND_PLATFORM_STATE:
 	case COMMAND_SEEDS:
@@ -133,7 +145,9 @@
 	enum ring_result result;
 
 	message.query.reply = query_port_ref(port);
-	result = ring_push(dispatch, &message);
+	result = query_urgent(query->kind) ?
+			 ring_push_urgent(dispatch, &message) :
+			 ring_push(dispatch, &message);
 	if (result != RING_OK)
 		query_port_unref(port);
 	return result;
@@ -150,3 +164,21 @@
 	query_port_unref(port);
 	return result;
 }
+
+/* Without an answer in time no document is passed on or taken in. */
+static bool query_urgent(enum query_kind kind)
+{
+	switch (kind) {
+	case QUERY_DOCUMENT:
+	case QUERY_OFFERS:
+	case QUERY_INSTANCES:
+		return true;
+	case QUERY_ENTRIES:
+	case QUERY_STATUS:
+	case QUERY_METRICS:
+	case QUERY_AUDIT:
+	case QUERY_READY:
+		return false;
+	}
+	return false;
+}
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -325,6 +325,9 @@
  */
 void command_clear(struct command *command);
 
+/* Urgent messages that may wait for the dispatch thread. */
+#define MESSAGE_URGENT_MAX 256
+
 enum message_kind { MESSAGE_COMMAND, MESSAGE_QUERY };
 
 /**
@@ -343,13 +346,25 @@
 	};
 };
 
+/**
+ * message_ring_new() - make the dispatch duty's ring
+ * @room_messages: how many messages fit that are not urgent
+ * @reserve_messages: part of it for ends, cancellations and stops
+ *
+ * Return: a ring to be freed with ring_free().
+ */
+struct ring *message_ring_new(uint32_t room_messages,
+			      uint32_t reserve_messages);
+
 /**
  * send_command() - give a command to the dispatch duty
  * @dispatch: its ring
  * @command: taken over on success, untouched otherwise
  *
- * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_NOTE_ANSWER,
- * COMMAND_CANCEL and COMMAND_LEAVE may use the ring's reserve.
+ * What the decisions must know goes before the requests that they are about.
+ *
+ * Return: RING_OK, RING_FULL or RING_CLOSED. COMMAND_FINISH, COMMAND_CANCEL and
+ * COMMAND_LEAVE may use the ring's reserve.
  */
 enum ring_result send_command(struct ring *dispatch,
 			      const struct command *command);
--- a/src/ring/ring.c
+++ b/src/ring/ring.c
@@ -5,24 +5,40 @@
 #include <pthread.h>
 #include <string.h>
 
+/**
+ * struct lane - items in the order in which they came
+ * @items: room for @room_items
+ * @room_items: how many fit
+ * @first: the oldest
+ * @length: how many wait
+ */
+struct lane {
+	uint8_t *items;
+	uint32_t room_items;
+	uint32_t first;
+	uint32_t length;
+};
+
 struct ring {
 	pthread_mutex_t lock;
 	pthread_cond_t filled;
 	uint64_t refused;
 	uint32_t item_bytes;
-	uint32_t room_items;
 	uint32_t reserve_items;
-	uint32_t first;
-	uint32_t length;
+	struct lane usual;
+	struct lane urgent;
 	bool closed;
 	bool announced;
 	struct notice_board *board;
 	uint64_t subject;
-	uint8_t items[];
 };
 
-static enum ring_result push(struct ring *ring, const void *item,
-			     uint32_t room_items);
+static void lane_init(const struct ring *ring, struct lane *lane,
+		      uint32_t room_items);
+static enum ring_result push(struct ring *ring, struct lane *lane,
+			     const void *item, uint32_t room_items);
+static void pop(const struct ring *ring, struct lane *lane, void *item);
+static bool empty(const struct ring *ring);
 static void wait_filled(struct ring *ring, uint64_t deadline_us);
 
 struct ring *ring_new(uint32_t item_bytes, uint32_t room_items,
@@ -32,10 +48,10 @@
 	pthread_condattr_t attr;
 
 	g_assert(item_bytes > 0 && room_items > reserve_items);
-	ring = g_malloc0(sizeof(*ring) + (size_t)item_bytes * room_items);
+	ring = g_new0(struct ring, 1);
 	ring->item_bytes = item_bytes;
-	ring->room_items = room_items;
 	ring->reserve_items = reserve_items;
+	lane_init(ring, &ring->usual, room_items);
 	if (pthread_mutex_init(&ring->lock, NULL) != 0 ||
 	    pthread_condattr_init(&attr) != 0 ||
 	    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC) != 0 ||
@@ -51,9 +67,16 @@
 		return;
 	pthread_cond_destroy(&ring->filled);
 	pthread_mutex_destroy(&ring->lock);
+	g_free(ring->usual.items);
+	g_free(ring->urgent.items);
 	g_free(ring);
 }
 
+void ring_add_urgent(struct ring *ring, uint32_t room_items)
+{
+	lane_init(ring, &ring->urgent, room_items);
+}
+
 void ring_announce(struct ring *ring, struct notice_board *board,
 		   uint64_t subject)
 {
@@ -63,12 +86,18 @@
 
 enum ring_result ring_push(struct ring *ring, const void *item)
 {
-	return push(ring, item, ring->room_items - ring->reserve_items);
+	return push(ring, &ring->usual, item,
+		    ring->usual.room_items - ring->reserve_items);
 }
 
 enum ring_result ring_push_reserved(struct ring *ring, const void *item)
 {
-	return push(ring, item, ring->room_items);
+	return push(ring, &ring->usual, item, ring->usual.room_items);
+}
+
+enum ring_result ring_push_urgent(struct ring *ring, const void *item)
+{
+	return push(ring, &ring->urgent, item, ring->urgent.room_items);
 }
 
 enum ring_result ring_pop(struct ring *ring, void *item, uint64_t deadline_us)
@@ -76,14 +105,12 @@
 	enum ring_result result = RING_OK;
 
 	pthread_mutex_lock(&ring->lock);
-	if (ring->length == 0 && !ring->closed && deadline_us != 0)
+	if (empty(ring) && !ring->closed && deadline_us != 0)
 		wait_filled(ring, deadline_us);
-	if (ring->length > 0) {
-		memcpy(item,
-		       ring->items + (size_t)ring->first * ring->item_bytes,
-		       ring->item_bytes);
-		ring->first = (ring->first + 1) % ring->room_items;
-		ring->length--;
+	if (ring->urgent.length > 0) {
+		pop(ring, &ring->urgent, item);
+	} else if (ring->usual.length > 0) {
+		pop(ring, &ring->usual, item);
 	} else {
 		result = ring->closed ? RING_CLOSED : RING_TIMEOUT;
 		ring->announced = false;
@@ -105,7 +132,7 @@
 	uint32_t length;
 
 	pthread_mutex_lock(&ring->lock);
-	length = ring->length;
+	length = ring->usual.length + ring->urgent.length;
 	pthread_mutex_unlock(&ring->lock);
 	return length;
 }
@@ -120,8 +147,15 @@
 	return refused;
 }
 
-static enum ring_result push(struct ring *ring, const void *item,
-			     uint32_t room_items)
+static void lane_init(const struct ring *ring, struct lane *lane,
+		      uint32_t room_items)
+{
+	lane->items = g_malloc0((size_t)ring->item_bytes * room_items);
+	lane->room_items = room_items;
+}
+
+static enum ring_result push(struct ring *ring, struct lane *lane,
+			     const void *item, uint32_t room_items)
 {
 	enum ring_result result = RING_OK;
 	uint32_t at;
@@ -129,14 +163,14 @@
 	pthread_mutex_lock(&ring->lock);
 	if (ring->closed) {
 		result = RING_CLOSED;
-	} else if (ring->length >= room_items) {
+	} else if (lane->length >= room_items) {
 		result = RING_FULL;
 		ring->refused++;
 	} else {
-		at = (ring->first + ring->length) % ring->room_items;
-		memcpy(ring->items + (size_t)at * ring->item_bytes, item,
+		at = (lane->first + lane->length) % lane->room_items;
+		memcpy(lane->items + (size_t)at * ring->item_bytes, item,
 		       ring->item_bytes);
-		ring->length++;
+		lane->length++;
 		pthread_cond_signal(&ring->filled);
 		if (ring->board && !ring->announced) {
 			ring->announced = true;
@@ -147,6 +181,19 @@
 	return result;
 }
 
+static void pop(const struct ring *ring, struct lane *lane, void *item)
+{
+	memcpy(item, lane->items + (size_t)lane->first * ring->item_bytes,
+	       ring->item_bytes);
+	lane->first = (lane->first + 1) % lane->room_items;
+	lane->length--;
+}
+
+static bool empty(const struct ring *ring)
+{
+	return ring->usual.length == 0 && ring->urgent.length == 0;
+}
+
 /* Waits until there is an item, the ring is closed or the deadline is past. */
 static void wait_filled(struct ring *ring, uint64_t deadline_us)
 {
@@ -154,6 +201,6 @@
 	int rc = 0;
 
 	clock_wait_until(deadline_us, &until);
-	while (ring->length == 0 && !ring->closed && rc == 0)
+	while (empty(ring) && !ring->closed && rc == 0)
 		rc = pthread_cond_timedwait(&ring->filled, &ring->lock, &until);
 }
--- a/src/ring/ring.h
+++ b/src/ring/ring.h
@@ -7,7 +7,7 @@
  * Joins two duties. Items are copied in and out by value. A full ring refuses
  * at once; a reader waits on a condition variable until an item, a deadline
  * or the close. Part of the room may be reserved for items that must not be
- * lost.
+ * lost, and there may be room of its own for items that go before all others.
  */
 
 #include <glib.h>
@@ -43,6 +43,13 @@
  */
 void ring_free(struct ring *ring);
 
+/**
+ * ring_add_urgent() - give a ring room for items that go before all others
+ * @ring: the ring, not shared yet
+ * @room_items: how many, more than 0
+ */
+void ring_add_urgent(struct ring *ring, uint32_t room_items);
+
 /**
  * ring_announce() - let a board tell when there is something to take
  * @ring: the ring, not shared yet
@@ -74,7 +81,16 @@
 enum ring_result ring_push_reserved(struct ring *ring, const void *item);
 
 /**
- * ring_pop() - take the oldest item
+ * ring_push_urgent() - append an item that goes before all that are not urgent
+ * @ring: the ring
+ * @item: copied
+ *
+ * Return: RING_OK, RING_FULL, also without room for such items, or RING_CLOSED.
+ */
+enum ring_result ring_push_urgent(struct ring *ring, const void *item);
+
+/**
+ * ring_pop() - take the oldest urgent item, or the oldest when there is none
  * @ring: the ring
  * @item: filled on RING_OK
  * @deadline_us: boot-time deadline; 0 polls, DEADLINE_NONE_US waits for good
--- a/test/unit/exchange_test.cc
+++ b/test/unit/exchange_test.cc
@@ -449,7 +449,7 @@
 		settings_.requests_max = 4;
 		settings_.head_max_bytes = 16384;
 		settings_.hold_max_bytes = hold_max_bytes;
-		dispatch_ = ring_new(sizeof(struct message), 64, 16);
+		dispatch_ = message_ring_new(64, 16);
 		duty_ = exchange_start(&settings_, dispatch_, nullptr);
 		ASSERT_NE(duty_, nullptr);
 	}
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -102,8 +102,7 @@
 		settings_.head_max_bytes = head_max_bytes;
 		settings_.body_max_bytes = body_max_bytes;
 		settings_.hold_max_bytes = 1000;
-		dispatch_ = ring_new(sizeof(struct message),
-				     2 * connections_max, 16);
+		dispatch_ = message_ring_new(2 * connections_max, 16);
 		exchange_ = exchange_start(&settings_, dispatch_, nullptr);
 		front_ = front_start(&settings_, dispatch_, exchange_, nullptr);
 		ASSERT_NE(front_, nullptr);
--- a/test/unit/operator_duty_test.cc
+++ b/test/unit/operator_duty_test.cc
@@ -26,8 +26,7 @@
 	gint records = RECORDS_AT_START;
 	gint ready = TRUE;
 
-	explicit fake_dispatch(bool mute)
-	    : ring(ring_new(sizeof(struct message), 64, 0))
+	explicit fake_dispatch(bool mute) : ring(message_ring_new(64, 0))
 	{
 		if (!mute)
 			thread = std::thread([this] { serve(); });
@@ -296,7 +295,7 @@
 TEST(AuditDutyTest, LogsEveryRecordBeforeItStops)
 {
 	struct settings settings = {};
-	struct ring *ring = ring_new(sizeof(struct message), 1, 0);
+	struct ring *ring = message_ring_new(1, 0);
 	struct audit_record record = {};
 	const uint64_t count = 500;
 
--- a/test/unit/peer_duty_test.cc
+++ b/test/unit/peer_duty_test.cc
@@ -78,7 +78,7 @@
 /* Answers queries for one document, or for none with version 0. */
 class FakeDispatch {
     public:
-	struct ring *ring = ring_new(sizeof(struct message), 256, 16);
+	struct ring *ring = message_ring_new(256, 16);
 	struct ring *commands = ring_new(sizeof(struct command), 256, 0);
 
 	explicit FakeDispatch(uint64_t version)
--- a/test/unit/probe_test.cc
+++ b/test/unit/probe_test.cc
@@ -139,7 +139,7 @@
 	{
 		addr_ip_parse("127.0.0.1", &settings_.peer_bind.ip);
 		settings_.random_seed = 7;
-		dispatch_ = ring_new(sizeof(struct message), 256, 16);
+		dispatch_ = message_ring_new(256, 16);
 		duty_ = probe_start(&settings_, dispatch_, nullptr);
 		ASSERT_NE(duty_, nullptr);
 	}
--- a/test/unit/ring_test.cc
+++ b/test/unit/ring_test.cc
@@ -7,13 +7,14 @@
 
 extern "C" {
 #include "core/clock.h"
+#include "core/command.h"
 #include "ring/ring.h"
 }
 
 namespace
 {
 
-enum step_kind { PUSH, PUSH_RESERVED, POP, CLOSE };
+enum step_kind { PUSH, PUSH_RESERVED, PUSH_URGENT, POP, CLOSE };
 
 struct step {
 	enum step_kind kind;
@@ -25,6 +26,7 @@
 	const char *name;
 	uint32_t room_items;
 	uint32_t reserve_items;
+	uint32_t urgent_items;
 	std::vector<struct step> steps;
 };
 
@@ -32,6 +34,7 @@
 	{ "full ring refuses",
 	  2,
 	  0,
+	  0,
 	  { { PUSH, 1, RING_OK },
 	    { PUSH, 2, RING_OK },
 	    { PUSH, 3, RING_FULL },
@@ -43,15 +46,37 @@
 	{ "reserve is kept for what must not be lost",
 	  2,
 	  1,
+	  0,
 	  { { PUSH, 1, RING_OK },
 	    { PUSH, 2, RING_FULL },
 	    { PUSH_RESERVED, 3, RING_OK },
 	    { PUSH_RESERVED, 4, RING_FULL },
 	    { POP, 1, RING_OK },
 	    { POP, 3, RING_OK } } },
+	{ "what is urgent goes first, in its order, also into a full ring",
+	  2,
+	  1,
+	  2,
+	  { { PUSH, 1, RING_OK },
+	    { PUSH, 2, RING_FULL },
+	    { PUSH_URGENT, 3, RING_OK },
+	    { PUSH_URGENT, 4, RING_OK },
+	    { PUSH_URGENT, 5, RING_FULL },
+	    { POP, 3, RING_OK },
+	    { PUSH_URGENT, 6, RING_OK },
+	    { POP, 4, RING_OK },
+	    { POP, 6, RING_OK },
+	    { POP, 1, RING_OK },
+	    { POP, 0, RING_TIMEOUT } } },
+	{ "a ring without such room",
+	  2,
+	  0,
+	  0,
+	  { { PUSH_URGENT, 1, RING_FULL } } },
 	{ "closed ring drains, then says so",
 	  2,
 	  0,
+	  0,
 	  { { PUSH, 1, RING_OK },
 	    { CLOSE, 0, RING_OK },
 	    { PUSH, 2, RING_CLOSED },
@@ -69,6 +94,8 @@
 		return ring_push(ring, &value);
 	case PUSH_RESERVED:
 		return ring_push_reserved(ring, &value);
+	case PUSH_URGENT:
+		return ring_push_urgent(ring, &value);
 	case POP:
 		result = ring_pop(ring, &value, 0);
 		EXPECT_TRUE(result != RING_OK || value == step.value);
@@ -86,6 +113,9 @@
 		SCOPED_TRACE(c.name);
 		struct ring *ring = ring_new(sizeof(int32_t), c.room_items,
 					     c.reserve_items);
+
+		if (c.urgent_items > 0)
+			ring_add_urgent(ring, c.urgent_items);
 		for (const auto &step : c.steps)
 			EXPECT_EQ(take(ring, step), step.result);
 		ring_free(ring);
@@ -126,6 +156,48 @@
 	ring_free(ring);
 }
 
+struct message_case {
+	const char *name;
+	enum command_kind kind;
+	bool urgent;
+};
+
+const struct message_case message_cases[] = {
+	{ "a document", COMMAND_ACCEPT_CONFIG, true },
+	{ "a routing table", COMMAND_ACCEPT_ROUTES, true },
+	{ "a list of instances", COMMAND_ACCEPT_INSTANCES, true },
+	{ "what an answer's head says", COMMAND_NOTE_ANSWER, true },
+	{ "another instance's message", COMMAND_PEER_MESSAGE, true },
+	{ "the end of an exchange", COMMAND_FINISH, false },
+	{ "a caller that is gone", COMMAND_CANCEL, false },
+};
+
+/* On an instance short of processor time thousands of requests may wait. */
+TEST(RingTest, WhatIsToBeKnownGoesBeforeWaitingRequests)
+{
+	const uint32_t room = 8;
+	struct command admit = {};
+
+	for (const auto &c : message_cases) {
+		SCOPED_TRACE(c.name);
+		struct ring *ring = message_ring_new(room, 1);
+		struct command command = {};
+		struct message message;
+
+		admit.kind = COMMAND_ADMIT;
+		command.kind = c.kind;
+		for (uint32_t i = 0; i + 1 < room; i++)
+			EXPECT_EQ(send_command(ring, &admit), RING_OK);
+		EXPECT_EQ(send_command(ring, &admit), RING_FULL);
+		EXPECT_EQ(send_command(ring, &command), RING_OK);
+		EXPECT_EQ(ring_pop(ring, &message, 0), RING_OK);
+		EXPECT_EQ(message.command.kind,
+			  c.urgent ? c.kind : COMMAND_ADMIT);
+		ring_close(ring);
+		ring_free(ring);
+	}
+}
+
 enum board_step { FILL, DRAIN, TAKE };
 
 struct board_case {
