--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -118,7 +118,7 @@
 static void tick_pause(struct health_change *change)
 {
 	struct health *health = &change->backend->health;
-	bool pausing = change->now.mono_us < change->backend->pause_until_us;
+	bool pausing = backend_pausing(change->backend, change->now);
 
 	if (pausing == health->pause_audited)
 		return;
--- a/src/command/home.c
+++ b/src/command/home.c
@@ -351,7 +351,7 @@
 	uint32_t i;
 
 	/* A probe is a request like any other. */
-	if (now.mono_us < backend->pause_until_us)
+	if (backend_pausing(backend, now))
 		return false;
 	homes_rank(service, backend->addr, by_rank);
 	for (i = 0; by_rank[i] != service->self_home; i++) {
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -56,10 +56,14 @@
 	       view_says_draining(backend, now);
 }
 
+bool backend_pausing(const struct backend *backend, struct instant now)
+{
+	return now.mono_us < backend->pause_until_us;
+}
+
 bool backend_closed(const struct backend *backend, struct instant now)
 {
-	return now.mono_us < backend->pause_until_us ||
-	       backend_draining(backend, now);
+	return backend_pausing(backend, now) || backend_draining(backend, now);
 }
 
 uint64_t service_pause_ends_us(const struct service *service,
@@ -73,7 +77,7 @@
 		backend = &service->backends[i];
 		if (backend_draining(backend, now))
 			continue;
-		if (now.mono_us >= backend->pause_until_us)
+		if (!backend_pausing(backend, now))
 			return 0;
 		ends_us = MIN(ends_us, backend->pause_until_us);
 	}
--- a/src/query/health.h
+++ b/src/query/health.h
@@ -25,6 +25,15 @@
  */
 bool backend_draining(const struct backend *backend, struct instant now);
 
+/**
+ * backend_pausing() - whether it wants no request for a while
+ * @backend: the backend server
+ * @now: the time
+ *
+ * Return: true until the end of the pause that it asked this instance for.
+ */
+bool backend_pausing(const struct backend *backend, struct instant now);
+
 /**
  * backend_closed() - whether it must get no request now
  * @backend: the backend server
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -111,17 +111,20 @@
 	return grants;
 }
 
-void start_world(World &world, uint32_t backends = BACKENDS)
+void start_world(World &world, uint32_t backends = BACKENDS,
+		 const char *probe_path = "")
 {
 	struct doc_shape shape;
+	struct service_doc *doc;
 
 	shape.backends = backends;
 	shape.slots = SLOTS;
 	shape.budget_ms = 2000;
+	doc = make_doc(shape);
+	g_strlcpy(doc->probe_path, probe_path, PATH_BYTES_MAX);
 	world.list(1);
-	world.accept(make_doc(shape));
+	world.accept(doc);
 	world.pass_ms(10000);
-	world.forget();
 }
 
 TEST(PauseTest, NoRequestGoesThereUntilItsEnd)
@@ -233,16 +236,8 @@
 TEST(PauseTest, NoProbeGoesThereUntilItsEnd)
 {
 	World world;
-	struct doc_shape shape;
-	struct service_doc *doc;
 
-	shape.backends = BACKENDS;
-	shape.slots = SLOTS;
-	doc = make_doc(shape);
-	g_strlcpy(doc->probe_path, "/health", PATH_BYTES_MAX);
-	world.list(1);
-	world.accept(doc);
-	world.pass_ms(10000);
+	start_world(world, BACKENDS, "/health");
 	EXPECT_EQ(probed(world), 1);
 	for (const struct grant_event &grant : fill(world))
 		world.finish(grant, is_there(grant) ? refused(world) :
