--- a/src/command/health.c
+++ b/src/command/health.c
@@ -33,8 +33,8 @@
 static void observe_drain_answer(struct health_change *change);
 static void observe_pause(struct backend *backend, uint64_t until_us);
 static void open_more(struct backend *backend, const struct ticket *ticket);
-static void recall_word(struct backend *backend,
-			const struct backend_word *word);
+static void restore_word(struct backend *backend,
+			 const struct backend_word *word);
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
 static void note_closed(struct backend *backend, struct instant now);
@@ -73,11 +73,11 @@
 		backend->health.unreached = evidence->kind == EVIDENCE_CONNECT;
 	evidence_caution(&backend->health, end,
 			 evidence_seen_us(ticket, evidence, now), now);
-	if (end == WORK_OK)
+	if (end == WORK_OK) {
 		backend->health.proved_us =
 			MAX(backend->health.proved_us, ticket->granted_us);
-	if (end == WORK_OK)
 		open_more(backend, ticket);
+	}
 	evidence_count(&backend->health, end, now);
 	if (backend->health.state == HEALTH_TRICKLE)
 		observe_trickle(&change, end);
@@ -169,7 +169,7 @@
 			health_ramp(&change, CAUSE_COLD_START);
 		word = start_word_find(service, &backend->start);
 		if (word)
-			recall_word(backend, word);
+			restore_word(backend, word);
 		note_closed(backend, now);
 		if (backend->drain_document && !backend->health.drain_audited) {
 			backend->health.drain_audited = true;
@@ -258,8 +258,8 @@
 }
 
 /* What a start has said holds when its entry lapsed and came back. */
-static void recall_word(struct backend *backend,
-			const struct backend_word *word)
+static void restore_word(struct backend *backend,
+			 const struct backend_word *word)
 {
 	if (word->draining)
 		backend->drain_seen_until_us = DEADLINE_NONE_US;
