A pause may end within a second: fractions of Retry-After are read

What callers saw: nothing directly.

Cause: only whole seconds were read, as HTTP has them.

A number beyond 64 bits counts as an hour now like any other long time.

Why this works: digits, then perhaps a point and digits; the span is in microseconds.

--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -14,12 +14,13 @@
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
 /* A slip in a longer time shall not cost a backend server for good. */
-#define RETRY_AFTER_MAX_S 3600
+#define RETRY_AFTER_MAX_US (3600 * US_PER_S)
 
 static uint32_t count_field(const struct answer_head *head, const char *name,
 			    const char **value);
-static bool date_seconds(const struct answer_head *head, const char *value,
-			 guint64 *seconds);
+static bool read_seconds(const char *value, uint64_t *span_us);
+static bool read_date(const struct answer_head *head, const char *value,
+		      uint64_t *span_us);
 static bool status_line(struct http_answer_reader *reader, const char *line);
 static bool field_line(struct http_answer_reader *reader, char *line);
 static bool note_field(struct http_answer_reader *reader,
@@ -82,10 +83,10 @@
 	return valid;
 }
 
-uint32_t http_answer_retry_after_s(const struct answer_head *head)
+uint64_t http_answer_retry_after_us(const struct answer_head *head)
 {
 	const char *value = NULL;
-	guint64 seconds;
+	uint64_t span_us;
 
 	switch (count_field(head, "Retry-After", &value)) {
 	case 0:
@@ -96,14 +97,13 @@
 		g_message("exchange: Retry-After ignored: it stands twice");
 		return 0;
 	}
-	if (!g_ascii_string_to_unsigned(value, 10, 0, G_MAXUINT64, &seconds,
-					NULL) &&
-	    !date_seconds(head, value, &seconds)) {
-		g_message("exchange: Retry-After ignored: neither whole "
-			  "seconds nor a date behind the answer's own");
+	if (!read_seconds(value, &span_us) &&
+	    !read_date(head, value, &span_us)) {
+		g_message("exchange: Retry-After ignored: neither seconds nor "
+			  "a date behind the answer's own");
 		return 0;
 	}
-	return (uint32_t)MIN(seconds, RETRY_AFTER_MAX_S);
+	return MIN(span_us, RETRY_AFTER_MAX_US);
 }
 
 bool http_answer_marked(const struct answer_head *head,
@@ -160,9 +160,27 @@
 	return count;
 }
 
+/* HTTP has whole seconds; some servers write a fraction behind them. */
+static bool read_seconds(const char *value, uint64_t *span_us)
+{
+	size_t whole = strspn(value, "0123456789");
+	size_t part = 0;
+
+	if (whole == 0)
+		return false;
+	if (value[whole] == '.')
+		part = 1 + strspn(value + whole + 1, "0123456789");
+	if (value[whole + part] != '\0' || part == 1)
+		return false;
+	*span_us = (uint64_t)(MIN(g_ascii_strtod(value, NULL),
+				  (double)RETRY_AFTER_MAX_US / US_PER_S) *
+			      US_PER_S);
+	return true;
+}
+
 /* The server's clock may be off, so its date counts from its own date. */
-static bool date_seconds(const struct answer_head *head, const char *value,
-			 guint64 *seconds)
+static bool read_date(const struct answer_head *head, const char *value,
+		      uint64_t *span_us)
 {
 	const char *date = NULL;
 	time_t begin;
@@ -175,7 +193,7 @@
 	end = curl_getdate(value, NULL);
 	if (begin < 0 || end <= begin)
 		return false;
-	*seconds = (guint64)(end - begin);
+	*span_us = (uint64_t)(end - begin) * US_PER_S;
 	return true;
 }
 
--- a/src/codec/http_answer.h
+++ b/src/codec/http_answer.h
@@ -85,16 +85,16 @@
 		      size_t line_bytes);
 
 /**
- * http_answer_retry_after_s() - time for which a refusing server wants nothing
+ * http_answer_retry_after_us() - time for which a refusing server wants nothing
  * @head: the answer
  *
- * Whole seconds are understood, and a date in an answer that has a Date of its own.
- * Anything else, and a field that stands twice, is logged and has no effect; more
- * than an hour counts as an hour.
+ * Seconds are understood, with or without a fraction, and a date in an answer that
+ * has a Date of its own. Anything else, and a field that stands twice, is logged and
+ * has no effect; more than an hour counts as an hour.
  *
- * Return: seconds, 0 when there is none.
+ * Return: microseconds, 0 when there is none.
  */
-uint32_t http_answer_retry_after_s(const struct answer_head *head);
+uint64_t http_answer_retry_after_us(const struct answer_head *head);
 
 /**
  * http_answer_marked() - whether an answer has a service's marker
--- a/src/duty/transfer.c
+++ b/src/duty/transfer.c
@@ -321,14 +321,13 @@
 
 static void judge_pause(struct exchange *exchange)
 {
-	uint32_t seconds;
+	uint64_t span_us;
 
 	if (exchange->status != HTTP_UNAVAILABLE)
 		return;
-	seconds = http_answer_retry_after_s(exchange->reader.head);
-	if (seconds > 0)
-		exchange->word.pause_until_us =
-			clock_now_us() + seconds * US_PER_S;
+	span_us = http_answer_retry_after_us(exchange->reader.head);
+	if (span_us > 0)
+		exchange->word.pause_until_us = clock_now_us() + span_us;
 }
 
 static size_t on_body(char *bytes, size_t size, size_t count, void *data)
