Test: the soak checks pauses too, by what each refusal said

The stand-in's log has what a refusal said, so check_paused() needs no time of the test's own and looks at each pause by itself; the soak asks it for every backend server, but for instances that were killed, paused, stopped, cut off or lost answers.

--- a/test/process/backend_word_test.cc
+++ b/test/process/backend_word_test.cc
@@ -12,7 +12,6 @@
 const uint32_t DRAIN_MS = 2000;
 const uint32_t READY_MS = 10000;
 const uint32_t SAYS = 0;
-const uint64_t PAUSE_S = 3;
 const uint32_t WATCH_S = 5;
 
 enum word_kind { WORD_DRAINS, WORD_PAUSES };
@@ -72,8 +71,7 @@
 				  plan.instances);
 			break;
 		case WORD_PAUSES:
-			EXPECT_EQ(check_paused(records, arrivals, port,
-					       PAUSE_S * 1000),
+			EXPECT_EQ(check_paused(records, arrivals, port),
 				  plan.instances);
 			break;
 		}
--- a/test/process/promises.cc
+++ b/test/process/promises.cc
@@ -145,12 +145,12 @@
 
 uint32_t check_paused(const std::vector<struct call_record> &records,
 		      const std::vector<struct run_record> &arrivals,
-		      uint16_t port, uint64_t pause_ms)
+		      uint16_t port)
 {
 	std::map<std::string, const struct call_record *> by_id =
 		index(records);
 	std::map<std::string, std::vector<uint64_t>> came_us; /* by instance */
-	std::map<std::string, std::vector<uint64_t>> refused_us;
+	std::map<std::string, std::vector<const struct run_record *>> refused;
 
 	for (const auto &arrival : arrivals) {
 		auto found = by_id.find(arrival.id);
@@ -158,23 +158,25 @@
 		if (arrival.port != port || found == by_id.end())
 			continue;
 		came_us[found->second->entry].push_back(arrival.begin_unix_us);
-		if (arrival.end == "shed")
-			refused_us[found->second->entry].push_back(
-				arrival.begin_unix_us);
+		if (arrival.retry_after_s > 0)
+			refused[found->second->entry].push_back(&arrival);
 	}
-	for (const auto &instance : refused_us) {
-		for (uint64_t at_us : instance.second) {
+	for (const auto &instance : refused) {
+		for (const auto *arrival : instance.second) {
+			uint64_t from_us =
+				arrival->begin_unix_us + PAUSE_GRACE_US;
+			uint64_t until_us = arrival->begin_unix_us +
+					    arrival->retry_after_s * 1000000ull;
 			uint32_t count = 0;
 
 			for (uint64_t came : came_us[instance.first])
-				count += came > at_us + PAUSE_GRACE_US &&
-					 came < at_us + pause_ms * 1000;
+				count += came > from_us && came < until_us;
 			EXPECT_LE(count, PAUSE_REQUESTS_MAX)
 				<< "in a pause that " << instance.first
 				<< " was told of";
 		}
 	}
-	return (uint32_t)refused_us.size();
+	return (uint32_t)refused.size();
 }
 
 observer::observer(const fleet &fleet)
--- a/test/process/promises.h
+++ b/test/process/promises.h
@@ -65,15 +65,14 @@
  * check_paused() - after a refusal with a pause the instance that was refused sends
  *	at most two requests until its end
  * @records: the callers' records
- * @arrivals: what came to backend servers; whatever was shed began a pause
+ * @arrivals: what came to backend servers, with what their refusals said
  * @port: the backend server
- * @pause_ms: what its refusals say
  *
- * Return: how many instances were refused.
+ * Return: how many instances were refused so.
  */
 uint32_t check_paused(const std::vector<struct call_record> &records,
 		      const std::vector<struct run_record> &arrivals,
-		      uint16_t port, uint64_t pause_ms);
+		      uint16_t port);
 
 /**
  * class observer - watches all instances' status while a test runs
--- a/test/process/soak_test.cc
+++ b/test/process/soak_test.cc
@@ -104,10 +104,11 @@
     private:
 	void begin(const struct soak_event &event);
 	void end(const struct soak_event &event);
+	void cut_all();
 	void restart(uint32_t instance);
 	void check();
 	void check_stops(const std::vector<struct call_record> &records);
-	void check_leave(const std::vector<struct call_record> &records);
+	void check_words(const std::vector<struct call_record> &records);
 
 	fleet system;
 	observer watch;
@@ -116,6 +117,7 @@
 	std::set<uint32_t> down;
 	std::set<uint32_t> stopped;
 	std::set<uint32_t> harmed; /* killed or paused once */
+	std::set<uint32_t> cut; /* an answer may not have come to these */
 	uint64_t leaves_us = 0; /* when a server first said so */
 };
 
@@ -201,14 +203,17 @@
 		system.instance(event.instance).signal(SIGSTOP);
 		return;
 	case SOAK_PARTITION:
+		cut.insert(event.instance);
 		EXPECT_TRUE(system.order_peers(event.instance, "drop_both",
 					       "drop_both"));
 		return;
 	case SOAK_CUT_UP:
+		cut.insert(event.instance);
 		EXPECT_TRUE(
 			system.faults->order(backend, "drop_up", 0, source));
 		return;
 	case SOAK_CUT_DOWN:
+		cut.insert(event.instance);
 		EXPECT_TRUE(
 			system.faults->order(backend, "drop_down", 0, source));
 		return;
@@ -217,9 +222,11 @@
 			backend, "delay", 10 + event.choice % 400, source));
 		return;
 	case SOAK_SILENCE:
+		cut_all();
 		EXPECT_TRUE(system.faults->order("", "silence_open"));
 		return;
 	case SOAK_RESET:
+		cut_all();
 		EXPECT_TRUE(system.faults->order("", "cut_open"));
 		return;
 	case SOAK_SICK:
@@ -284,6 +291,12 @@
 	}
 }
 
+void Soak::cut_all()
+{
+	for (uint32_t i = 0; i < system.instance_count(); i++)
+		cut.insert(i);
+}
+
 void Soak::restart(uint32_t instance)
 {
 	watch.restarted(instance);
@@ -316,8 +329,7 @@
 	watch.stop();
 	counts = check_calls(records, system.backends.counts());
 	check_stops(records);
-	if (leaves_us > 0)
-		check_leave(records);
+	check_words(records);
 	printf("complete %u, not-run %u, unknown %u, broken %u\n",
 	       counts.complete, counts.not_run, counts.unknown, counts.broken);
 }
@@ -338,15 +350,16 @@
 	}
 }
 
-/* An instance that ran all the while keeps to what it was told. */
-void Soak::check_leave(const std::vector<struct call_record> &records)
+/* An instance that ran and heard all the while keeps to what it was told. */
+void Soak::check_words(const std::vector<struct call_record> &records)
 {
+	std::vector<struct run_record> arrivals = system.backends.arrivals();
 	std::vector<struct call_record> steady;
 
 	for (const auto &record : records) {
 		bool ran = true;
 
-		for (const auto *hit : { &harmed, &stopped }) {
+		for (const auto *hit : { &harmed, &stopped, &cut }) {
 			for (uint32_t instance : *hit)
 				ran &= record.entry !=
 				       system.caller_addr(instance);
@@ -354,8 +367,11 @@
 		if (ran)
 			steady.push_back(record);
 	}
-	check_said_drain(steady, system.backends.arrivals(),
-			 system.backends.port(LEAVES), leaves_us, DRAIN_MS);
+	for (uint32_t i = 0; i < system.plan.backends; i++)
+		check_paused(steady, arrivals, system.backends.port(i));
+	if (leaves_us > 0)
+		check_said_drain(steady, arrivals, system.backends.port(LEAVES),
+				 leaves_us, DRAIN_MS);
 }
 
 struct soak_case {
--- a/test/process/standins.cc
+++ b/test/process/standins.cc
@@ -172,7 +172,9 @@
 			  (uint16_t)atoi(json_text(line, "port").c_str()),
 			  strtoull(json_text(line, "begin_unix_us").c_str(),
 				   NULL, 10),
-			  json_text(line, "end") });
+			  json_text(line, "end"),
+			  (uint32_t)atoi(
+				  json_text(line, "retry_after_s").c_str()) });
 	return runs;
 }
 
--- a/test/process/standins.h
+++ b/test/process/standins.h
@@ -11,12 +11,14 @@
 
 /**
  * struct run_record - one line of the backend servers' run log
+ * @retry_after_s: what a refusal said, 0 for nothing
  */
 struct run_record {
 	std::string id;
 	uint16_t port;
 	uint64_t begin_unix_us;
 	std::string end;
+	uint32_t retry_after_s;
 };
 
 /**
--- a/test/standin/backend.c
+++ b/test/standin/backend.c
@@ -293,6 +293,7 @@
 {
 	const struct mg_request_info *info = mg_get_request_info(work->conn);
 	const char *deadline = mg_get_header(work->conn, DEADLINE_HEADER);
+	const char *id = mg_get_header(work->conn, ID_HEADER);
 	struct server *server = work->server;
 	const struct behaviour *behaviour = &server->behaviour;
 	uint64_t now_us = clock_now_us();
@@ -320,10 +321,12 @@
 					  now_us);
 	}
 	g_mutex_unlock(&fleet->lock);
-	work->run = runlog_begin(mg_get_header(work->conn, ID_HEADER),
-				 server->port, info->request_method);
 	if (full)
-		runlog_end(work->run, RUN_SHED);
+		runlog_shed(id, server->port, info->request_method,
+			    work->retry_after_s);
+	else
+		work->run =
+			runlog_begin(id, server->port, info->request_method);
 	return !full;
 }
 
--- a/test/standin/runlog.c
+++ b/test/standin/runlog.c
@@ -5,13 +5,31 @@
 static GMutex lock;
 static GArray *runs;
 
+static uint32_t append(struct run run, const char *id, const char *method);
 static const char *end_text(enum run_end end);
 
 uint32_t runlog_begin(const char *id, uint16_t port, const char *method)
 {
-	struct run run = { .port = port,
-			   .begin_unix_us = unix_now_us(),
-			   .end = RUN_RUNNING };
+	const struct run run = { .port = port,
+				 .begin_unix_us = unix_now_us(),
+				 .end = RUN_RUNNING };
+
+	return append(run, id, method);
+}
+
+void runlog_shed(const char *id, uint16_t port, const char *method,
+		 uint32_t retry_after_s)
+{
+	const struct run run = { .port = port,
+				 .begin_unix_us = unix_now_us(),
+				 .end = RUN_SHED,
+				 .retry_after_s = retry_after_s };
+
+	append(run, id, method);
+}
+
+static uint32_t append(struct run run, const char *id, const char *method)
+{
 	uint32_t index;
 
 	if (id != NULL && !name_set(&run.id, id))
@@ -55,10 +73,10 @@
 			"{\"id\":\"%s\",\"port\":%u,\"method\":\"%s\","
 			"\"begin_unix_us\":%" G_GUINT64_FORMAT
 			",\"end_unix_us\":%" G_GUINT64_FORMAT
-			",\"end\":\"%s\"}\n",
+			",\"end\":\"%s\",\"retry_after_s\":%u}\n",
 			run->id.text, run->port, run->method,
 			run->begin_unix_us, run->end_unix_us,
-			end_text(run->end));
+			end_text(run->end), run->retry_after_s);
 	}
 	g_mutex_unlock(&lock);
 	return g_string_free(text, FALSE);
--- a/test/standin/runlog.h
+++ b/test/standin/runlog.h
@@ -30,6 +30,7 @@
  * @begin_unix_us: when it began
  * @end_unix_us: when it ended, 0 while it runs
  * @end: how it ended
+ * @retry_after_s: with RUN_SHED, what the refusal said, 0 for nothing
  */
 struct run {
 	struct name id;
@@ -38,10 +39,11 @@
 	uint64_t begin_unix_us;
 	uint64_t end_unix_us;
 	enum run_end end;
+	uint32_t retry_after_s;
 };
 
 /**
- * runlog_begin() - note that work begins now, or comes and is shed
+ * runlog_begin() - note that work begins now
  * @id: request id, or NULL
  * @port: which backend server
  * @method: request method
@@ -57,6 +59,16 @@
  */
 void runlog_end(uint32_t index, enum run_end end);
 
+/**
+ * runlog_shed() - note that work came and is shed
+ * @id: request id, or NULL
+ * @port: which backend server
+ * @method: request method
+ * @retry_after_s: what the refusal says, 0 for nothing
+ */
+void runlog_shed(const char *id, uint16_t port, const char *method,
+		 uint32_t retry_after_s);
+
 /**
  * runlog_text() - write the log
  *
