--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -13,7 +13,7 @@
 #define STATUS_MAX 599
 #define STATUS_NO_CONTENT 204
 #define STATUS_NOT_MODIFIED 304
-/* A slip in a longer time shall not cost a backend server for good. */
+/* A mistaken value must not close a backend server for good. */
 #define RETRY_AFTER_MAX_US (3600 * US_PER_S)
 
 static uint32_t count_field(const struct answer_head *head, const char *name,
--- a/src/command/waiting.c
+++ b/src/command/waiting.c
@@ -7,9 +7,9 @@
 
 static void refuse_paused(struct state *state, const struct service *service,
 			  struct instant now, struct event_list *out);
-static void refuse_missing(struct state *state, const GArray *queue,
-			   uint64_t begin_us, struct instant now,
-			   struct event_list *out);
+static void refuse_unservable(struct state *state, const GArray *queue,
+			      uint64_t begin_us, struct instant now,
+			      struct event_list *out);
 static void sort_queue(struct state *state, GArray *queue, struct instant now,
 		       struct event_list *out);
 static void defer(struct state *state, uint32_t index, struct instant now,
@@ -56,18 +56,18 @@
 	if (ends_us <= now.mono_us)
 		return;
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
-		refuse_missing(state, service->queues[i].short_tickets, ends_us,
-			       now, out);
-		refuse_missing(state, service->queues[i].long_tickets, ends_us,
-			       now, out);
-		refuse_missing(state, service->queues[i].late_tickets, ends_us,
-			       now, out);
+		refuse_unservable(state, service->queues[i].short_tickets,
+				  ends_us, now, out);
+		refuse_unservable(state, service->queues[i].long_tickets,
+				  ends_us, now, out);
+		refuse_unservable(state, service->queues[i].late_tickets,
+				  ends_us, now, out);
 	}
 }
 
-static void refuse_missing(struct state *state, const GArray *queue,
-			   uint64_t begin_us, struct instant now,
-			   struct event_list *out)
+static void refuse_unservable(struct state *state, const GArray *queue,
+			      uint64_t begin_us, struct instant now,
+			      struct event_list *out)
 {
 	struct refusal refusal = { .cause = REFUSAL_NO_BACKEND };
 	const struct ticket *ticket;
