Callers refused in a pause are spread behind its end

What callers saw: with all backend servers of a service pausing, every refused caller was told the same moment, the end of the first pause, and they would have come back together to a server that opens with one request at a time.

Cause: the later of a random time and the pause's end was advised; a pause is mostly the longer one, so the end alone was left.

Evidence: PauseTest.RefusedCallersDoNotAllReturnAtItsEnd, red before.

Why this works: the spread that the settings give lies behind the end of the pause.

--- a/src/command/ticket.c
+++ b/src/command/ticket.c
@@ -188,15 +188,16 @@
 uint64_t retry_advice_unix_ms(struct state *state,
 			      const struct service *service, struct instant now)
 {
-	uint64_t pause_ends_us = service ? service_pause_ends_us(service, now) :
-					   0;
+	uint64_t ends_us = service ? service_pause_ends_us(service, now) : 0;
+	uint32_t min_ms = state->settings->retry_min_ms;
 	uint64_t wait_ms = (uint64_t)g_rand_int_range(
-		state->rand, (gint32)state->settings->retry_min_ms,
+		state->rand, (gint32)min_ms,
 		(gint32)state->settings->retry_max_ms);
 
-	if (pause_ends_us > now.mono_us)
-		wait_ms =
-			MAX(wait_ms, (pause_ends_us - now.mono_us) / US_PER_MS);
+	/* The same spread behind the pause, so that not all return at its end. */
+	if (ends_us > now.mono_us)
+		wait_ms = MAX(wait_ms, (ends_us - now.mono_us) / US_PER_MS +
+					       wait_ms - min_ms);
 	return now.unix_ms + wait_ms;
 }
 
--- a/test/unit/pause_test.cc
+++ b/test/unit/pause_test.cc
@@ -1,6 +1,8 @@
 /* A backend server that refuses work and says for how long it wants none. */
 #include "world.h"
 
+#include <set>
+
 extern "C" {
 #include "codec/http_answer.h"
 }
@@ -298,4 +300,24 @@
 	}
 }
 
+TEST(PauseTest, RefusedCallersDoNotAllReturnAtItsEnd)
+{
+	World world;
+	std::set<uint64_t> returns_ms;
+
+	start_world(world);
+	for (const struct grant_event &grant : fill(world))
+		world.finish(grant, refused(world));
+	for (uint32_t i = 0; i < 20; i++) {
+		const struct event *event =
+			world.about(world.request("/s/write", i));
+
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_REFUSE);
+		returns_ms.insert(event->refuse.refusal.retry_at_unix_ms);
+	}
+	EXPECT_GE(*returns_ms.begin(), world.now.unix_ms + PAUSE_MS);
+	EXPECT_GT(*returns_ms.rbegin(), *returns_ms.begin() + 1000);
+}
+
 } // namespace
