finish, health, waiting: what stood twice stands once

One look for the running ticket of an exchange, one way to take in a server's word, and the queue is asked for waiting requests once.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -11,6 +11,8 @@
 /* A mean moves by this part of the distance to a new value. */
 #define MEAN_SHARE 8
 
+static uint32_t find_running(const struct state *state,
+			     struct exchange_id exchange);
 static void learn(struct service *service, const struct ticket *ticket,
 		  const struct evidence *evidence, struct instant now);
 static void conclude(struct state *state, uint32_t index,
@@ -35,13 +37,12 @@
 void finish(struct state *state, struct finish_command *command,
 	    struct instant now, struct event_list *out)
 {
-	uint32_t index = ticket_find(state, command->exchange);
+	uint32_t index = find_running(state, command->exchange);
 	struct service *service;
 	struct backend *backend;
 	struct ticket *ticket;
 
-	if (index == TICKET_NONE ||
-	    state->tickets[index].state != TICKET_RUNNING)
+	if (index == TICKET_NONE)
 		return;
 	ticket = &state->tickets[index];
 	service = ticket->service;
@@ -59,12 +60,11 @@
 void note_answer(struct state *state, const struct note_answer_command *command,
 		 struct instant now, struct event_list *out)
 {
-	uint32_t index = ticket_find(state, command->exchange);
+	uint32_t index = find_running(state, command->exchange);
+	const struct ticket *ticket;
 	struct service *service;
-	struct ticket *ticket;
 
-	if (index == TICKET_NONE ||
-	    state->tickets[index].state != TICKET_RUNNING)
+	if (index == TICKET_NONE)
 		return;
 	ticket = &state->tickets[index];
 	service = ticket->service;
@@ -101,6 +101,18 @@
 	event_list_add(out, &event);
 }
 
+/* Return: its ticket, TICKET_NONE when it has ended. */
+static uint32_t find_running(const struct state *state,
+			     struct exchange_id exchange)
+{
+	uint32_t index = ticket_find(state, exchange);
+
+	if (index == TICKET_NONE ||
+	    state->tickets[index].state != TICKET_RUNNING)
+		return TICKET_NONE;
+	return index;
+}
+
 static void learn(struct service *service, const struct ticket *ticket,
 		  const struct evidence *evidence, struct instant now)
 {
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -30,6 +30,8 @@
 #define TRICKLE_SLOW_REQUESTS 3
 
 static void observe_trickle(struct health_change *change, enum work_end end);
+static void observe_word(struct health_change *change,
+			 const struct backend_word *word);
 static void observe_drain_answer(struct health_change *change);
 static void observe_pause(struct backend *backend, uint64_t until_us);
 static void open_more(struct backend *backend, const struct ticket *ticket);
@@ -61,7 +63,7 @@
 	enum work_end end;
 
 	evidence_wake(service, now);
-	health_observe_word(state, service, backend, &evidence->word, now, out);
+	observe_word(&change, &evidence->word);
 	end = evidence_judge(service, ticket, evidence);
 	if (end == WORK_SLOW && backend_cold(backend, now))
 		end = WORK_NOTHING;
@@ -94,12 +96,7 @@
 					.now = now,
 					.out = out };
 
-	if (!backend_word_said(word))
-		return;
-	start_word_keep(service, &backend->start, word, now);
-	if (word->draining)
-		observe_drain_answer(&change);
-	observe_pause(backend, word->pause_until_us);
+	observe_word(&change, word);
 }
 
 void health_observe_probe(struct state *state, struct service *service,
@@ -229,6 +226,18 @@
 		health_ramp(change, CAUSE_TRICKLE_OK);
 }
 
+static void observe_word(struct health_change *change,
+			 const struct backend_word *word)
+{
+	if (!backend_word_said(word))
+		return;
+	start_word_keep(change->service, &change->backend->start, word,
+			change->now);
+	if (word->draining)
+		observe_drain_answer(change);
+	observe_pause(change->backend, word->pause_until_us);
+}
+
 /* A start that drains never stops to, whatever documents say later. */
 static void observe_drain_answer(struct health_change *change)
 {
--- a/src/command/waiting.c
+++ b/src/command/waiting.c
@@ -29,9 +29,9 @@
 {
 	uint32_t i;
 
-	refuse_paused(state, service, now, out);
 	if (service->waiting_requests == 0)
 		return;
+	refuse_paused(state, service, now, out);
 	if (state->policy.queueing == QUEUEING_FIFO) {
 		expire_queue(state, service->queues[0].short_tickets, now, out);
 		return;
@@ -47,12 +47,9 @@
 static void refuse_paused(struct state *state, const struct service *service,
 			  struct instant now, struct event_list *out)
 {
-	uint64_t ends_us;
+	uint64_t ends_us = service_pause_ends_us(service, now);
 	uint32_t i;
 
-	if (service->waiting_requests == 0)
-		return;
-	ends_us = service_pause_ends_us(service, now);
 	if (ends_us <= now.mono_us)
 		return;
 	for (i = 0; i < DOC_CLASSES_MAX; i++) {
