--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -53,6 +53,7 @@
 pthread_mutex_t world_lock = PTHREAD_MUTEX_INITIALIZER;
 bool trouble = true;
 uint16_t front_port;
+const char *budget_slack = "60";
 
 static uint16_t ready_port;
 static uint16_t control_port;
@@ -747,6 +748,11 @@
 	return upstream;
 }
 
+const char *upstreams_ip(void)
+{
+	return upstream_ip;
+}
+
 void upstream_publish(const struct upstream *upstream, const char *state)
 {
 	char key[64];
@@ -893,7 +899,7 @@
 	else if (strcmp(name, "bounds.retryBudgetRatio") == 0)
 		snprintf(out, size, "0.2");
 	else if (strcmp(name, "bounds.budgetSlack") == 0)
-		snprintf(out, size, "60");
+		snprintf(out, size, "%s", budget_slack);
 	else if (strcmp(name, "limits.cpuShare") == 0)
 		snprintf(out, size, "0.2");
 	else if (strcmp(name, "limits.cores") == 0)
@@ -903,7 +909,7 @@
 	return true;
 }
 
-static void write_settings(int index)
+void instance_write_settings(int index)
 {
 	struct instance *instance = &instances[index];
 	const char *at = template_text;
@@ -965,7 +971,7 @@
 	int i;
 
 	for (i = 0; i < instance_count; i++)
-		write_settings(i);
+		instance_write_settings(i);
 	for (i = 0; i < instance_count; i++)
 		instance_spawn(i);
 	record("%d instances started", instance_count);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -88,6 +88,8 @@
 extern pthread_mutex_t world_lock;
 extern bool trouble;
 extern uint16_t front_port;
+/* bounds.budgetSlack of the settings */
+extern const char *budget_slack;
 
 /* Milliseconds since the case began, steady clock. */
 uint64_t now_ms(void);
@@ -118,11 +120,14 @@
 
 struct upstream *upstream_start(const char *id, const char *service,
 				const char *zone, uint32_t work_ms);
+/* The address of all upstreams, each of which has a port of its own. */
+const char *upstreams_ip(void);
 void upstream_publish(const struct upstream *upstream, const char *state);
 
 /* Adds a machine; instances_start() starts all of them. */
 void instance_add(const char *zone);
 void instances_start(void);
+void instance_write_settings(int index);
 void instance_spawn(int index);
 bool instance_ready(int index);
 /* Waits until all instances are ready, or cannot_run(). */
