--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,10 @@
 # Exit status: 0 the rule held, 1 it was broken, 2 the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/case1 ] && [ -x target/release/nutmegcrank ] || exit 2
-exec timeout -k 5 115 target/review/case1 review/1
+REVIEW_TMP=$(mktemp -d) || exit 2
+export REVIEW_TMP
+trap 'rm -rf "$REVIEW_TMP"' EXIT
+timeout -k 5 115 target/review/case1 review/1
+code=$?
+[ $code -le 1 ] || code=2
+exit $code
--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -130,23 +130,16 @@
 	va_end(args);
 }
 
-static void clean_up(void)
+static void end_instances(void)
 {
-	char path[128];
 	int i;
 
 	for (i = 0; i < instance_count; i++) {
-		if (instances[i].pid > 0) {
-			kill(instances[i].pid, SIGCONT);
-			kill(instances[i].pid, SIGKILL);
-			waitpid(instances[i].pid, NULL, 0);
-		}
-		if (instances[i].settings[0])
-			unlink(instances[i].settings);
-		snprintf(path, sizeof(path), "%s/%d.log", temp_dir, i);
-		unlink(path);
+		if (instances[i].pid <= 0)
+			continue;
+		kill(instances[i].pid, SIGKILL);
+		waitpid(instances[i].pid, NULL, 0);
 	}
-	rmdir(temp_dir);
 }
 
 void cannot_run(const char *format, ...)
@@ -160,7 +153,7 @@
 	vfprintf(stderr, format, args);
 	va_end(args);
 	fputc('\n', stderr);
-	clean_up();
+	end_instances();
 	_exit(2);
 }
 
@@ -177,7 +170,7 @@
 	va_end(args);
 	printf("\n%s\n", broken ? "broken" : "held");
 	fflush(stdout);
-	clean_up();
+	end_instances();
 	_exit(broken ? 1 : 0);
 }
 
@@ -824,9 +817,10 @@
 	record_file = fopen(path, "w");
 	if (!record_file)
 		exit(2);
-	snprintf(temp_dir, sizeof(temp_dir), "/tmp/review-XXXXXX");
-	if (!mkdtemp(temp_dir))
+	if (!getenv("REVIEW_TMP"))
 		exit(2);
+	/* run.sh removes it. */
+	snprintf(temp_dir, sizeof(temp_dir), "%s", getenv("REVIEW_TMP"));
 	template_text = read_file("deploy/settings.json");
 	snprintf(base_ip, sizeof(base_ip), "127.%u.%u",
 		 20 + (unsigned)getpid() % 200,
