platform: one odd entry costs its service nothing

Callers saw requests sent to a draining backend server by all instances for as long as an entry of another writer was in the store; after a restart of all instances its service answered 503.

Cause: upstream_read() accepted entries that the service document refuses (a start in microseconds, more than 15 digits; the address 0.0.0.0), and one refused backend server refuses the whole document. The log of each instance has 'version N refused: gallery: backends[3].ip' with every later version.

Test entries that lacked fields got them, the cases that expected them to be accepted expect the same of complete ones.

--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -10,7 +10,6 @@
 #define QUEUE_MAX_REQUESTS 4096
 #define PRIORITY_MAX 100
 #define BUDGET_MAX_MS 600000
-#define CONNECTIONS_MAX 100000
 #define FLOOR_MAX_SLOTS ((uint64_t)DOC_BACKENDS_MAX * DOC_SLOTS_MAX)
 #define SAFE_METHODS \
 	(1U << METHOD_GET | 1U << METHOD_HEAD | 1U << METHOD_OPTIONS)
@@ -81,12 +80,13 @@
 	{ "slots", FIELD_U32, true, AT_BACKEND(capacity_slots),
 	  .range = { 1, DOC_SLOTS_MAX, 0 } },
 	{ "connections", FIELD_U32, true, AT_BACKEND(connections_max),
-	  .range = { 1, CONNECTIONS_MAX, 0 } },
+	  .range = { 1, DOC_CONNECTIONS_MAX, 0 } },
 	{ "draining", FIELD_BOOL, false, AT_BACKEND(draining) },
 	{ "warming", FIELD_BOOL, false, AT_BACKEND(warming) },
 	{ "instance", FIELD_NAME, false, AT_BACKEND(start.instance) },
 	{ "started_unix_ms", FIELD_U64, false,
-	  AT_BACKEND(start.started_unix_ms), .range = { 0, INT64_MAX, 0 } },
+	  AT_BACKEND(start.started_unix_ms),
+	  .range = { 0, DOC_STARTED_MAX_UNIX_MS, 0 } },
 };
 
 static const struct json_field class_fields[] = {
--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -4,10 +4,6 @@
 
 #include "codec/json_error.h"
 
-/* 224.0.0.0; addresses from here on are multicast or reserved. */
-#define IP_MULTICAST_FIRST UINT32_C(0xe0000000)
-/* 0.0.0.0 to 0.255.255.255 are not addresses of a host. */
-#define IP_THIS_NETWORK_LAST UINT32_C(0x00ffffff)
 /* Largest error, in thousandths, of a decimal fraction read as a double. */
 #define PERMILLE_ROUNDING 1e-6
 /* Longer values are truncated in an error message. */
@@ -50,7 +46,6 @@
 	G_GNUC_PRINTF(4, 5);
 static char *quote_text(const char *text);
 static bool is_path_char(char c);
-static bool is_unicast(uint32_t ip);
 static bool check_type(const struct json_node *node, enum json_type type,
 		       const char *expected, GError **error);
 static const struct json_field *find_field(const struct field_table *table,
@@ -433,7 +428,7 @@
 static bool read_ip(const struct json_node *node, const char *text,
 		    uint32_t *ip, GError **error)
 {
-	if (addr_ip_parse(text, ip) && is_unicast(*ip))
+	if (addr_ip_parse(text, ip) && ip_is_unicast(*ip))
 		return true;
 	return fail_text(node, text, error,
 			 "is not an IPv4 address of a single host; write it as "
@@ -443,7 +438,7 @@
 static bool read_addr(const struct json_node *node, const char *text,
 		      struct net_addr *addr, GError **error)
 {
-	if (addr_parse(text, addr) && is_unicast(addr->ip))
+	if (addr_parse(text, addr) && ip_is_unicast(addr->ip))
 		return true;
 	return fail_text(node, text, error,
 			 "is not an IPv4 address of a single host with a port; "
@@ -539,11 +534,6 @@
 	return g_ascii_isalnum(c) || (c && strchr("-._~!$&'()*+,;=:@%/", c));
 }
 
-static bool is_unicast(uint32_t ip)
-{
-	return ip > IP_THIS_NETWORK_LAST && ip < IP_MULTICAST_FIRST;
-}
-
 static bool check_type(const struct json_node *node, enum json_type type,
 		       const char *expected, GError **error)
 {
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -10,6 +10,11 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+/* 224.0.0.0; addresses from here on are multicast or reserved. */
+#define IP_MULTICAST_FIRST UINT32_C(0xe0000000)
+/* 0.0.0.0 to 0.255.255.255 are not addresses of a host. */
+#define IP_THIS_NETWORK_LAST UINT32_C(0x00ffffff)
+
 static bool allowed_in_name(char c);
 
 bool name_set(struct name *name, const char *text)
@@ -103,6 +108,11 @@
 	return true;
 }
 
+bool ip_is_unicast(uint32_t ip)
+{
+	return ip > IP_THIS_NETWORK_LAST && ip < IP_MULTICAST_FIRST;
+}
+
 const char *addr_format(struct net_addr addr, char out[ADDR_TEXT_BYTES])
 {
 	snprintf(out, ADDR_TEXT_BYTES, "%u.%u.%u.%u:%u", addr.ip >> 24,
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -144,6 +144,14 @@
  */
 bool addr_ip_parse(const char *text, uint32_t *ip);
 
+/**
+ * ip_is_unicast() - whether an address can be that of a single host
+ * @ip: address in host byte order
+ *
+ * Return: false for 0.0.0.0/8, multicast and reserved addresses.
+ */
+bool ip_is_unicast(uint32_t ip);
+
 /**
  * addr_format() - format an address as "a.b.c.d:port"
  * @addr: address to format
--- a/test/process/store_test.cc
+++ b/test/process/store_test.cc
@@ -153,7 +153,7 @@
 			"\",\"version\":\"v1\",\"zone\":\"" +
 			failure_domain(index / 2) +
 			"\",\"maxConcurrency\":6},\"status\":{\"state\":\"" +
-			state + "\",\"sequence\":1}}";
+			state + "\",\"sequence\":1,\"warmupLeft\":\"0ms\"}}";
 
 		return store.write("servers/i-" + std::to_string(index), text);
 	}
@@ -354,13 +354,28 @@
 struct leave_case {
 	const char *name;
 	enum leave_method method;
+	const char *odd_entry; /* of another writer, NULL for none */
 };
 
+/* Guards against an odd entry that keeps its service at an old document. */
 const struct leave_case leave_cases[] = {
-	{ "the store entry says that it drains", LEAVE_STORE_ENTRY_DRAINING },
-	{ "the store entry is removed", LEAVE_STORE_ENTRY_REMOVED },
+	{ "the store entry says that it drains", LEAVE_STORE_ENTRY_DRAINING,
+	  NULL },
+	{ "the store entry is removed", LEAVE_STORE_ENTRY_REMOVED, NULL },
 	{ "its answers have a drain notice, the store entry says ready",
-	  LEAVE_ANSWER_NOTICE },
+	  LEAVE_ANSWER_NOTICE, NULL },
+	{ "beside an entry that started in microseconds",
+	  LEAVE_STORE_ENTRY_DRAINING,
+	  R"({"address":"127.0.0.1:9","born":1764928800000000,)"
+	  R"("info":{"service":"gallery","version":"v1","zone":"a",)"
+	  R"("maxConcurrency":6},"status":{"state":"ready","sequence":1,)"
+	  R"("warmupLeft":"0ms"}})" },
+	{ "beside an entry without a host's address",
+	  LEAVE_STORE_ENTRY_DRAINING,
+	  R"({"address":"0.0.0.0:9",)"
+	  R"("info":{"service":"gallery","version":"v1","zone":"a",)"
+	  R"("maxConcurrency":6},"status":{"state":"ready","sequence":1,)"
+	  R"("warmupLeft":"0ms"}})" },
 };
 
 /* Enough for each instance to get an answer of each server. */
@@ -388,6 +403,11 @@
 		store_fleet fleet;
 		uint64_t leaving_from_us;
 
+		if (c.odd_entry) {
+			ASSERT_TRUE(fleet.store.write("servers/i-odd",
+						      c.odd_entry));
+			sleep_ms(IN_FORCE_LIMIT_MS);
+		}
 		/* Two of the gallery's three servers leave, one stays. */
 		for (uint32_t index : { 0u, 2u }) {
 			ASSERT_TRUE(start_leaving(fleet, index, c.method));
--- a/test/unit/platform_decode_test.cc
+++ b/test/unit/platform_decode_test.cc
@@ -77,11 +77,13 @@
 	  true, false, false, 1700000000123 },
 	{ "draining", "i-1",
 	  "{" + good_address + "," + good_info +
-		  R"(,"status":{"state":"draining","sequence":5}})",
+		  R"(,"status":{"state":"draining","sequence":5,)" +
+		  R"("warmupLeft":"0ms"}})",
 	  true, true, false, 0 },
 	{ "warming up", "i-1",
 	  "{" + good_address + "," + good_info +
-		  R"(,"status":{"state":"ready","warmupLeft":"1.5s"}})",
+		  R"(,"status":{"state":"ready","sequence":5,)" +
+		  R"("warmupLeft":"1.5s"}})",
 	  true, false, true, 0 },
 	{ "an unknown field is ignored", "i-1",
 	  "{" + good_address + "," + good_info + "," + good_status +
@@ -120,6 +122,24 @@
 	  "{" + good_address + "," + good_info +
 		  R"(,"status":{"state":"ready","warmupLeft":7}})",
 	  false, false, false, 0 },
+	{ "no version", "i-1",
+	  "{" + good_address +
+		  R"(,"info":{"service":"rolls","zone":"a","maxConcurrency":3},)" +
+		  good_status + "}",
+	  false, false, false, 0 },
+	{ "no sequence", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"ready","warmupLeft":"0ms"}})",
+	  false, false, false, 0 },
+	{ "a sequence that is too large", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"ready","warmupLeft":"0ms",)" +
+		  R"("sequence":99999999999999999999999999}})",
+	  false, false, false, 0 },
+	{ "no warm-up", "i-1",
+	  "{" + good_address + "," + good_info +
+		  R"(,"status":{"state":"ready","sequence":4}})",
+	  false, false, false, 0 },
 };
 
 TEST(PlatformDecode, Upstreams)
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -46,12 +46,14 @@
 
 std::string upstream_item(const std::string &id, uint64_t revision)
 {
-	return item("servers/" + id,
-		    "{\"address\":\"10.0.0." + id.substr(2) +
-			    ":80\",\"info\":{\"service\":\"rolls\",\"zone\":"
-			    "\"a\",\"maxConcurrency\":3},\"status\":{"
-			    "\"state\":\"ready\"}}",
-		    revision);
+	return item(
+		"servers/" + id,
+		"{\"address\":\"10.0.0." + id.substr(2) +
+			":80\",\"info\":{\"service\":\"rolls\",\"zone\":"
+			"\"a\",\"version\":\"v1\",\"maxConcurrency\":3},\"status\":{"
+			"\"state\":\"ready\",\"sequence\":1,"
+			"\"warmupLeft\":\"0ms\"}}",
+		revision);
 }
 
 std::string page(const std::string &items, bool more, uint64_t revision)
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -26,7 +26,8 @@
 {
 	return "{\"address\":\"" + address + "\",\"info\":{\"service\":\"" +
 	       service +
-	       "\",\"zone\":\"a\",\"maxConcurrency\":3},\"status\":"
+	       "\",\"zone\":\"a\",\"version\":\"v1\",\"maxConcurrency\":3},"
+	       "\"status\":"
 	       "{\"state\":\"" +
 	       state + "\",\"sequence\":1,\"warmupLeft\":\"0ms\"},\"born\":" +
 	       std::to_string(born) + "}";
@@ -235,6 +236,152 @@
 	}
 }
 
+/* Entry of a valid backend server with one member replaced. */
+struct odd_entry_case {
+	const char *name;
+	const char *from; /* text of the valid entry */
+	std::string to; /* in its place */
+};
+
+std::string nested(size_t depth)
+{
+	return std::string(depth, '[') + std::string(depth, ']');
+}
+
+const struct odd_entry_case odd_entry_cases[] = {
+	{ "a start in microseconds", "\"born\":1",
+	  "\"born\":1764928800000000" },
+	{ "a start of 19 digits", "\"born\":1",
+	  "\"born\":9223372036854775807" },
+	{ "a start too large for 64 bits", "\"born\":1",
+	  "\"born\":100000000000000000000000000000" },
+	{ "a start with an exponent", "\"born\":1", "\"born\":1e300" },
+	{ "a start with a fraction", "\"born\":1", "\"born\":1.5" },
+	{ "a start before 1970", "\"born\":1", "\"born\":-1" },
+	{ "a start that is a string", "\"born\":1", "\"born\":\"1\"" },
+	{ "no host's address", "10.0.0.9:80", "0.0.0.0:80" },
+	{ "a multicast address", "10.0.0.9:80", "224.0.0.1:80" },
+	{ "a broadcast address", "10.0.0.9:80", "255.255.255.255:80" },
+	{ "port 0", "10.0.0.9:80", "10.0.0.9:0" },
+	{ "a port out of range", "10.0.0.9:80", "10.0.0.9:65536" },
+	{ "a port of many digits", "10.0.0.9:80",
+	  "10.0.0.9:18446744073709551696" },
+	{ "an IPv6 address", "10.0.0.9:80", "[::1]:80" },
+	{ "a name for an address", "10.0.0.9:80", "localhost:80" },
+	{ "slots out of range", "\"maxConcurrency\":3",
+	  "\"maxConcurrency\":1025" },
+	{ "slots too large for 64 bits", "\"maxConcurrency\":3",
+	  "\"maxConcurrency\":18446744073709551617" },
+	{ "a zone that is no name", "\"zone\":\"a\"", "\"zone\":\"a b\"" },
+	{ "a zone longer than a name", "\"zone\":\"a\"",
+	  "\"zone\":\"" + std::string(64, 'z') + "\"" },
+	{ "no version", "\"version\":\"v1\",", "" },
+	{ "no sequence", "\"sequence\":1,", "" },
+	{ "no warm-up", ",\"warmupLeft\":\"0ms\"", "" },
+	{ "a list for info", "\"info\":{", "\"info\":[],\"was\":{" },
+	{ "deeply nested", "\"born\":1", "\"born\":1,\"x\":" + nested(100000) },
+	{ "a state of its own", "\"ready\"", "\"resting\"" },
+	{ "bytes that are no UTF-8", "\"state\"", "\"\xff\xfe\":1,\"st\"" },
+	{ "cut off", "\"born\":1}", "\"born\":1" },
+	{ "empty", nullptr, "" },
+};
+
+std::string odd_entry(const struct odd_entry_case &c)
+{
+	std::string text = entry("rolls", "10.0.0.9:80", 1);
+
+	if (!c.from)
+		return c.to;
+	size_t at = text.find(c.from);
+
+	EXPECT_NE(at, std::string::npos);
+	return text.replace(at, strlen(c.from), c.to);
+}
+
+/*
+ * Guards against one entry of another writer that the product refuses in a
+ * service document: the whole service went without any later change.
+ */
+TEST(StoreView, OddEntryLeavesTheOthersInForce)
+{
+	for (const auto &c : odd_entry_cases) {
+		SCOPED_TRACE(c.name);
+		struct store_view *view = store_view_new();
+
+		run_step(view, first_config);
+		run_step(view, first_entry);
+		run_step(view, { PUT, "servers/i-9", odd_entry(c), 4 });
+		run_step(view,
+			 { PUT, "servers/i-1",
+			   entry("rolls", "10.0.0.1:80", 1, "draining"), 5 });
+		run_step(view, { PUBLISH, "", "", 5 });
+		struct service_doc *doc = parse_service(view, "rolls");
+
+		EXPECT_NE(doc, nullptr);
+		EXPECT_TRUE(doc && doc->backend_count == 1 &&
+			    doc->backends[0].draining);
+		service_doc_unref(doc);
+		store_view_free(view);
+	}
+}
+
+/* Whatever an entry consists of, the document it leads to can be read. */
+TEST(StoreView, DrawnEntriesGiveReadableDocuments)
+{
+	const char *const values[] = { "0",
+				       "-1",
+				       "1e9",
+				       "4.5",
+				       "1024",
+				       "9007199254740993",
+				       "99999999999999999999",
+				       "null",
+				       "true",
+				       "[]",
+				       "{}",
+				       "\"\"",
+				       "\"0.0.0.0:80\"",
+				       "\"x\"",
+				       "\"0ms\"",
+				       "\"1h\"",
+				       "\"10.0.0.9:65535\"",
+				       "\"draining\"",
+				       "\"rolls\"" };
+	const char *const keys[] = { "address", "born",	    "service",
+				     "zone",	"version",  "maxConcurrency",
+				     "state",	"sequence", "warmupLeft" };
+	GRand *rand = g_rand_new_with_seed(34);
+	uint32_t accepted = 0;
+
+	for (uint32_t i = 0; i < 4000; i++) {
+		std::string text = entry("rolls", "10.0.0.9:80", 1);
+		const char *key =
+			keys[g_rand_int_range(rand, 0, G_N_ELEMENTS(keys))];
+		const char *value =
+			values[g_rand_int_range(rand, 0, G_N_ELEMENTS(values))];
+		size_t from = text.find("\"" + std::string(key) + "\":") +
+			      strlen(key) + 3;
+		size_t end = text.find_first_of(",}", from);
+
+		text.replace(from, end - from, value);
+		SCOPED_TRACE(text);
+		struct store_view *view = store_view_new();
+
+		run_step(view, first_config);
+		run_step(view, first_entry);
+		run_step(view, { PUT, "servers/i-9", text, 4 });
+		run_step(view, { PUBLISH, "", "", 4 });
+		struct service_doc *doc = parse_service(view, "rolls");
+
+		EXPECT_TRUE(doc && doc->backend_count >= 1);
+		accepted += doc && doc->backend_count == 2;
+		service_doc_unref(doc);
+		store_view_free(view);
+	}
+	EXPECT_GT(accepted, 100u);
+	g_rand_free(rand);
+}
+
 TEST(StoreView, NothingIsPublishedWithoutAConfiguration)
 {
 	struct store_view *view = store_view_new();
