platform: a text with a NUL is not the text before the NUL

An item of the store under a key with \u0000 was taken for the item whose key ends there: its value or its removal took a valid backend server out of service at all instances; a service or zone with one was read cut off.

Cause: wire_text() handed out json-c's text as a C string.

--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -161,6 +161,16 @@
 	    { false, 6, ANY_COUNT, "" },
 	    { false, 6, ANY_COUNT, "" },
 	    { false, 6, 2, "" } } },
+	{ "a key with a NUL is not the key before it",
+	  { { page(first_entries + "," +
+			   item("servers/i-1\\u0000x", "nonsense", 3),
+		   false, 5),
+	      AFTER_KEEP, 0, "" },
+	    { changes("{\"key\":\"servers/i-1\\u0000x\",\"rev\":6,"
+		      "\"removed\":true}",
+		      6),
+	      AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "" }, { false, 6, 1, "" } } },
 	{ "an answer that cannot be decoded",
 	  { { reply("200 OK", "busy"), AFTER_KEEP, 0, "" },
 	    { page(first_entries, false, 5), AFTER_KEEP, 0, "" } },
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -275,6 +275,8 @@
 	{ "a zone that is no name", "\"zone\":\"a\"", "\"zone\":\"a b\"" },
 	{ "a zone longer than a name", "\"zone\":\"a\"",
 	  "\"zone\":\"" + std::string(64, 'z') + "\"" },
+	{ "a zone with a NUL", "\"zone\":\"a\"",
+	  "\"zone\":\"a\\u0000b\"" },
 	{ "no version", "\"version\":\"v1\",", "" },
 	{ "no sequence", "\"sequence\":1,", "" },
 	{ "no warm-up", ",\"warmupLeft\":\"0ms\"", "" },
