platform: the pages of the store are read to their end

A page on which no entry could be read counted as the last one, and the valid entries on the pages after it as removed: their backend servers went out of service. A page that ended with a long key with escapes cut the next request off, so the same page was asked for again or none came.

Cause: reading went on after the last entry that could be read, of which there may be none, and the request had room for 512 bytes, a key of 200 takes 600.

--- a/src/duty/platform_get.h
+++ b/src/duty/platform_get.h
@@ -12,7 +12,7 @@
 #include "core/document.h"
 #include "core/error.h"
 
-#define PLATFORM_TARGET_BYTES 512
+#define PLATFORM_TARGET_BYTES 1024
 
 /**
  * struct platform_get - one read
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -72,6 +72,19 @@
 				       std::to_string(revision) + "}");
 }
 
+std::string repeat(const std::string &text, uint32_t times)
+{
+	std::string out;
+
+	while (times-- > 0)
+		out += text;
+	return out;
+}
+
+/* As long as a key may be, of characters that each take two bytes. */
+const std::string long_key = repeat("\u00e9", 100);
+const std::string long_key_escaped = repeat("%C3%A9", 100);
+
 /* One read of the index and its expected result. */
 struct read_step {
 	bool fails;
@@ -171,6 +184,24 @@
 		      6),
 	      AFTER_KEEP, 0, "" } },
 	  { { false, 5, 1, "" }, { false, 6, 1, "" } } },
+	{ "a page without a readable entry is not the last one",
+	  { { page(config_item, true, 5), AFTER_KEEP, 0, "" },
+	    { page("{\"key\":\"k/\\u0000 \"}", true, 5), AFTER_KEEP, 0, "" },
+	    { page(upstream_item("i-1", 2), false, 6), AFTER_KEEP, 0, "" },
+	    { changes("", 7), AFTER_KEEP, 0, "" } },
+	  { { false, 7, 1, "/kv-watch?prefix=&after=5&waitMs=0" } } },
+	{ "a page after a key that needs escapes",
+	  { { page(config_item + "," + item(long_key, "odd", 3), true, 5),
+	      AFTER_KEEP, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" },
+	    { "", AFTER_CLOSE, 0, "" } },
+	  { { true, 0, 0, "/kv-range?prefix=&after=" + long_key_escaped } } },
+	{ "more pages without a key to continue from",
+	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
+	    { reply("410 Gone", ""), AFTER_KEEP, 0, "" },
+	    { page("", true, 9), AFTER_KEEP, 0, "" },
+	    { page(first_entries, false, 9), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "" }, { true, 0, 0, "" }, { false, 9, 1, "" } } },
 	{ "an answer that cannot be decoded",
 	  { { reply("200 OK", "busy"), AFTER_KEEP, 0, "" },
 	    { page(first_entries, false, 5), AFTER_KEEP, 0, "" } },
