readers: who reads the store hangs on who is served, not on who is alive

Cause: an instance read by what it believed of those before it in rank. Three that had lost the platform kept their places while that lasted; killed ones counted for ten probe periods, and a restarted one before it read.

Change: a reader that gets answers tells its deputies, the next in rank, every 150 ms; they count it for 500 ms and on nothing else. One that gets none rests and the next try. The report of an instance says whether it reads, has lost the platform or rests. A new reader publishes at once what it finds. The reader's part moves from member.c to a module of its own, the sending of the own status to one function.

--- a/src/codec/peer_wire.c
+++ b/src/codec/peer_wire.c
@@ -38,17 +38,40 @@
 
 	if (self_report->aside)
 		wire.flags |= WIRE_SELF_REPORT_WITHDRAWN;
-	if (self_report->platform_lost)
+	switch (self_report->platform) {
+	case PLATFORM_CONTACT_NONE:
+		break;
+	case PLATFORM_CONTACT_READING:
+		wire.flags |= WIRE_SELF_REPORT_PLATFORM_READ;
+		break;
+	case PLATFORM_CONTACT_LOST:
 		wire.flags |= WIRE_SELF_REPORT_PLATFORM_LOST;
+		break;
+	case PLATFORM_CONTACT_RESTING:
+		wire.flags |= WIRE_SELF_REPORT_PLATFORM_LOST |
+			      WIRE_SELF_REPORT_PLATFORM_REST;
+		break;
+	}
 	return wire;
 }
 
+static enum platform_contact read_contact(u_int flags)
+{
+	if (flags & WIRE_SELF_REPORT_PLATFORM_REST)
+		return PLATFORM_CONTACT_RESTING;
+	if (flags & WIRE_SELF_REPORT_PLATFORM_LOST)
+		return PLATFORM_CONTACT_LOST;
+	if (flags & WIRE_SELF_REPORT_PLATFORM_READ)
+		return PLATFORM_CONTACT_READING;
+	return PLATFORM_CONTACT_NONE;
+}
+
 struct instance_self_report wire_self_report_read(const wire_self_report *wire)
 {
 	struct instance_self_report self_report = {
 		.cpu_permille = wire->cpu_permille,
 		.aside = wire->flags & WIRE_SELF_REPORT_WITHDRAWN,
-		.platform_lost = wire->flags & WIRE_SELF_REPORT_PLATFORM_LOST,
+		.platform = read_contact(wire->flags),
 	};
 
 	return self_report;
--- a/src/codec/peer_wire.h
+++ b/src/codec/peer_wire.h
@@ -14,6 +14,9 @@
 /* Flags of wire_self_report. */
 #define WIRE_SELF_REPORT_WITHDRAWN 1u
 #define WIRE_SELF_REPORT_PLATFORM_LOST 2u
+#define WIRE_SELF_REPORT_PLATFORM_READ 4u
+/* Together with WIRE_SELF_REPORT_PLATFORM_LOST. */
+#define WIRE_SELF_REPORT_PLATFORM_REST 8u
 
 /**
  * struct call_header - header of an RPC call with the buffers it points to
--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -11,6 +11,7 @@
 #include "command/lease.h"
 #include "command/member.h"
 #include "command/member_join.h"
+#include "command/reader.h"
 #include "command/recall.h"
 #include "command/schedule.h"
 #include "command/tick.h"
@@ -69,7 +70,7 @@
 		apply_probe(state, &command->probe_result, now, out);
 		break;
 	case COMMAND_PLATFORM_STATE:
-		member_set_platform_state(
+		reader_set_platform_state(
 			state, command->platform_state.reachable, now);
 		break;
 	case COMMAND_SEEDS:
--- a/src/command/member.c
+++ b/src/command/member.c
@@ -7,8 +7,8 @@
 #include "command/member_offer.h"
 #include "command/member_probe.h"
 #include "command/member_gossip.h"
+#include "command/reader.h"
 #include "query/listing.h"
-#include "query/readers.h"
 
 /* A longer gap between two ticks counts as a pause of the process. */
 #define STALL_US US_PER_S
@@ -17,12 +17,6 @@
  * time does not name itself in answers to entries.
  */
 #define CONTACT_TIMEOUT_US (10 * US_PER_S)
-/*
- * Delay of the first read of the platform, in which peers are found and send
- * the documents that they hold.
- */
-#define PLATFORM_READ_DELAY_US US_PER_S
-
 static struct member *join_sender(struct state *state,
 				  const struct peer_message *message,
 				  struct instant now, struct event_list *out);
@@ -31,9 +25,6 @@
 static void update_stepped_back(struct state *state, struct instant now,
 				struct event_list *out);
 static bool self_is_seed(const struct membership *membership);
-static void update_reader_role(struct state *state, struct instant now,
-			       struct event_list *out);
-static void set_platform_status(struct state *state, bool reachable, bool lost);
 
 void member_handle_message(struct state *state,
 			   const struct peer_message *message,
@@ -53,6 +44,7 @@
 		if (message->incarnation >= sender->incarnation)
 			member_update_self_report(
 				state, sender, &message->self_report, now, out);
+		reader_handle_message(sender, message, now);
 		member_update_status(state, sender, message->incarnation,
 				     message->status, CAUSE_PEER, now, out);
 		member_handle_rumours(state, message, now, out);
@@ -86,25 +78,13 @@
 		member_seed_tick(state, now, out);
 	member_expire_suspicions(state, now, out);
 	member_probe_indirect(state, now, out);
-	update_reader_role(state, now, out);
+	reader_tick(state, now, out);
 	if (now.mono_us < membership->probe_due_us)
 		return;
 	member_end_probe_period(state, now, out);
 	member_begin_probe_period(state, now, out);
 }
 
-void member_set_platform_state(struct state *state, bool reachable,
-			       struct instant now)
-{
-	/* Ignores a read that began before the reader role was given up. */
-	if (state->membership.seed_discovery &&
-	    state->reader_role == READER_NONE)
-		return;
-	set_platform_status(state, reachable, !reachable);
-	if (reachable)
-		state->last_received_us = now.mono_us;
-}
-
 void member_request_platform_read(struct state *state)
 {
 	state->membership.request_before_config = true;
@@ -139,10 +119,9 @@
 		membership->incarnation = (uint32_t)(now.unix_ms / MS_PER_S);
 	membership->members_digest = members_digest(state);
 	state->last_received_us = now.mono_us;
-	/* Without a delay a whole starting fleet would read the platform. */
-	if (membership->seed_discovery && !self_is_seed(membership))
-		membership->platform_read_after_us =
-			now.mono_us + PLATFORM_READ_DELAY_US;
+	reader_start(state,
+		     !membership->seed_discovery || self_is_seed(membership),
+		     now);
 }
 
 static bool self_is_seed(const struct membership *membership)
@@ -166,6 +145,7 @@
 	memset(&membership->probe, 0, sizeof(membership->probe));
 	memset(membership->relays, 0, sizeof(membership->relays));
 	state->last_received_us = now.mono_us;
+	reader_restart_listening(state, now);
 	for (i = 0; i < membership->members->len; i++) {
 		member = &g_array_index(membership->members, struct member, i);
 		if (member->suspect_until_us != 0)
@@ -193,32 +173,3 @@
 	record.kind = isolated ? AUDIT_STEPPED_BACK : AUDIT_STEPPED_IN;
 	state_audit(state, &record, now, out);
 }
-
-static void update_reader_role(struct state *state, struct instant now,
-			       struct event_list *out)
-{
-	struct event event = { .kind = EVENT_CONFIG_ROLE };
-	enum reader_role role = readers_own_role(state, now);
-
-	if (role == state->reader_role)
-		return;
-	state->reader_role = role;
-	event.config_role.role = role;
-	event_list_add(out, &event);
-	/* An instance that does not read the platform reports nothing on it. */
-	if (role == READER_NONE)
-		set_platform_status(state, false, false);
-}
-
-static void set_platform_status(struct state *state, bool reachable, bool lost)
-{
-	struct membership *membership = &state->membership;
-
-	state->platform_reachable = reachable;
-	if (membership->self.self_report.platform_lost == lost)
-		return;
-	membership->self.self_report.platform_lost = lost;
-	if (membership->incarnation < UINT32_MAX)
-		membership->incarnation++;
-	member_gossip_rumour(state, membership->self.peer);
-}
--- a/src/command/member.h
+++ b/src/command/member.h
@@ -46,15 +46,6 @@
 void member_tick(struct state *state, struct instant now,
 		 struct event_list *out);
 
-/**
- * member_set_platform_state() - process the result of the last platform call
- * @state: routing state
- * @reachable: whether the call succeeded
- * @now: current time
- */
-void member_set_platform_state(struct state *state, bool reachable,
-			       struct instant now);
-
 /**
  * member_request_platform_read() - let this instance read the platform without
  *	waiting for peers
@@ -75,6 +66,15 @@
 void member_send(struct state *state, struct net_addr to,
 		 struct peer_message *message, struct event_list *out);
 
+/**
+ * member_send_self() - send the status of this instance and the gossip
+ * @state: routing state
+ * @to: peer address
+ * @out: receives EVENT_PEER_SEND
+ */
+void member_send_self(struct state *state, struct net_addr to,
+		      struct event_list *out);
+
 /**
  * member_announce_self() - send the changed status of this instance to all
  *	members, repeated a few times
--- a/src/command/member_gossip.c
+++ b/src/command/member_gossip.c
@@ -52,10 +52,20 @@
 	event_list_add(out, &event);
 }
 
+/* The datagram is the acknowledgement of no probe, so it is not answered. */
+void member_send_self(struct state *state, struct net_addr to,
+		      struct event_list *out)
+{
+	struct peer_message *message = g_new0(struct peer_message, 1);
+
+	message->kind = PEER_ACK;
+	message->ping.target = state->membership.self.peer;
+	member_send(state, to, message, out);
+}
+
 /*
  * Sends to all members, since a member that misses the change goes on naming
- * this instance to callers. The datagrams are acknowledgements of no probe, so
- * receivers do not answer them.
+ * this instance to callers.
  */
 void member_announce_self(struct state *state, struct instant now,
 			  struct event_list *out)
@@ -73,7 +83,6 @@
 {
 	struct membership *membership = &state->membership;
 	const struct member *member;
-	struct peer_message *message;
 	guint i;
 
 	if (membership->announces_left == 0 ||
@@ -83,10 +92,7 @@
 	membership->announce_due_us = now.mono_us + ANNOUNCE_INTERVAL_US;
 	for (i = 0; i < membership->members->len; i++) {
 		member = &g_array_index(membership->members, struct member, i);
-		message = g_new0(struct peer_message, 1);
-		message->kind = PEER_ACK;
-		message->ping.target = membership->self.peer;
-		member_send(state, member->listed.peer, message, out);
+		member_send_self(state, member->listed.peer, out);
 	}
 }
 
@@ -94,7 +100,6 @@
 {
 	struct membership *membership = &state->membership;
 	const struct member *member;
-	struct peer_message *message;
 	uint32_t count = membership->members->len;
 	uint32_t sent = 0;
 	uint32_t first;
@@ -109,10 +114,7 @@
 					(first + i) % count);
 		if (member->status != MEMBER_ALIVE)
 			continue;
-		message = g_new0(struct peer_message, 1);
-		message->kind = PEER_ACK;
-		message->ping.target = membership->self.peer;
-		member_send(state, member->listed.peer, message, out);
+		member_send_self(state, member->listed.peer, out);
 		sent++;
 	}
 }
--- a/src/command/member_join.c
+++ b/src/command/member_join.c
@@ -4,6 +4,7 @@
 #include "command/member_probe.h"
 #include "command/member_gossip.h"
 #include "query/listing.h"
+#include "query/readers.h"
 
 /*
  * Interval of the pings to the seeds while no live member is known: in a fleet
@@ -31,6 +32,7 @@
 		.status = status,
 		.incarnation = incarnation,
 		.last_received_us = now.mono_us,
+		.reader_rank = readers_rank(instance->peer),
 	};
 
 	if (membership->members->len >= MEMBERS_MAX ||
--- a/src/command/member_list.c
+++ b/src/command/member_list.c
@@ -4,6 +4,7 @@
 
 #include "command/member_status.h"
 #include "command/member_probe.h"
+#include "query/readers.h"
 
 /*
  * A member that is no longer in the published list is kept for this time after
@@ -107,6 +108,7 @@
 	if (known)
 		member.listed.self_report = known->listed.self_report;
 	member.in_list = true;
+	member.reader_rank = readers_rank(listed->peer);
 	g_array_append_val(members, member);
 	if (!known)
 		member_add_to_probe_round(state, listed->peer);
--- a/src/core/document.c
+++ b/src/core/document.c
@@ -48,7 +48,7 @@
 				const struct instance_self_report *b)
 {
 	return a->cpu_permille == b->cpu_permille && a->aside == b->aside &&
-	       a->platform_lost == b->platform_lost;
+	       a->platform == b->platform;
 }
 
 bool settings_instance_list_published(const struct settings *settings)
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -344,17 +344,32 @@
  */
 enum instance_status { INSTANCE_LIVE, INSTANCE_LEAVING };
 
+/**
+ * enum platform_contact - what an instance reports of the platform
+ * @PLATFORM_CONTACT_NONE: it does not read the platform, or has had no result
+ * @PLATFORM_CONTACT_READING: it reads the platform, which answers
+ * @PLATFORM_CONTACT_LOST: it reads the platform, which does not answer it
+ * @PLATFORM_CONTACT_RESTING: the platform did not answer it, and it leaves the
+ *	next tries to others
+ */
+enum platform_contact {
+	PLATFORM_CONTACT_NONE,
+	PLATFORM_CONTACT_READING,
+	PLATFORM_CONTACT_LOST,
+	PLATFORM_CONTACT_RESTING,
+};
+
 /**
  * struct instance_self_report - state that an instance reports about itself
  * @cpu_permille: CPU time that it may use, in thousandths of a core; 0 if it
  *	has not been reported
  * @aside: it cannot reach most backend servers
- * @platform_lost: it cannot reach the platform
+ * @platform: whether it reads the platform and gets answers
  */
 struct instance_self_report {
 	uint32_t cpu_permille;
 	bool aside;
-	bool platform_lost;
+	enum platform_contact platform;
 };
 
 /**
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -23,6 +23,9 @@
  * @suspect_until_us: while suspected, it is declared dead at this time unless
  *	it refutes the suspicion; 0 otherwise
  * @last_received_us: when the last message was received from it
+ * @reader_rank: its rank among the instances that read the platform
+ * @reading_until_us: it counts as a reader of the platform until this time,
+ *	unless it says again that the platform answers it
  * @dead_expires_us: if dead, it is no longer probed from this time on
  */
 struct member {
@@ -32,6 +35,8 @@
 	uint32_t incarnation;
 	uint64_t suspect_until_us;
 	uint64_t last_received_us;
+	uint64_t reader_rank;
+	uint64_t reading_until_us;
 	uint64_t dead_expires_us;
 };
 
@@ -105,6 +110,28 @@
 	bool refused;
 };
 
+/**
+ * struct reader_duty - this instance's part in reading the platform
+ * @read_after_us: the platform is not read before this time, so that peers can
+ *	send the documents that they have
+ * @judge_after_us: readers that were not heard of count as such until this
+ *	time, since this instance has not listened long enough
+ * @due_us: when this instance begins to read if nobody else has until then, 0
+ *	while enough others read
+ * @trying_until_us: with a lost platform, end of this instance's tries
+ * @rest_until_us: this instance does not read the platform before this time
+ * @notice_due_us: when the instances that would take over are told next whether
+ *	the platform answers
+ */
+struct reader_duty {
+	uint64_t read_after_us;
+	uint64_t judge_after_us;
+	uint64_t due_us;
+	uint64_t trying_until_us;
+	uint64_t rest_until_us;
+	uint64_t notice_due_us;
+};
+
 /**
  * struct membership - this instance and the other instances
  * @self: own entry, from the settings and the list of instances
@@ -124,8 +151,7 @@
  * @offers_due: a document has changed; it is offered to peers at the next tick
  * @started: the first tick has been handled
  * @request_before_config: a request arrived before any document was known
- * @platform_read_after_us: the platform is not read before this time, so that
- *	peers can send the documents that they have
+ * @reader: this instance's part in reading the platform
  * @last_tick_us: time of the last tick; a large gap shows that the process was
  *	paused
  * @probe: current probe
@@ -163,7 +189,7 @@
 	bool offers_due;
 	bool started;
 	bool request_before_config;
-	uint64_t platform_read_after_us;
+	struct reader_duty reader;
 	uint64_t last_tick_us;
 	struct probe probe;
 	uint64_t probe_due_us;
--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -26,6 +26,7 @@
  * @instances: reads of the published instance list
  * @fetches: documents to be fetched
  * @role: reader role of this instance
+ * @role_is_new: the index has not been read since the role was gained
  * @alone: the published list names no other live instance
  * @platform_reported: @platform_reachable was sent to the dispatch duty, which
  *	has not reset it since
@@ -42,6 +43,7 @@
 	struct watch instances;
 	struct fetch_list fetches;
 	enum reader_role role;
+	bool role_is_new;
 	bool alone;
 	bool platform_reported;
 	bool platform_reachable;
@@ -155,12 +157,14 @@
 			duty->index.due_us = 0;
 			duty->instances.due_us = 0;
 			fetch_list_make_all_due(&duty->fetches);
+			duty->role_is_new = true;
 		}
 		/*
 		 * The dispatch duty resets the platform's state when this
-		 * instance loses its reader role, so it is reported again.
+		 * instance loses its reader role, and ignores results until it
+		 * has a role again, so the state is reported again.
 		 */
-		if (event.role == READER_NONE)
+		if (event.role == READER_NONE || duty->role == READER_NONE)
 			duty->platform_reported = false;
 		duty->role = event.role;
 	}
@@ -296,16 +300,20 @@
 			       document_due_us(duty, &entry->key, now_us));
 	}
 	g_array_unref(list);
+	duty->role_is_new = false;
 	watch_record_answer(&duty->index, version, duty->role, duty->rand,
 			    now_us);
 }
 
-/* A standby fetches an unknown document now: its peers may lack it too. */
+/*
+ * A standby fetches an unknown document now: its peers may lack it too. So it
+ * does with all when it has just begun to read: readers were missing.
+ */
 static uint64_t document_due_us(const struct config_duty *duty,
 				const struct name *key, uint64_t now_us)
 {
 	if (duty->role == READER_STANDBY &&
-	    !fetch_list_has_version(&duty->fetches, key))
+	    (duty->role_is_new || !fetch_list_has_version(&duty->fetches, key)))
 		return now_us;
 	return watch_document_due_us(duty->role, duty->alone, duty->rand,
 				     now_us);
--- a/test/unit/fleet_sim.h
+++ b/test/unit/fleet_sim.h
@@ -29,6 +29,8 @@
 	std::vector<bool> paused;
 	uint32_t loss_percent = 0;
 	uint64_t datagrams = 0;
+	/* Called with the index of an instance and its new reader role. */
+	std::function<void(uint32_t, enum reader_role)> on_role;
 	/* Audit records, each with the index of its instance. */
 	std::vector<std::pair<uint32_t, struct audit_record>> audit;
 
@@ -85,6 +87,27 @@
 		cuts.insert({ from, to });
 	}
 
+	/* Neither sends nor receives anything from now on, as without power. */
+	void kill(uint32_t i)
+	{
+		paused[i] = true;
+		for (uint32_t j = 0; j < size(); j++) {
+			cut(i, j);
+			cut(j, i);
+		}
+	}
+
+	/* Starts a killed instance again; links that were cut before are not. */
+	void revive(uint32_t i)
+	{
+		paused[i] = false;
+		for (uint32_t j = 0; j < size(); j++) {
+			cuts.erase({ i, j });
+			cuts.erase({ j, i });
+		}
+		restart(i);
+	}
+
 	/* Cuts instances 0 to @lower - 1 off from the rest, both ways. */
 	void partition(uint32_t lower)
 	{
@@ -230,6 +253,8 @@
 		for (struct event &event : events) {
 			if (event.kind == EVENT_AUDIT)
 				audit.push_back({ i, event.audit });
+			if (event.kind == EVENT_CONFIG_ROLE && on_role)
+				on_role(i, event.config_role.role);
 			if (event.kind == EVENT_CONFIG_PULL)
 				pull(i, event.config_pull);
 			if (event.kind == EVENT_PEER_SEND)
