config: a new reader's first read is answered at once

An instance that read before and begins to read again waited in a long poll for a change; without one it counted as no reader for 1.5 s, and each instance behind it in rank began to read too.

Cause: the wait of a read followed the role alone. Change: the first read after the role was gained does not wait.

Before: ConfigDuty.NewReaderKnowsAtOnceWhetherItIsAnswered failed (waitMs=1500 in the request); it passes now. StorePlatform.InvalidStoreEntriesAreIgnored has the entries that ended processes of other operators; it passed at once.

--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -202,6 +202,10 @@
 		.watch.wait_ms = watch_wait_ms(watch, duty->role),
 	};
 
+	/* Until the first answer this instance counts as no reader. */
+	if (duty->role_is_new && kind == SOURCE_INDEX)
+		request.watch.wait_ms = 0;
+
 	if (watch->running || now_us < watch->due_us)
 		return;
 	watch->began_us = now_us;
--- a/test/process/store_test.cc
+++ b/test/process/store_test.cc
@@ -449,14 +449,22 @@
 
 TEST(StorePlatform, InvalidStoreEntriesAreIgnored)
 {
-	const char *const invalid_entries[] = {
-		"no JSON at all", "{\"address\":7}", "[]",
-		"{\"address\":\"127.0.0.1:9\"}"
+	/* Also those that ended processes of other operators. */
+	const std::string invalid_entries[] = {
+		"no JSON at all",
+		"{\"address\":7}",
+		"[]",
+		"{\"address\":\"127.0.0.1:9\"}",
+		"{\"address\":\"127.0.0.1:65536\"}",
+		"{\"born\":" + std::string(400, '9') + "}",
+		std::string(100000, '['),
+		"{\"info\":" + std::string(100000, '[') +
+			std::string(100000, ']') + "}",
 	};
 	store_fleet fleet;
 	uint32_t number = 0;
 
-	for (const char *entry : invalid_entries)
+	for (const std::string &entry : invalid_entries)
 		ASSERT_TRUE(fleet.store.write(
 			"servers/invalid-" + std::to_string(number++), entry));
 	ASSERT_TRUE(fleet.store.write("op/config", "{\"version\":\"r9\"}"));
