--- a/src/codec/peer_wire.c
+++ b/src/codec/peer_wire.c
@@ -47,9 +47,9 @@
 	case PLATFORM_CONTACT_LOST:
 		wire.flags |= WIRE_SELF_REPORT_PLATFORM_LOST;
 		break;
-	case PLATFORM_CONTACT_RESTING:
+	case PLATFORM_CONTACT_BACKOFF:
 		wire.flags |= WIRE_SELF_REPORT_PLATFORM_LOST |
-			      WIRE_SELF_REPORT_PLATFORM_REST;
+			      WIRE_SELF_REPORT_PLATFORM_BACKOFF;
 		break;
 	}
 	return wire;
@@ -57,8 +57,8 @@
 
 static enum platform_contact read_contact(u_int flags)
 {
-	if (flags & WIRE_SELF_REPORT_PLATFORM_REST)
-		return PLATFORM_CONTACT_RESTING;
+	if (flags & WIRE_SELF_REPORT_PLATFORM_BACKOFF)
+		return PLATFORM_CONTACT_BACKOFF;
 	if (flags & WIRE_SELF_REPORT_PLATFORM_LOST)
 		return PLATFORM_CONTACT_LOST;
 	if (flags & WIRE_SELF_REPORT_PLATFORM_READ)
--- a/src/codec/peer_wire.h
+++ b/src/codec/peer_wire.h
@@ -16,7 +16,7 @@
 #define WIRE_SELF_REPORT_PLATFORM_LOST 2u
 #define WIRE_SELF_REPORT_PLATFORM_READ 4u
 /* Together with WIRE_SELF_REPORT_PLATFORM_LOST. */
-#define WIRE_SELF_REPORT_PLATFORM_REST 8u
+#define WIRE_SELF_REPORT_PLATFORM_BACKOFF 8u
 
 /**
  * struct call_header - header of an RPC call with the buffers it points to
--- a/src/command/reader.c
+++ b/src/command/reader.c
@@ -13,26 +13,26 @@
 #define START_LISTEN_US (2 * US_PER_S)
 /* Time in which they are heard of after a pause of this process. */
 #define STALL_LISTEN_US US_PER_S
-#define NOTICE_INTERVAL_US (150 * US_PER_MS)
-/* A reader counts as one for this time after a notice; some may be lost. */
-#define NOTICE_VALID_US (500 * US_PER_MS)
-/* Head start of each instance that is before this one in rank. */
-#define HEAD_START_US (100 * US_PER_MS)
+#define HEARTBEAT_INTERVAL_US (150 * US_PER_MS)
+/* A reader counts as one for this time after a heartbeat; some may be lost. */
+#define HEARTBEAT_TIMEOUT_US (500 * US_PER_MS)
+/* Delay of a takeover for each instance before this one that may begin too. */
+#define STAGGER_US (100 * US_PER_MS)
 /* Time for which a reader tries to reach a platform that answered before. */
 #define TRYING_US US_PER_S
-/* Of the instances of a domain that rest, about one tries in this time. */
-#define REST_FOR_EACH_US (500 * US_PER_MS)
-#define REST_MIN_US US_PER_S
+/* Of the instances of a domain that back off, one or two try in this time. */
+#define BACKOFF_PER_INSTANCE_US (500 * US_PER_MS)
+#define BACKOFF_MIN_US US_PER_S
 
-static void begin_rest(struct state *state, struct instant now);
-static uint64_t rest_us(const struct state *state);
+static void begin_backoff(struct state *state, struct instant now);
+static uint64_t backoff_us(const struct state *state);
 static void update_role(struct state *state, struct instant now,
 			struct event_list *out);
 static bool others_may_begin(struct state *state, struct instant now);
 static void set_role(struct state *state, enum reader_role role,
 		     struct event_list *out);
 static void set_contact(struct state *state, enum platform_contact contact);
-static void notify_deputies(struct state *state, struct instant now,
+static void send_heartbeats(struct state *state, struct instant now,
 			    struct event_list *out);
 
 void reader_start(struct state *state, bool at_once, struct instant now)
@@ -43,7 +43,7 @@
 	if (!at_once)
 		reader->read_after_us = now.mono_us + FIRST_READ_DELAY_US;
 	reader->judge_after_us = now.mono_us + START_LISTEN_US;
-	reader->notice_due_us = DEADLINE_NONE_US;
+	reader->heartbeat_due_us = DEADLINE_NONE_US;
 }
 
 void reader_restart_listening(struct state *state, struct instant now)
@@ -62,7 +62,7 @@
 		return;
 	sender->reading_until_us = message->self_report.platform ==
 						   PLATFORM_CONTACT_READING ?
-					   now.mono_us + NOTICE_VALID_US :
+					   now.mono_us + HEARTBEAT_TIMEOUT_US :
 					   0;
 }
 
@@ -89,8 +89,8 @@
 		set_contact(state, PLATFORM_CONTACT_LOST);
 		break;
 	case PLATFORM_CONTACT_NONE:
-	case PLATFORM_CONTACT_RESTING:
-		begin_rest(state, now);
+	case PLATFORM_CONTACT_BACKOFF:
+		begin_backoff(state, now);
 		break;
 	case PLATFORM_CONTACT_LOST:
 		break;
@@ -104,26 +104,28 @@
 
 	if (membership->self.self_report.platform == PLATFORM_CONTACT_LOST &&
 	    now.mono_us >= membership->reader.trying_until_us)
-		begin_rest(state, now);
+		begin_backoff(state, now);
 	update_role(state, now, out);
-	if (membership->self.self_report.platform == PLATFORM_CONTACT_RESTING &&
-	    now.mono_us >= membership->reader.rest_until_us &&
+	if (membership->self.self_report.platform == PLATFORM_CONTACT_BACKOFF &&
+	    now.mono_us >= membership->reader.backoff_until_us &&
 	    state->reader_role == READER_NONE)
 		set_contact(state, PLATFORM_CONTACT_NONE);
-	notify_deputies(state, now, out);
+	send_heartbeats(state, now, out);
 }
 
 /* Leaves the next tries to other instances, which may reach the platform. */
-static void begin_rest(struct state *state, struct instant now)
+static void begin_backoff(struct state *state, struct instant now)
 {
-	state->membership.reader.rest_until_us = now.mono_us + rest_us(state);
-	set_contact(state, PLATFORM_CONTACT_RESTING);
+	state->membership.reader.backoff_until_us =
+		now.mono_us + backoff_us(state);
+	set_contact(state, PLATFORM_CONTACT_BACKOFF);
 }
 
-static uint64_t rest_us(const struct state *state)
+static uint64_t backoff_us(const struct state *state)
 {
 	uint64_t span_us =
-		MAX(readers_domain_size(state) * REST_FOR_EACH_US, REST_MIN_US);
+		MAX(readers_domain_size(state) * BACKOFF_PER_INSTANCE_US,
+		    BACKOFF_MIN_US);
 
 	return span_us / 2 + (uint64_t)g_rand_int_range(
 				     state->rand, 0, (gint32)(span_us / 2) + 1);
@@ -149,8 +151,8 @@
 	struct reader_duty *reader = &state->membership.reader;
 
 	if (reader->due_us == 0)
-		reader->due_us = now.mono_us + readers_idle_before(state, now) *
-						       HEAD_START_US;
+		reader->due_us = now.mono_us +
+				 readers_idle_before(state, now) * STAGGER_US;
 	return now.mono_us < reader->due_us;
 }
 
@@ -163,7 +165,7 @@
 	if (role == READER_NONE) {
 		state->platform_reachable = false;
 		if (state->membership.self.self_report.platform !=
-		    PLATFORM_CONTACT_RESTING)
+		    PLATFORM_CONTACT_BACKOFF)
 			set_contact(state, PLATFORM_CONTACT_NONE);
 	}
 	state->reader_role = role;
@@ -178,27 +180,27 @@
 	if (membership->self.self_report.platform == contact)
 		return;
 	membership->self.self_report.platform = contact;
-	membership->reader.notice_due_us = 0;
+	membership->reader.heartbeat_due_us = 0;
 	if (membership->incarnation < UINT32_MAX)
 		membership->incarnation++;
 	member_gossip_rumour(state, membership->self.peer);
 }
 
-static void notify_deputies(struct state *state, struct instant now,
+static void send_heartbeats(struct state *state, struct instant now,
 			    struct event_list *out)
 {
 	struct membership *membership = &state->membership;
-	const struct member *deputies[READERS_DEPUTIES_MAX];
+	const struct member *successors[READERS_SUCCESSORS_MAX];
 	uint32_t count;
 	uint32_t i;
 
-	if (now.mono_us < membership->reader.notice_due_us)
+	if (now.mono_us < membership->reader.heartbeat_due_us)
 		return;
-	membership->reader.notice_due_us = DEADLINE_NONE_US;
+	membership->reader.heartbeat_due_us = DEADLINE_NONE_US;
 	if (membership->self.self_report.platform == PLATFORM_CONTACT_READING)
-		membership->reader.notice_due_us =
-			now.mono_us + NOTICE_INTERVAL_US;
-	count = readers_deputies(state, deputies);
+		membership->reader.heartbeat_due_us =
+			now.mono_us + HEARTBEAT_INTERVAL_US;
+	count = readers_successors(state, successors);
 	for (i = 0; i < count; i++)
-		member_send_self(state, deputies[i]->listed.peer, out);
+		member_send_self(state, successors[i]->listed.peer, out);
 }
--- a/src/command/reader.h
+++ b/src/command/reader.h
@@ -4,8 +4,8 @@
 /**
  * DOC: this instance's part in reading the platform
  *
- * Begins and ends its reader role, tells its deputies whether the platform
- * answers it, and rests while the platform does not. See query/readers.h for
+ * Begins and ends its reader role, tells its successors whether the platform
+ * answers it, and backs off while the platform does not. See query/readers.h for
  * the selection.
  */
 
@@ -48,7 +48,7 @@
 			       struct instant now);
 
 /**
- * reader_tick() - choose the reader role, notify the deputies
+ * reader_tick() - choose the reader role, notify the successors
  * @state: routing state
  * @now: current time
  * @out: receives EVENT_CONFIG_ROLE and datagrams
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -349,14 +349,14 @@
  * @PLATFORM_CONTACT_NONE: it does not read the platform, or has had no result
  * @PLATFORM_CONTACT_READING: it reads the platform, which answers
  * @PLATFORM_CONTACT_LOST: it reads the platform, which does not answer it
- * @PLATFORM_CONTACT_RESTING: the platform did not answer it, and it leaves the
+ * @PLATFORM_CONTACT_BACKOFF: the platform did not answer it, and it leaves the
  *	next tries to others
  */
 enum platform_contact {
 	PLATFORM_CONTACT_NONE,
 	PLATFORM_CONTACT_READING,
 	PLATFORM_CONTACT_LOST,
-	PLATFORM_CONTACT_RESTING,
+	PLATFORM_CONTACT_BACKOFF,
 };
 
 /**
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -119,8 +119,8 @@
  * @due_us: when this instance begins to read if nobody else has until then, 0
  *	while enough others read
  * @trying_until_us: with a lost platform, end of this instance's tries
- * @rest_until_us: this instance does not read the platform before this time
- * @notice_due_us: when the instances that would take over are told next whether
+ * @backoff_until_us: this instance does not read the platform before this time
+ * @heartbeat_due_us: when the instances that would take over are told next whether
  *	the platform answers
  */
 struct reader_duty {
@@ -128,8 +128,8 @@
 	uint64_t judge_after_us;
 	uint64_t due_us;
 	uint64_t trying_until_us;
-	uint64_t rest_until_us;
-	uint64_t notice_due_us;
+	uint64_t backoff_until_us;
+	uint64_t heartbeat_due_us;
 };
 
 /**
--- a/src/query/readers.c
+++ b/src/query/readers.c
@@ -7,7 +7,7 @@
  */
 #define READERS_MIN 6
 
-_Static_assert(READERS_DEPUTIES_MAX == READERS_MIN + 1,
+_Static_assert(READERS_SUCCESSORS_MAX == READERS_MIN + 1,
 	       "with one domain all readers are in it");
 
 /**
@@ -24,8 +24,8 @@
  * @count: used entries
  */
 struct near {
-	const struct member *members[READERS_DEPUTIES_MAX];
-	uint64_t distances[READERS_DEPUTIES_MAX];
+	const struct member *members[READERS_SUCCESSORS_MAX];
+	uint64_t distances[READERS_SUCCESSORS_MAX];
 	uint32_t count;
 };
 
@@ -77,7 +77,7 @@
 	    g_hash_table_size(state->services) == 0)
 		return READER_STANDBY;
 	if (now.mono_us < membership->reader.read_after_us ||
-	    now.mono_us < membership->reader.rest_until_us)
+	    now.mono_us < membership->reader.backoff_until_us)
 		return READER_NONE;
 	survey_members(state, RANK_BEFORE, &survey);
 	for (i = 0; i < survey.near.count; i++)
@@ -106,15 +106,16 @@
 	return idle;
 }
 
-uint32_t readers_deputies(const struct state *state,
-			  const struct member *deputies[READERS_DEPUTIES_MAX])
+uint32_t
+readers_successors(const struct state *state,
+		   const struct member *successors[READERS_SUCCESSORS_MAX])
 {
 	struct survey survey;
 	uint32_t i;
 
 	survey_members(state, RANK_AFTER, &survey);
 	for (i = 0; i < survey.near.count; i++)
-		deputies[i] = survey.near.members[i];
+		successors[i] = survey.near.members[i];
 	return survey.near.count;
 }
 
@@ -165,7 +166,7 @@
 			    before ? own_rank - member->reader_rank :
 				     member->reader_rank - own_rank);
 	}
-	/* One deputy more than readers, so that they can be lost with them. */
+	/* One successor more than readers, so that they can be lost with them. */
 	survey->near.count =
 		MIN(survey->near.count, readers_per_domain(survey) + 1);
 }
@@ -208,7 +209,7 @@
 {
 	uint32_t at = near->count;
 
-	if (near->count < READERS_DEPUTIES_MAX)
+	if (near->count < READERS_SUCCESSORS_MAX)
 		near->count++;
 	else if (near->distances[--at] <= distance)
 		return;
@@ -244,7 +245,7 @@
 
 /*
  * Whether a live instance may be taken to do its part of reading; only its
- * deputies ask more of it.
+ * successors ask more of it.
  */
 static bool reports_to_read(const struct member *member)
 {
@@ -255,7 +256,7 @@
 	case PLATFORM_CONTACT_READING:
 		return true;
 	case PLATFORM_CONTACT_LOST:
-	case PLATFORM_CONTACT_RESTING:
+	case PLATFORM_CONTACT_BACKOFF:
 		break;
 	}
 	return false;
--- a/src/query/readers.h
+++ b/src/query/readers.h
@@ -10,15 +10,15 @@
  * domains and not with the number of instances.
  *
  * Instances read in the order of their ranks. The instances next in rank after
- * a reader, its deputies, count it as a reader only while they hear from it
+ * a reader, its successors, count it as a reader only while they hear from it
  * that the platform answers it, whatever else they know of it; so they replace
  * one that is lost, paused, cut off or refused by the platform in the same way.
  */
 
 #include "core/state.h"
 
-/* Most deputies of a reader: one more than the most readers of a domain. */
-#define READERS_DEPUTIES_MAX 7
+/* Most successors of a reader: one more than the most readers of a domain. */
+#define READERS_SUCCESSORS_MAX 7
 /*
  * Number of instances of a failure domain that try at the same time while none
  * of them can reach the platform. Without this limit all instances would call a
@@ -32,7 +32,7 @@
  * @now: current time
  *
  * Return: READER_FIRST for one instance of the fleet, READER_STANDBY for the
- * other readers; READER_NONE for the rest, while this instance rests, and while
+ * other readers; READER_NONE for the rest, while this instance backs off, and while
  * no instance list is known.
  */
 enum reader_role readers_own_role(const struct state *state,
@@ -43,20 +43,21 @@
  * @state: read only
  * @now: current time
  *
- * Return: number of live instances whose deputy this one is, and that do not
+ * Return: number of live instances whose successor this one is, and that do not
  * read.
  */
 uint32_t readers_idle_before(const struct state *state, struct instant now);
 
 /**
- * readers_deputies() - instances that take over from this one
+ * readers_successors() - instances that take over from this one
  * @state: read only
- * @deputies: filled with members of @state, nearest in rank first
+ * @successors: filled with members of @state, nearest in rank first
  *
- * Return: used entries of @deputies.
+ * Return: used entries of @successors.
  */
-uint32_t readers_deputies(const struct state *state,
-			  const struct member *deputies[READERS_DEPUTIES_MAX]);
+uint32_t
+readers_successors(const struct state *state,
+		   const struct member *successors[READERS_SUCCESSORS_MAX]);
 
 /**
  * readers_domain_size() - number of live instances in the own failure domain
--- a/test/unit/readers_test.cc
+++ b/test/unit/readers_test.cc
@@ -51,7 +51,7 @@
 			member->status = conditions[j].status;
 			member->listed.self_report.platform =
 				conditions[j].platform;
-			/* A notice of each has just come. */
+			/* A heartbeat of each has just come. */
 			member->reading_until_us = inst.now.mono_us;
 		}
 		membership->self.self_report.platform = conditions[i].platform;
@@ -196,7 +196,7 @@
 	{ "the platform answers no longer", true, false, false,
 	  PLATFORM_CONTACT_LOST, false },
 	{ "the platform has never answered", false, false, false,
-	  PLATFORM_CONTACT_RESTING, false },
+	  PLATFORM_CONTACT_BACKOFF, false },
 	{ "an answer after the end of the role is ignored", false, true, true,
 	  PLATFORM_CONTACT_NONE, false },
 	{ "a failure after the end of the role is ignored", false, false, true,
@@ -396,8 +396,8 @@
  */
 const struct loss_case loss_cases[] = {
 	{ "all readers lose power", LOSS_KILLED, 0, TAKEN_OVER_MS },
-	{ "all readers and one deputy of each domain lose power", LOSS_KILLED,
-	  3, TAKEN_OVER_MS },
+	{ "all readers and one successor of each domain lose power",
+	  LOSS_KILLED, 3, TAKEN_OVER_MS },
 	{ "all readers are paused", LOSS_PAUSED, 0, TAKEN_OVER_MS },
 	{ "all readers are turned away", LOSS_TURNED_AWAY, 0, TAKEN_OVER_MS },
 	{ "a third of the fleet is turned away", LOSS_TURNED_AWAY, 6, 2000 },
@@ -463,6 +463,31 @@
 	}
 }
 
+/*
+ * Guards against readers whose successors cannot take over: the store turns
+ * away those who call first, and the readers that it then has lose power.
+ */
+TEST(ReadersTest, OthersReadWhenSuccessorsAreTurnedAway)
+{
+	for (uint32_t away : { 6u, 12u }) {
+		for (uint32_t seed : SIM_RUNS) {
+			SCOPED_TRACE(std::to_string(away) +
+				     " turned away, seed " +
+				     std::to_string(seed));
+			ReadingFleet fleet(FLEET, seed);
+
+			fleet.pass_ms(SETTLE_MS);
+			fleet.turn_away_max = away;
+			fleet.end_polls();
+			fleet.pass_ms(SETTLE_MS);
+			ASSERT_FALSE(fleet.readers().empty());
+			for (uint32_t i : fleet.readers())
+				fleet.sim.kill(i);
+			EXPECT_LE(fleet.until_read(5000), TAKEN_OVER_MS);
+		}
+	}
+}
+
 /* Guards against a restarted instance that counts before it reads. */
 TEST(ReadersTest, RestartedReadersLeaveNoGap)
 {
@@ -519,7 +544,7 @@
 		       (uint32_t)(fleet.calls - before) / 20);
 		fleet.down = false;
 		EXPECT_LE(fleet.until_read(5000), TAKEN_OVER_MS);
-		/* As long as the longest rest. */
+		/* As long as the longest back-off. */
 		fleet.pass_ms(15000);
 		EXPECT_EQ(fleet.readers().size(), 6u);
 	}
