--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -45,7 +45,6 @@
 		      GError **error, const char *format, ...)
 	G_GNUC_PRINTF(4, 5);
 static char *quote_text(const char *text);
-static bool is_path_char(char c);
 static bool check_type(const struct json_node *node, enum json_type type,
 		       const char *expected, GError **error);
 static const struct json_field *find_field(const struct field_table *table,
@@ -458,7 +457,7 @@
 			"bytes",
 			PATH_BYTES_MAX);
 	for (i = 0; i < length; i++) {
-		if (!is_path_char(text[i]))
+		if (!path_char_allowed(text[i]))
 			return fail_text(
 				node, text, error,
 				"is not allowed in a path at byte %zu; remove "
@@ -529,11 +528,6 @@
 	return quoted;
 }
 
-static bool is_path_char(char c)
-{
-	return g_ascii_isalnum(c) || (c && strchr("-._~!$&'()*+,;=:@%/", c));
-}
-
 static bool check_type(const struct json_node *node, enum json_type type,
 		       const char *expected, GError **error)
 {
--- a/src/codec/routing_json.c
+++ b/src/codec/routing_json.c
@@ -6,10 +6,7 @@
 #include "codec/json_fields.h"
 #include "codec/json_text.h"
 
-#define PRIORITY_MAX 100
-#define BUDGET_MAX_MS 600000
 #define TRIES_DEFAULT 2
-#define WEIGHT_MAX 1000000
 #define TYPICAL_US_HASH_SEED UINT64_C(0x726f757465)
 
 #define AT_TARGET(member) .offset_bytes = offsetof(struct route_target, member)
@@ -30,20 +27,20 @@
 static const struct json_field target_fields[] = {
 	{ "service", FIELD_NAME, true, AT_TARGET(service) },
 	{ "weight", FIELD_U32, false, AT_TARGET(weight),
-	  .range = { 0, WEIGHT_MAX, 1 } },
+	  .range = { 0, ROUTING_WEIGHT_MAX, 1 } },
 };
 
 static const struct json_field route_fields[] = {
 	{ "path_prefix", FIELD_PATH, true, AT_ROUTE(path_prefix) },
 	{ "idempotent", FIELD_BOOL, true, AT_ROUTE(idempotent) },
 	{ "budget_ms", FIELD_U32, true, AT_ROUTE(budget_ms),
-	  .range = { 1, BUDGET_MAX_MS, 0 } },
+	  .range = { 1, ROUTING_BUDGET_MAX_MS, 0 } },
 	{ "objective_ms", FIELD_U32, true, AT_ROUTE(objective_ms),
-	  .range = { 1, BUDGET_MAX_MS, 0 } },
+	  .range = { 1, ROUTING_BUDGET_MAX_MS, 0 } },
 	{ "priority", FIELD_U32, false, AT_ROUTE(priority),
-	  .range = { 0, PRIORITY_MAX, 0 } },
+	  .range = { 0, ROUTING_PRIORITY_MAX, 0 } },
 	{ "tries", FIELD_U32, false, AT_ROUTE(tries_max),
-	  .range = { 1, 16, TRIES_DEFAULT } },
+	  .range = { 1, ROUTING_TRIES_MAX, TRIES_DEFAULT } },
 	{ .key = "targets", .kind = FIELD_CUSTOM },
 };
 
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -41,6 +41,11 @@
 		*at = g_ascii_tolower(*at);
 }
 
+bool path_char_allowed(char c)
+{
+	return g_ascii_isalnum(c) || (c && strchr("-._~!$&'()*+,;=:@%/", c));
+}
+
 bool name_equal(const struct name *a, const struct name *b)
 {
 	return strcmp(a->text, b->text) == 0;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -73,6 +73,15 @@
  */
 void name_lower(struct name *name);
 
+/**
+ * path_char_allowed() - whether a path may contain a character as it is
+ * @c: the character
+ *
+ * Return: false for those that must be percent-encoded, and for the begin of a
+ * query or fragment.
+ */
+bool path_char_allowed(char c);
+
 /**
  * name_equal() - compare two names
  * @a: first name
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -18,6 +18,10 @@
 #define ROUTING_HOSTS_MAX 4096
 #define ROUTING_HOST_ROUTES_MAX 16384
 #define ROUTING_TARGETS_MAX 16
+#define ROUTING_BUDGET_MAX_MS 600000
+#define ROUTING_PRIORITY_MAX 100
+#define ROUTING_TRIES_MAX 16
+#define ROUTING_WEIGHT_MAX 1000000
 
 /**
  * struct route_target - service to which a route sends requests
--- a/test/unit/platform_decode_test.cc
+++ b/test/unit/platform_decode_test.cc
@@ -5,7 +5,9 @@
 #include <vector>
 
 extern "C" {
+#include "codec/document_json.h"
 #include "platform/directory.h"
+#include "platform/documents.h"
 #include "platform/operator_config.h"
 #include "platform/store_wire.h"
 #include "platform/upstream.h"
@@ -341,6 +343,218 @@
 	}
 }
 
+const std::string odd_middle = R"("routeType":"safe",)";
+
+/* A path of a configuration beside a sound one, "/b/". */
+struct odd_path_case {
+	const char *name;
+	std::string path;
+	bool used;
+	uint32_t budget_ms;
+	std::vector<uint32_t> weights;
+};
+
+std::string split_path(const std::string &first, const std::string &second)
+{
+	return path_head + odd_middle + path_tail +
+	       R"(,"trafficSplit":[{"service":"rolls","weight":)" + first +
+	       R"(},{"service":"desk","weight":)" + second + "}]}";
+}
+
+std::string timed_path(const std::string &timeout)
+{
+	return path_head + odd_middle + R"("timeout":")" + timeout +
+	       R"(","targetLatency":"23h","priority":2,"maxAttempts":2,)" +
+	       R"("service":"rolls"})";
+}
+
+const struct odd_path_case odd_path_cases[] = {
+	{ "a timeout above the bound", timed_path("900s"), true, 600000, { 1 } },
+	{ "a timeout without unit", timed_path("900"), false, 0, {} },
+	{ "attempts and priority above the bounds",
+	  path_head + odd_middle + R"("timeout":"1200ms","priority":100000,)" +
+		  R"("maxAttempts":2147483647,"service":"rolls"})",
+	  true,
+	  1200,
+	  { 1 } },
+	{ "weights above the bound",
+	  split_path("9000000000", "1000000000"),
+	  true,
+	  1200,
+	  { 999888, 111098 } },
+	{ "a small weight beside one above the bound",
+	  split_path("9000000000", "1"),
+	  true,
+	  1200,
+	  { 999888, 1 } },
+	{ "a weight of 0 beside one above the bound",
+	  split_path("9000000000", "0"),
+	  true,
+	  1200,
+	  { 999888, 0 } },
+	{ "a weight that is too large",
+	  split_path("99999999999999999999999", "1"),
+	  false,
+	  0,
+	  {} },
+	{ "a negative weight", split_path("-1", "1"), false, 0, {} },
+	{ "a prefix with a space",
+	  R"({"prefix":"/a b/",)" + odd_middle + path_tail +
+		  R"(,"service":"rolls"})",
+	  false,
+	  0,
+	  {} },
+	{ "a prefix with a NUL",
+	  R"({"prefix":"/a\u0000/",)" + odd_middle + path_tail +
+		  R"(,"service":"rolls"})",
+	  false,
+	  0,
+	  {} },
+	{ "a prefix that is too long",
+	  R"({"prefix":"/)" + std::string(300, 'a') + R"(/",)" + odd_middle +
+		  path_tail + R"(,"service":"rolls"})",
+	  false,
+	  0,
+	  {} },
+	{ "the prefix of the other path",
+	  R"({"prefix":"/b/",)" + odd_middle + path_tail +
+		  R"(,"service":"desk"})",
+	  false,
+	  0,
+	  {} },
+	{ "no object", "7", false, 0, {} },
+};
+
+/* The routing table that the product reads, or NULL. */
+struct routing_table *table_of(const struct operator_config *config)
+{
+	char *text = documents_routes(config);
+	GError *error = nullptr;
+	struct routing_table *table =
+		routing_table_parse(ROUTING_KEY, text, strlen(text), 1, &error);
+
+	EXPECT_NE(table, nullptr) << (error ? error->message : "");
+	g_clear_error(&error);
+	g_free(text);
+	return table;
+}
+
+/*
+ * Guards against one odd route that makes the whole configuration unread, at
+ * the adapter or in the routing table that the product reads.
+ */
+TEST(PlatformDecode, OddPathLeavesTheOthersInForce)
+{
+	for (const auto &c : odd_path_cases) {
+		SCOPED_TRACE(c.name);
+		GBytes *value = bytes_of(config_text(
+			R"({"prefix":"/b/",)" + odd_middle + path_tail +
+			R"(,"service":"rolls"},)" + c.path));
+		const char *reason = nullptr;
+		struct operator_config *config =
+			operator_config_read(value, &reason);
+
+		ASSERT_NE(config, nullptr) << reason;
+		struct routing_table *table = table_of(config);
+
+		ASSERT_NE(table, nullptr);
+		const struct table_route *sound =
+			routing_table_find(table, "h.example", "/b/1");
+		const struct table_route *odd =
+			routing_table_find(table, "h.example", "/a/1");
+
+		ASSERT_NE(sound, nullptr);
+		EXPECT_STREQ(sound->targets[0].service.text, "rolls");
+		EXPECT_EQ(odd != nullptr, c.used);
+		if (odd) {
+			EXPECT_EQ(odd->budget_ms, c.budget_ms);
+			ASSERT_EQ(odd->target_count, c.weights.size());
+			for (size_t i = 0; i < c.weights.size(); i++)
+				EXPECT_EQ(odd->targets[i].weight, c.weights[i]);
+		}
+		routing_table_unref(table);
+		operator_config_free(config);
+		g_bytes_unref(value);
+	}
+}
+
+/* A host listed twice, or in two spellings, has the routes of both. */
+TEST(PlatformDecode, HostListedTwice)
+{
+	std::string path = odd_middle + path_tail + R"(,"service":"rolls"})";
+	GBytes *value = bytes_of(
+		R"({"version":"r7","services":[)" + service_text +
+		R"(],"hosts":[{"host":"h.example","paths":[{"prefix":"/a/",)" +
+		path + R"(]},{"host":"i.example","paths":[{"prefix":"/a/",)" +
+		path + R"(]},{"host":"H.example","paths":[{"prefix":"/b/",)" +
+		path + "]}]}");
+	const char *reason = nullptr;
+	struct operator_config *config = operator_config_read(value, &reason);
+
+	ASSERT_NE(config, nullptr) << reason;
+	struct routing_table *table = table_of(config);
+
+	ASSERT_NE(table, nullptr);
+	for (const char *route : { "/a/1", "/b/1" })
+		EXPECT_NE(routing_table_find(table, "h.example", route),
+			  nullptr);
+	EXPECT_NE(routing_table_find(table, "i.example", "/a/1"), nullptr);
+	EXPECT_EQ(routing_table_find(table, "i.example", "/b/1"), nullptr);
+	routing_table_unref(table);
+	operator_config_free(config);
+	g_bytes_unref(value);
+}
+
+/* A service with an odd member beside the sound one, "rolls". */
+struct odd_service_case {
+	const char *name;
+	std::string service;
+	bool used;
+};
+
+const struct odd_service_case odd_service_cases[] = {
+	{ "more connections than the bound",
+	  R"({"name":"desk","maxConnections":10000000})", true },
+	{ "a health path that is none",
+	  R"({"name":"desk","maxConnections":9,"healthPath":"health"})", true },
+	{ "no connections", R"({"name":"desk"})", false },
+	{ "no valid name", R"({"name":"a b","maxConnections":9})", false },
+	{ "no object", "[]", false },
+};
+
+/* Guards against one odd service that makes the configuration unread. */
+TEST(PlatformDecode, OddServiceLeavesTheOthersInForce)
+{
+	for (const auto &c : odd_service_cases) {
+		SCOPED_TRACE(c.name);
+		GBytes *value =
+			bytes_of(R"({"version":"r7","services":[)" + c.service +
+				 "," + service_text + R"(],"hosts":[]})");
+		const char *reason = nullptr;
+		struct operator_config *config =
+			operator_config_read(value, &reason);
+		GArray *none =
+			g_array_new(FALSE, FALSE, sizeof(struct upstream));
+
+		ASSERT_NE(config, nullptr) << reason;
+		EXPECT_EQ(config->services->len, c.used ? 2u : 1u);
+		for (guint i = 0; i < config->services->len; i++) {
+			const struct operator_service *service = &g_array_index(
+				config->services, struct operator_service, i);
+			char *text = documents_service(service, none);
+			struct service_doc *doc = service_doc_parse(
+				"s", text, strlen(text), 1, nullptr);
+
+			EXPECT_NE(doc, nullptr) << text;
+			service_doc_unref(doc);
+			g_free(text);
+		}
+		g_array_unref(none);
+		operator_config_free(config);
+		g_bytes_unref(value);
+	}
+}
+
 struct page_case {
 	const char *name;
 	const char *text;
