--- a/test/unit/peer_rpc_test.cc
+++ b/test/unit/peer_rpc_test.cc
@@ -70,6 +70,9 @@
 		message.rumours[i].status = (member_status)(i % 4);
 		message.rumours[i].self_report.cpu_permille = i * 100;
 		message.rumours[i].self_report.aside = i % 2 == 0;
+		message.rumours[i].self_report.platform =
+			(enum platform_contact)(i %
+						(PLATFORM_CONTACT_BACKOFF + 1));
 	}
 	message.offer_count = PEER_OFFERS_MAX;
 	for (uint32_t i = 0; i < PEER_OFFERS_MAX; i++)
