--- a/src/codec/peer_pull_rpc.c
+++ b/src/codec/peer_pull_rpc.c
@@ -212,8 +212,8 @@
 		from = &wire.instances.instances_val[i];
 		memset(&instance, 0, sizeof(instance));
 		instance.status = (enum instance_status)from->status;
-		instance.self_report =
-			wire_self_report_read(&from->self_report);
+		wire_self_report_read(&from->self_report,
+				      &instance.self_report);
 		if (wire_addr_read(&from->caller, &instance.caller) &&
 		    wire_addr_read(&from->peer, &instance.peer) &&
 		    name_set(&instance.domain, from->domain) &&
--- a/src/codec/peer_rpc.c
+++ b/src/codec/peer_rpc.c
@@ -213,7 +213,7 @@
 		return false;
 	out->incarnation = wire->incarnation;
 	out->status = (enum member_status)wire->status;
-	out->self_report = wire_self_report_read(&wire->self_report);
+	wire_self_report_read(&wire->self_report, &out->self_report);
 	out->config_digest = wire->config_digest;
 	return read_rumours(wire, out) && read_offers(wire, out) &&
 	       read_body(&wire->body, out);
@@ -236,7 +236,7 @@
 			return false;
 		to->incarnation = from->incarnation;
 		to->status = (enum member_status)from->status;
-		to->self_report = wire_self_report_read(&from->self_report);
+		wire_self_report_read(&from->self_report, &to->self_report);
 	}
 	return true;
 }
--- a/src/codec/peer_wire.c
+++ b/src/codec/peer_wire.c
@@ -66,15 +66,12 @@
 	return PLATFORM_CONTACT_NONE;
 }
 
-struct instance_self_report wire_self_report_read(const wire_self_report *wire)
+void wire_self_report_read(const wire_self_report *wire,
+			   struct instance_self_report *out)
 {
-	struct instance_self_report self_report = {
-		.cpu_permille = wire->cpu_permille,
-		.aside = wire->flags & WIRE_SELF_REPORT_WITHDRAWN,
-		.platform = read_contact(wire->flags),
-	};
-
-	return self_report;
+	out->cpu_permille = wire->cpu_permille;
+	out->aside = wire->flags & WIRE_SELF_REPORT_WITHDRAWN;
+	out->platform = read_contact(wire->flags);
 }
 
 wire_addr wire_addr_write(struct net_addr addr)
--- a/src/codec/peer_wire.h
+++ b/src/codec/peer_wire.h
@@ -60,10 +60,10 @@
 /**
  * wire_self_report_read() - convert a self-report from its wire type
  * @wire: wire type; flags of later versions are ignored
- *
- * Return: state that an instance reports about itself.
+ * @out: its fields are set, its padding is left as it is
  */
-struct instance_self_report wire_self_report_read(const wire_self_report *wire);
+void wire_self_report_read(const wire_self_report *wire,
+			   struct instance_self_report *out);
 
 /**
  * wire_addr_write() - convert an address to its wire type
