platform: a store revision of any size is read

With a store revision of more than 15 digits no instance became ready: callers got 503 for as long as the counter stood there, that is for good.

Cause: json_scan() refused numbers of more than 15 digits in every text, and index_parse() versions above that. The adapter reads 19 digits and wrote them into the index of documents, which was then refused as a whole. Change: the count of digits is no error, the ranges of the fields bound their values, and a version may be any number below INT64_MAX, which json-c returns for numbers that are too large for it.

--- a/src/codec/json_scan.c
+++ b/src/codec/json_scan.c
@@ -265,7 +265,6 @@
 
 static bool scan_number(struct scan *scan)
 {
-	size_t fraction_digits = 0;
 	size_t digits;
 	bool zero;
 
@@ -278,8 +277,7 @@
 				   "malformed number; write plain digits");
 	if (peek(scan) == '.') {
 		scan->pos++;
-		fraction_digits = scan_digits(scan);
-		if (fraction_digits == 0)
+		if (scan_digits(scan) == 0)
 			return fail_syntax(
 				scan, "no digits after the decimal point; add "
 				      "them");
@@ -289,13 +287,6 @@
 				      scan->label, scan->path->str,
 				      "number with an exponent; write it "
 				      "without");
-	digits += fraction_digits;
-	if (digits > JSON_NUMBER_DIGITS_MAX)
-		return json_error_set(scan->error, SETTINGS_ERROR_RANGE,
-				      scan->label, scan->path->str,
-				      "number has more than %d digits; write a "
-				      "smaller one",
-				      JSON_NUMBER_DIGITS_MAX);
 	return true;
 }
 
--- a/src/codec/json_scan.h
+++ b/src/codec/json_scan.h
@@ -13,7 +13,6 @@
 #include "core/units.h"
 
 #define JSON_DEPTH_MAX 8
-#define JSON_NUMBER_DIGITS_MAX 15
 
 /**
  * json_blank_comments() - overwrite comments with spaces, keep newlines
@@ -37,8 +36,8 @@
  * @text_bytes: length of @text
  * @error: set on failure
  *
- * Numbers may have at most JSON_NUMBER_DIGITS_MAX digits, those of the fraction
- * included, and no exponent.
+ * Numbers may have any number of digits and no exponent; the fields' ranges
+ * bound their values.
  *
  * Return: true when the text is valid.
  */
--- a/src/codec/platform_json.c
+++ b/src/codec/platform_json.c
@@ -6,7 +6,8 @@
 #include "core/member.h"
 
 #define INDEX_DOCUMENTS_MAX 4096
-#define VERSION_MAX UINT64_C(999999999999999)
+/* json-c reads integers that are too large for it as INT64_MAX. */
+#define VERSION_MAX ((uint64_t)INT64_MAX - 1)
 
 #define AT_INSTANCE(member) \
 	.offset_bytes = offsetof(struct instance_doc, member)
