readers: the successors may be lost with the readers

Cause: a reader of a domain of twelve had three successors; an instance behind them went by reports of instances that were held alive. Change: ten successors, heartbeats each 200 ms in place of 150 (counted for 600 in place of 500), and 30 ms in place of 100 for each instance before that does not read, so that the tenth too begins within 1 s.

The test's other instances are now those next in rank, not those next in the list, which is what the case's name said.

--- a/src/command/reader.c
+++ b/src/command/reader.c
@@ -13,11 +13,11 @@
 #define START_LISTEN_US (2 * US_PER_S)
 /* Time in which they are heard of after a pause of this process. */
 #define STALL_LISTEN_US US_PER_S
-#define HEARTBEAT_INTERVAL_US (150 * US_PER_MS)
+#define HEARTBEAT_INTERVAL_US (200 * US_PER_MS)
 /* A reader counts as one for this time after a heartbeat; some may be lost. */
-#define HEARTBEAT_TIMEOUT_US (500 * US_PER_MS)
+#define HEARTBEAT_TIMEOUT_US (600 * US_PER_MS)
 /* Delay of a takeover for each instance before this one that may begin too. */
-#define STAGGER_US (100 * US_PER_MS)
+#define STAGGER_US (30 * US_PER_MS)
 /* Time for which a reader tries to reach a platform that answered before. */
 #define TRYING_US US_PER_S
 /* Of the instances of a domain that back off, one or two try in this time. */
--- a/src/query/readers.c
+++ b/src/query/readers.c
@@ -7,7 +7,7 @@
  */
 #define READERS_MIN 6
 
-_Static_assert(READERS_SUCCESSORS_MAX == READERS_MIN + 1,
+_Static_assert(READERS_SUCCESSORS_MAX > READERS_MIN,
 	       "with one domain all readers are in it");
 
 /**
@@ -166,9 +166,6 @@
 			    before ? own_rank - member->reader_rank :
 				     member->reader_rank - own_rank);
 	}
-	/* One successor more than readers, so that they can be lost with them. */
-	survey->near.count =
-		MIN(survey->near.count, readers_per_domain(survey) + 1);
 }
 
 static void count_before(const struct state *state, struct survey *survey,
--- a/src/query/readers.h
+++ b/src/query/readers.h
@@ -17,8 +17,11 @@
 
 #include "core/state.h"
 
-/* Most successors of a reader: one more than the most readers of a domain. */
-#define READERS_SUCCESSORS_MAX 7
+/*
+ * Most successors of a reader. More than half of a fleet may be lost at once, and
+ * those next in rank with it.
+ */
+#define READERS_SUCCESSORS_MAX 10
 /*
  * Number of instances of a failure domain that try at the same time while none
  * of them can reach the platform. Without this limit all instances would call a
--- a/test/unit/readers_test.cc
+++ b/test/unit/readers_test.cc
@@ -398,30 +398,40 @@
 	{ "all readers lose power", LOSS_KILLED, 0, TAKEN_OVER_MS },
 	{ "all readers and one successor of each domain lose power",
 	  LOSS_KILLED, 3, TAKEN_OVER_MS },
+	{ "all readers and all their successors lose power", LOSS_KILLED, 9,
+	  TAKEN_OVER_MS },
+	{ "three fifths of the fleet, all that would read first, lose power",
+	  LOSS_KILLED, 16, TAKEN_OVER_MS },
 	{ "all readers are paused", LOSS_PAUSED, 0, TAKEN_OVER_MS },
 	{ "all readers are turned away", LOSS_TURNED_AWAY, 0, TAKEN_OVER_MS },
 	{ "a third of the fleet is turned away", LOSS_TURNED_AWAY, 6, 2000 },
 	{ "half of the fleet is turned away", LOSS_TURNED_AWAY, 12, 3000 },
 };
 
-/* Instances other than @readers, one of each domain after the other. */
-std::vector<uint32_t> some_others(const std::vector<uint32_t> &readers,
-				  uint32_t count)
+/* Instances other than @readers, those that would read next first. */
+std::vector<uint32_t> next_in_rank(const std::vector<uint32_t> &readers,
+				   uint32_t count)
 {
+	std::vector<std::pair<uint64_t, uint32_t>> ranks;
 	std::vector<uint32_t> others;
 
-	for (uint32_t i = 0; i < FLEET && others.size() < count; i++) {
+	for (uint32_t i = 0; i < FLEET; i++) {
 		if (std::find(readers.begin(), readers.end(), i) ==
 		    readers.end())
-			others.push_back(i);
+			ranks.push_back(
+				{ readers_rank(instance_of(i, DOMAINS).peer),
+				  i });
 	}
+	std::sort(ranks.begin(), ranks.end());
+	for (uint32_t i = 0; i < count; i++)
+		others.push_back(ranks[i].second);
 	return others;
 }
 
 void lose_readers(ReadingFleet &fleet, const struct loss_case &c)
 {
 	std::vector<uint32_t> lost = fleet.readers();
-	std::vector<uint32_t> others = some_others(lost, c.others);
+	std::vector<uint32_t> others = next_in_rank(lost, c.others);
 
 	switch (c.kind) {
 	case LOSS_KILLED:
