member: a change is pulled from another peer when the first does not send it

A reader lost power after it had offered a change and before its peers pulled it.

Cause: a version that was being pulled was not pulled from any other peer for 2 s. Change: another peer that offers it is remembered, and asked when the first one has not sent it in 300 ms. member_back_off_pull() had one caller, in its own file, and is gone from the header.

Before: MemberTest.ChangeSpreadsAmongTheRest failed in both cases 'the sender loses power ...' (1,750 to 1,830 and 1,250 to 1,290 ms of 1,000 allowed); it passes now.

--- a/src/command/member.c
+++ b/src/command/member.c
@@ -74,6 +74,7 @@
 	member_announce_tick(state, now, out);
 	if (membership->offers_due)
 		member_announce_offers(state, out);
+	member_offers_tick(state, now, out);
 	if (membership->seed_discovery)
 		member_seed_tick(state, now, out);
 	member_expire_suspicions(state, now, out);
--- a/src/command/member.h
+++ b/src/command/member.h
@@ -93,18 +93,6 @@
  */
 void member_gossip_offer(struct state *state, const struct name *key);
 
-/**
- * member_back_off_pull() - suppress pulls of a version while it is being pulled
- * @state: routing state
- * @offer: the version
- * @until_us: boot-time end of the back-off
- * @now: current time
- *
- * Return: false when a back-off of this version is running; it is not changed.
- */
-bool member_back_off_pull(struct state *state, const struct config_offer *offer,
-			  uint64_t until_us, struct instant now);
-
 /**
  * member_back_off_refused() - suppress pulls of a version that was refused
  * @state: routing state
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -7,6 +7,8 @@
 #include "query/listing.h"
 
 #define PULL_BACKOFF_US (2 * US_PER_S)
+/* Time for a peer to send a document before it is pulled from another one. */
+#define PULL_ANSWER_US (300 * US_PER_MS)
 #define CONFLICT_AUDIT_INTERVAL_US (60 * US_PER_S)
 /* Delay of the first pull of a whole list, doubled by each further pull. */
 #define LIST_PULL_DELAY_US US_PER_S
@@ -17,6 +19,14 @@
 static bool handle_offer(struct state *state, struct net_addr sender,
 			 const struct config_offer *offer, struct instant now,
 			 struct event_list *out);
+static void begin_pull(struct state *state, const struct config_offer *offer,
+		       struct net_addr sender, struct instant now,
+		       struct event_list *out);
+static void pull(struct pull_backoff *backoff, const struct config_offer *offer,
+		 struct net_addr from, struct instant now,
+		 struct event_list *out);
+static bool is_held(const struct state *state,
+		    const struct pull_backoff *backoff);
 static struct pull_backoff *find_backoff(struct state *state,
 					 const struct config_offer *offer);
 static void set_backoff(struct pull_backoff *backoff,
@@ -44,15 +54,27 @@
 		pull_list(state, message, now, out);
 }
 
-bool member_back_off_pull(struct state *state, const struct config_offer *offer,
-			  uint64_t until_us, struct instant now)
+void member_offers_tick(struct state *state, struct instant now,
+			struct event_list *out)
 {
-	struct pull_backoff *backoff = find_backoff(state, offer);
+	struct pull_backoff *backoff;
+	struct config_offer offer;
+	uint32_t i;
 
-	if (backoff->until_us > now.mono_us)
-		return false;
-	set_backoff(backoff, offer, until_us);
-	return true;
+	for (i = 0; i < MEMBER_PULL_BACKOFFS_MAX; i++) {
+		backoff = &state->membership.pull_backoffs[i];
+		if (backoff->other.port == 0 ||
+		    now.mono_us < backoff->other_due_us)
+			continue;
+		if (is_held(state, backoff)) {
+			backoff->other.port = 0;
+			continue;
+		}
+		offer = (struct config_offer){ .key = backoff->key,
+					       .version = backoff->version,
+					       .hash = backoff->hash };
+		pull(backoff, &offer, backoff->other, now, out);
+	}
 }
 
 bool member_back_off_refused(struct state *state,
@@ -90,7 +112,6 @@
 {
 	struct config_offer held = { 0 };
 	bool known = offer_find(state, &offer->key, &held);
-	struct event event = { .kind = EVENT_CONFIG_PULL };
 	struct audit_record record = {
 		.kind = AUDIT_CONFIG_REFUSED,
 		.cause = CAUSE_SAME_VERSION_OTHER_CONTENT,
@@ -115,13 +136,54 @@
 	}
 	if (known && configure_raise_version(state, offer, true, now, out))
 		return true;
-	if (!member_back_off_pull(state, offer, now.mono_us + PULL_BACKOFF_US,
-				  now))
-		return true;
-	event.config_pull.from = sender;
+	begin_pull(state, offer, sender, now, out);
+	return true;
+}
+
+/*
+ * Pulls a version that is not being pulled. The peer that it is being pulled
+ * from may have been lost, which is known much later, so another one that
+ * offers it is remembered.
+ */
+static void begin_pull(struct state *state, const struct config_offer *offer,
+		       struct net_addr sender, struct instant now,
+		       struct event_list *out)
+{
+	struct pull_backoff *backoff = find_backoff(state, offer);
+
+	if (backoff->until_us <= now.mono_us) {
+		pull(backoff, offer, sender, now, out);
+		return;
+	}
+	if (backoff->refused || addr_equal(backoff->from, sender))
+		return;
+	if (now.mono_us >= backoff->other_due_us)
+		pull(backoff, offer, sender, now, out);
+	else
+		backoff->other = sender;
+}
+
+static void pull(struct pull_backoff *backoff, const struct config_offer *offer,
+		 struct net_addr from, struct instant now,
+		 struct event_list *out)
+{
+	struct event event = { .kind = EVENT_CONFIG_PULL };
+
+	set_backoff(backoff, offer, now.mono_us + PULL_BACKOFF_US);
+	backoff->from = from;
+	backoff->other_due_us = now.mono_us + PULL_ANSWER_US;
+	event.config_pull.from = from;
 	event.config_pull.offer = *offer;
 	event_list_add(out, &event);
-	return true;
+}
+
+static bool is_held(const struct state *state,
+		    const struct pull_backoff *backoff)
+{
+	struct config_offer held;
+
+	return offer_find(state, &backoff->key, &held) &&
+	       held.version >= backoff->version;
 }
 
 /*
@@ -150,11 +212,10 @@
 static void set_backoff(struct pull_backoff *backoff,
 			const struct config_offer *offer, uint64_t until_us)
 {
-	backoff->key = offer->key;
-	backoff->version = offer->version;
-	backoff->hash = offer->hash;
-	backoff->until_us = until_us;
-	backoff->refused = false;
+	*backoff = (struct pull_backoff){ .key = offer->key,
+					  .version = offer->version,
+					  .hash = offer->hash,
+					  .until_us = until_us };
 }
 
 /*
--- a/src/command/member_offer.h
+++ b/src/command/member_offer.h
@@ -18,4 +18,13 @@
 			  const struct peer_message *message,
 			  struct instant now, struct event_list *out);
 
+/**
+ * member_offers_tick() - pull from other peers what was not sent in time
+ * @state: routing state
+ * @now: current time
+ * @out: receives pulls
+ */
+void member_offers_tick(struct state *state, struct instant now,
+			struct event_list *out);
+
 #endif
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -101,6 +101,10 @@
  * @hash: hash of the text of @version
  * @until_us: when the version may be pulled again
  * @refused: the version was refused, and the refusal has been audited
+ * @from: unless refused, the peer that it is being pulled from
+ * @other: another peer that has offered it since, port 0 for none
+ * @other_due_us: when it may be pulled from another peer, since @from has not
+ *	sent it
  */
 struct pull_backoff {
 	struct name key;
@@ -108,6 +112,9 @@
 	uint64_t hash;
 	uint64_t until_us;
 	bool refused;
+	struct net_addr from;
+	struct net_addr other;
+	uint64_t other_due_us;
 };
 
 /**
--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -272,6 +272,67 @@
 	}
 }
 
+/* Half of the bound of 2 s; the other half is for reading the change. */
+const uint64_t SPREAD_MS = 1000;
+
+struct spread_case {
+	const char *name;
+	uint32_t instances;
+	/* Instances that lose power when the change is accepted. */
+	uint32_t killed;
+	/*
+	 * One that has offered the change loses power before it is pulled, and
+	 * another one brings the change after this time.
+	 */
+	uint32_t sender_killed_ms;
+};
+
+const struct spread_case spread_cases[] = {
+	{ "nobody is lost", 36, 0, 0 },
+	{ "the sender loses power, another one follows soon", 36, 0, 500 },
+	{ "the sender loses power, another one follows late", 36, 0, 1000 },
+};
+
+/*
+ * Guards against a change that waits for instances which are believed to be
+ * alive: those that were chosen to pass it on, and those it is pulled from.
+ */
+TEST(MemberTest, ChangeSpreadsAmongTheRest)
+{
+	for (const struct spread_case &c : spread_cases) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(c.instances, seed);
+			uint32_t left = c.instances - c.killed;
+
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			fleet.pass_ms(5000);
+			fleet.insts[1]->accept(make_doc({}, 1));
+			fleet.pass_ms(5000);
+			ASSERT_EQ(fleet.count_with_version(1), c.instances);
+			for (uint32_t i = left; i < c.instances; i++)
+				fleet.kill(i);
+			if (c.sender_killed_ms > 0) {
+				fleet.insts[0]->accept(make_doc({}, 2));
+				while (fleet.insts[0]
+					       ->state->membership.offers_due)
+					fleet.pass_ms(SIM_STEP_MS);
+				fleet.kill(0);
+				fleet.pass_ms(c.sender_killed_ms);
+			}
+			fleet.insts[1]->accept(make_doc({}, 2));
+			EXPECT_LE(
+				fleet.until(
+					5000,
+					[&] {
+						return fleet.count_with_version(
+							       2) == left;
+					}),
+				SPREAD_MS);
+		}
+	}
+}
+
 /* Time limit for the recovery of a restarted instance. */
 #define RECOVERED_MS 3000
 
