member: a change is offered again while peers may be lost

Cause: who passes a change on hung on who is believed to be alive. It was offered at once to four such peers, neighbours in the list and so mostly of one failure domain; and datagrams to lost peers used up the offers that ride on probes. Change: each of the four is drawn by itself; four more get it 100 ms later, and each 100 ms for 1 s while a peer is suspected or owes the answer to a probe; no offer is used up in that time.

--- a/src/command/member.c
+++ b/src/command/member.c
@@ -72,8 +72,7 @@
 	membership->last_tick_us = now.mono_us;
 	update_stepped_back(state, now, out);
 	member_announce_tick(state, now, out);
-	if (membership->offers_due)
-		member_announce_offers(state, out);
+	member_announce_offers(state, now, out);
 	member_offers_tick(state, now, out);
 	if (membership->seed_discovery)
 		member_seed_tick(state, now, out);
--- a/src/command/member_gossip.c
+++ b/src/command/member_gossip.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "command/member.h"
+#include "command/member_probe.h"
 #include "query/listing.h"
 
 /* Number of datagrams that carry a rumour or offer, for each gossip round. */
@@ -12,7 +13,16 @@
 /* Number of peers to which a changed document is offered at once. */
 #define OFFER_PEERS 4
 #define ANNOUNCE_INTERVAL_US (150 * US_PER_MS)
-
+#define OFFER_INTERVAL_US (100 * US_PER_MS)
+/* Time after a change in which it is offered again: once, to those missed. */
+#define OFFER_CALM_US (150 * US_PER_MS)
+/* The same while peers may be lost. */
+#define OFFER_LOSS_US US_PER_S
+
+static bool offers_are_due(struct membership *membership, struct instant now);
+static bool peers_may_be_lost(const struct membership *membership);
+static uint32_t draw_live_peers(struct state *state,
+				struct net_addr peers[OFFER_PEERS]);
 static uint32_t rumour_sends(const struct state *state);
 static uint32_t log2_ceil(uint32_t value);
 static bool make_rumour(const struct state *state, struct net_addr peer,
@@ -96,27 +106,23 @@
 	}
 }
 
-void member_announce_offers(struct state *state, struct event_list *out)
+void member_announce_offers(struct state *state, struct instant now,
+			    struct event_list *out)
 {
 	struct membership *membership = &state->membership;
-	const struct member *member;
-	uint32_t count = membership->members->len;
-	uint32_t sent = 0;
-	uint32_t first;
+	struct net_addr peers[OFFER_PEERS];
+	uint32_t count;
 	uint32_t i;
 
-	membership->offers_due = false;
-	if (count == 0)
+	membership->offers_may_be_lost =
+		now.mono_us < membership->offers_loss_until_us &&
+		peers_may_be_lost(membership);
+	if (!offers_are_due(membership, now))
 		return;
-	first = (uint32_t)g_rand_int_range(state->rand, 0, (gint32)count);
-	for (i = 0; i < count && sent < OFFER_PEERS; i++) {
-		member = &g_array_index(membership->members, struct member,
-					(first + i) % count);
-		if (member->status != MEMBER_ALIVE)
-			continue;
-		member_send_self(state, member->listed.peer, out);
-		sent++;
-	}
+	membership->offers_next_us = now.mono_us + OFFER_INTERVAL_US;
+	count = draw_live_peers(state, peers);
+	for (i = 0; i < count; i++)
+		member_send_self(state, peers[i], out);
 }
 
 uint32_t member_gossip_rounds(const struct state *state)
@@ -164,6 +170,69 @@
 	g_array_append_val(offers, task);
 }
 
+static bool offers_are_due(struct membership *membership, struct instant now)
+{
+	if (membership->offers_due) {
+		membership->offers_due = false;
+		membership->offers_calm_until_us = now.mono_us + OFFER_CALM_US;
+		membership->offers_loss_until_us = now.mono_us + OFFER_LOSS_US;
+		return true;
+	}
+	if (now.mono_us < membership->offers_next_us)
+		return false;
+	return now.mono_us < membership->offers_calm_until_us ||
+	       membership->offers_may_be_lost;
+}
+
+/*
+ * Whether one is suspected or owes the answer to a probe. Many may be lost then,
+ * and each of them is still taken to be alive.
+ */
+static bool peers_may_be_lost(const struct membership *membership)
+{
+	const struct member *member;
+	guint i;
+
+	if (member_probe_is_overdue(membership))
+		return true;
+	for (i = 0; i < membership->members->len; i++) {
+		member = &g_array_index(membership->members, struct member, i);
+		if (member->status == MEMBER_SUSPECT)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Draws each peer by itself: members next to each other in the list are often
+ * of one failure domain, and lost together.
+ *
+ * Return: used entries of @peers.
+ */
+static uint32_t draw_live_peers(struct state *state,
+				struct net_addr peers[OFFER_PEERS])
+{
+	const GArray *members = state->membership.members;
+	const struct member *member;
+	uint32_t live = 0;
+	uint32_t at;
+	guint i;
+
+	for (i = 0; i < members->len; i++) {
+		member = &g_array_index(members, struct member, i);
+		if (member->status != MEMBER_ALIVE)
+			continue;
+		/* Each of the live ones so far is kept with the same chance. */
+		at = live++;
+		if (at >= OFFER_PEERS)
+			at = (uint32_t)g_rand_int_range(state->rand, 0,
+							(gint32)live);
+		if (at < OFFER_PEERS)
+			peers[at] = member->listed.peer;
+	}
+	return MIN(live, OFFER_PEERS);
+}
+
 static uint32_t rumour_sends(const struct state *state)
 {
 	return RUMOUR_SENDS_FACTOR * (member_gossip_rounds(state) + 1);
@@ -267,7 +336,9 @@
 		if (!offer_find(state, &task.key, offer))
 			continue;
 		message->offer_count++;
-		if (--task.sends_left > 0)
+		/* One that may have gone to a lost peer does not count. */
+		if (state->membership.offers_may_be_lost ||
+		    --task.sends_left > 0)
 			g_array_append_val(offers, task);
 	}
 }
--- a/src/command/member_gossip.h
+++ b/src/command/member_gossip.h
@@ -29,14 +29,18 @@
 void member_gossip_rumour(struct state *state, struct net_addr peer);
 
 /**
- * member_announce_offers() - offer changed documents to a few peers at once
+ * member_announce_offers() - offer documents that have just changed to a few
+ *	peers
  * @state: routing state
+ * @now: current time
  * @out: receives datagrams
  *
  * The receivers pass the offers on in turn, so that a change reaches the whole
- * fleet within a few ticks.
+ * fleet within a few ticks. While peers may have been lost, it is repeated for
+ * some time, since those chosen may be among them.
  */
-void member_announce_offers(struct state *state, struct event_list *out);
+void member_announce_offers(struct state *state, struct instant now,
+			    struct event_list *out);
 
 /**
  * member_announce_tick() - repeat the announcement of this instance when due
--- a/src/command/member_probe.c
+++ b/src/command/member_probe.c
@@ -138,6 +138,18 @@
 	g_array_index(order, struct net_addr, at) = peer;
 }
 
+bool member_probe_is_overdue(const struct membership *membership)
+{
+	const struct probe *probe = &membership->probe;
+	const struct member *member;
+
+	if (probe->target.port == 0 || probe->answered ||
+	    probe->indirect_due_us != DEADLINE_NONE_US)
+		return false;
+	member = membership_find(membership, probe->target);
+	return member && member->status != MEMBER_DEAD;
+}
+
 void member_handle_probe(struct state *state,
 			 const struct peer_message *message, struct instant now,
 			 struct event_list *out)
--- a/src/command/member_probe.h
+++ b/src/command/member_probe.h
@@ -69,4 +69,13 @@
 			 const struct peer_message *message, struct instant now,
 			 struct event_list *out);
 
+/**
+ * member_probe_is_overdue() - whether the current probe was not answered in time
+ * @membership: the membership
+ *
+ * Return: true from the time at which indirect probes are sent until the answer
+ * or the end of the period, unless the target was held to be dead already.
+ */
+bool member_probe_is_overdue(const struct membership *membership);
+
 #endif
--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -289,8 +289,11 @@
 
 const struct spread_case spread_cases[] = {
 	{ "nobody is lost", 36, 0, 0 },
+	{ "three fifths lose power", 36, 22, 0 },
+	{ "three fifths of a large fleet lose power", 120, 72, 0 },
 	{ "the sender loses power, another one follows soon", 36, 0, 500 },
 	{ "the sender loses power, another one follows late", 36, 0, 1000 },
+	{ "three fifths and the sender lose power", 36, 22, 500 },
 };
 
 /*
