peer_pull: a lost peer takes a few of the pulls, not all

An instance with eight documents to pull from a peer that had lost power got no document from any other peer for 2 s; a change that another one offered waited for that (the size decides: 350 services are 87 s, computed).

Cause: eight pulls ran at once, in order of arrival, whoever they went to, and one to a lost peer ends after 2 s. Change: sixteen run, at most four from one peer, and calls to others pass those that wait for it.

Before: PeerDutyTest.SilentPeerDelaysNoOtherPull, with 24 pulls from the silent peer in place of 4, failed (no document within 1 s); it passes now.

--- a/src/duty/peer_pull.c
+++ b/src/duty/peer_pull.c
@@ -10,14 +10,17 @@
 #include "ring/ring.h"
 
 #define RING_CAPACITY_EVENTS 256
-#define TRANSFERS_MAX 8
+#define TRANSFERS_MAX 16
+/* Of these from one peer, which may be lost and let all of them time out. */
+#define PEER_TRANSFERS_MAX 4
 #define PENDING_CALLS_MAX 8192
 /* One entry for the ring, one for peer_pull_stop(). */
 #define NOTIFY_SUBJECTS_MAX 2
 
 /*
- * Up to TRANSFERS_MAX transfers run at once, each with a deadline of its own,
- * so that a peer that does not answer does not block pulls from other peers.
+ * Up to TRANSFERS_MAX transfers run at once, each with a deadline of its own, and
+ * a few of them from one peer, so that one that does not answer does not block
+ * pulls from other peers.
  */
 struct peer_pull_duty {
 	const struct settings *settings;
@@ -48,6 +51,9 @@
 		       enum peer_call_kind kind,
 		       const struct config_offer *offer);
 static void begin_transfers(struct peer_pull_duty *duty);
+static struct pending_call *take_call(struct peer_pull_duty *duty);
+static uint32_t count_transfers(const struct peer_pull_duty *duty,
+				struct net_addr from);
 static int32_t prepare_poll(struct peer_pull_duty *duty, struct pollfd *fds);
 static void advance_transfer(struct peer_pull_duty *duty, uint32_t index);
 static void handle_reply(struct peer_pull_duty *duty,
@@ -170,7 +176,7 @@
 
 	for (i = 0; i < TRANSFERS_MAX; i++) {
 		while (!duty->transfers[i]) {
-			entry = g_queue_pop_head(duty->pending);
+			entry = take_call(duty);
 			if (!entry)
 				return;
 			duty->transfers[i] = pull_transfer_begin(
@@ -184,6 +190,36 @@
 	}
 }
 
+/*
+ * Return: the first call to a peer that has room for it, owned, or NULL.
+ */
+static struct pending_call *take_call(struct peer_pull_duty *duty)
+{
+	struct pending_call *entry;
+	GList *link;
+
+	for (link = duty->pending->head; link; link = link->next) {
+		entry = link->data;
+		if (count_transfers(duty, entry->from) >= PEER_TRANSFERS_MAX)
+			continue;
+		g_queue_delete_link(duty->pending, link);
+		return entry;
+	}
+	return NULL;
+}
+
+static uint32_t count_transfers(const struct peer_pull_duty *duty,
+				struct net_addr from)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < TRANSFERS_MAX; i++)
+		count += duty->transfers[i] &&
+			 addr_equal(duty->transfers[i]->from, from);
+	return count;
+}
+
 /* Return: time-out for poll() in ms until the next deadline, -1 for none. */
 static int32_t prepare_poll(struct peer_pull_duty *duty, struct pollfd *fds)
 {
--- a/test/unit/peer_duty_test.cc
+++ b/test/unit/peer_duty_test.cc
@@ -362,7 +362,10 @@
 		close(fd);
 }
 
-/* A peer that accepts and never replies delays no pull from another peer. */
+/*
+ * A peer that accepts and never replies delays no pull from another peer, however
+ * many documents were to be pulled from it.
+ */
 TEST(PeerDutyTest, SilentPeerDelaysNoOtherPull)
 {
 	Node theirs(3);
@@ -379,7 +382,7 @@
 	ASSERT_EQ(listen(silent, 16), 0);
 	ASSERT_EQ(getsockname(silent, (struct sockaddr *)&addr, &bytes), 0);
 	event.from = local(ntohs(addr.sin_port));
-	for (uint32_t i = 0; i < 4; i++)
+	for (uint32_t i = 0; i < 24; i++)
 		ASSERT_EQ(peer_pull_send(ours.pull, &event), RING_OK);
 	event.from = theirs.addr();
 	ASSERT_EQ(peer_pull_send(ours.pull, &event), RING_OK);
