platform: a page may be as long as the platform's entries make it

One entry above about 2 MB, where the store takes such, made its page longer than the 4 MB that were read: no instance became ready, and none learned of changes after a dropped history. Seen in a test, not in a deployment.

Cause: the bound was a constant.

--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -73,6 +73,8 @@
 	  .range = { 100, 60000, 4000 } },
 	{ "platform_answer_ms", FIELD_U32, false, AT(platform_answer_ms),
 	  .range = { 100, 60000, 3000 } },
+	{ "platform_value_bytes", FIELD_U32, false, AT(platform_value_bytes),
+	  .range = { 1024, 1073741824, 1048576 } },
 	{ "directory", FIELD_ADDR, false, AT(directory_listen) },
 	{ "ready", FIELD_ADDR, false, AT(ready_listen) },
 	{ .key = "seeds", .kind = FIELD_CUSTOM },
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -251,6 +251,7 @@
  *	poll until a version changes
  * @platform_answer_ms: time limit of a call to the platform, in addition to
  *	@platform_poll_ms
+ * @platform_value_bytes: longest value of an entry, with a key-value store
  * @directory_listen: address at which callers that know only the platform ask
  *	for entries, port 0 for none
  * @ready_listen: address at which the platform checks whether this instance is
@@ -300,6 +301,7 @@
 	uint32_t platform_kind;
 	uint32_t platform_poll_ms;
 	uint32_t platform_answer_ms;
+	uint32_t platform_value_bytes;
 	struct net_addr directory_listen;
 	struct net_addr ready_listen;
 	struct net_addr seeds[SEEDS_MAX];
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -97,6 +97,8 @@
 	const char *name;
 	std::vector<struct script_reply> script;
 	std::vector<struct read_step> reads;
+	/* Longest value of an entry, by the settings. */
+	uint32_t value_bytes = 1 << 20;
 };
 
 const std::string first_entries = config_item + "," + upstream_item("i-1", 2);
@@ -208,6 +210,15 @@
 	      AFTER_CLOSE, 0, "" },
 	    { page(config_item, false, 7), AFTER_KEEP, 0, "" } },
 	  { { false, 5, 1, "" }, { false, 7, 0, "/kv-range?prefix=" } } },
+	{ "an odd entry as long as the store takes them",
+	  { { page(first_entries + "," +
+			   item("servers/odd", std::string(4 << 20, 'x'), 3),
+		   false, 5),
+	      AFTER_KEEP, 0, "" },
+	    { changes(item("servers/odd", std::string(4 << 20, 'y'), 6), 6),
+	      AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "" }, { false, 6, 1, "" } },
+	  4 << 20 },
 	{ "a revision of as many digits as a counter may have",
 	  { { page(first_entries, false, 9223372036854775806), AFTER_KEEP, 0,
 	      "" } },
@@ -264,6 +275,7 @@
 		settings.platform.port = server.port();
 		settings.peer_bind.ip = settings.platform.ip;
 		settings.platform_answer_ms = 200;
+		settings.platform_value_bytes = c.value_bytes;
 		struct store_source *source =
 			store_source_new(&settings, nullptr);
 
