member: names of the pulls' tick, order of fields, formatting

member_pull_tick() for member_offers_tick(), whose work is to pull; fields in an order that clang-tidy accepts; one table formatted. No change of behaviour; lint and the tests of these modules pass.

--- a/src/command/member.c
+++ b/src/command/member.c
@@ -73,7 +73,7 @@
 	update_stepped_back(state, now, out);
 	member_announce_tick(state, now, out);
 	member_announce_offers(state, now, out);
-	member_offers_tick(state, now, out);
+	member_pull_tick(state, now, out);
 	if (membership->seed_discovery)
 		member_seed_tick(state, now, out);
 	member_expire_suspicions(state, now, out);
--- a/src/command/member_gossip.c
+++ b/src/command/member_gossip.c
@@ -14,9 +14,9 @@
 #define OFFER_PEERS 4
 #define ANNOUNCE_INTERVAL_US (150 * US_PER_MS)
 #define OFFER_INTERVAL_US (100 * US_PER_MS)
-/* Time after a change in which it is offered again: once, to those missed. */
+/* Time after a change in which it is offered to more and more peers. */
 #define OFFER_CALM_US (150 * US_PER_MS)
-/* The same while peers may be lost. */
+/* The same while some that are taken to be alive may be lost. */
 #define OFFER_LOSS_US US_PER_S
 
 static bool offers_are_due(struct membership *membership, struct instant now);
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -54,8 +54,8 @@
 		pull_list(state, message, now, out);
 }
 
-void member_offers_tick(struct state *state, struct instant now,
-			struct event_list *out)
+void member_pull_tick(struct state *state, struct instant now,
+		      struct event_list *out)
 {
 	struct pull_backoff *backoff;
 	struct config_offer offer;
--- a/src/command/member_offer.h
+++ b/src/command/member_offer.h
@@ -19,12 +19,12 @@
 			  struct instant now, struct event_list *out);
 
 /**
- * member_offers_tick() - pull from other peers what was not sent in time
+ * member_pull_tick() - pull from other peers what was not sent in time
  * @state: routing state
  * @now: current time
  * @out: receives pulls
  */
-void member_offers_tick(struct state *state, struct instant now,
-			struct event_list *out);
+void member_pull_tick(struct state *state, struct instant now,
+		      struct event_list *out);
 
 #endif
--- a/src/core/member.h
+++ b/src/core/member.h
@@ -155,10 +155,11 @@
  * @seed_due_us: when the seeds are contacted next
  * @members_digest: hash over this instance, unless it is leaving, and all
  *	members that are alive or suspected
- * @offers_due: a document has changed; it is offered to peers at the next tick
- * @offers_next_us: it is not offered to further peers before this time
+ * @offers_next_us: a changed document is not offered to further peers before
+ *	this time
  * @offers_calm_until_us: it is offered to further peers until this time
  * @offers_loss_until_us: the same while peers may be lost
+ * @offers_due: a document has changed; it is offered to peers at the next tick
  * @offers_may_be_lost: peers may be lost now, and it was changed shortly before
  * @started: the first tick has been handled
  * @request_before_config: a request arrived before any document was known
@@ -197,10 +198,10 @@
 	uint32_t seed_count;
 	uint64_t seed_due_us;
 	uint64_t members_digest;
-	bool offers_due;
 	uint64_t offers_next_us;
 	uint64_t offers_calm_until_us;
 	uint64_t offers_loss_until_us;
+	bool offers_due;
 	bool offers_may_be_lost;
 	bool started;
 	bool request_before_config;
--- a/src/duty/peer_pull.c
+++ b/src/duty/peer_pull.c
@@ -190,9 +190,7 @@
 	}
 }
 
-/*
- * Return: the first call to a peer that has room for it, owned, or NULL.
- */
+/* Return: the first call to a peer that has room for it, owned, or NULL. */
 static struct pending_call *take_call(struct peer_pull_duty *duty)
 {
 	struct pending_call *entry;
--- a/test/unit/platform_decode_test.cc
+++ b/test/unit/platform_decode_test.cc
@@ -520,8 +520,8 @@
 	{ "no connections", R"({"name":"desk"})", false },
 	{ "no valid name", R"({"name":"a b","maxConnections":9})", false },
 	{ "no object", "[]", false },
-	{ "the name of another one",
-	  R"({"name":"rolls","maxConnections":9})", false },
+	{ "the name of another one", R"({"name":"rolls","maxConnections":9})",
+	  false },
 	{ "the key of the routing table",
 	  R"({"name":".routes","maxConnections":9})", false },
 };
