test/process: outcomes are compared with the runs after the callers' stop

It passed the callers' records and the backend servers' runs as two arguments; C++ leaves their order open, and gcc takes the second one first on x86-64, so the runs were counted while requests were still being served. The test was wrong, not the product: records are now taken first, the checks are the same.

--- a/test/process/drain_test.cc
+++ b/test/process/drain_test.cc
@@ -112,8 +112,10 @@
 			fleet.publish();
 			published_us = unix_us();
 			sleep_ms(c.observe_ms);
-			check_outcomes(callers.stop(),
-				       fleet.backends.run_counts());
+			std::vector<struct call_record> records =
+				callers.stop();
+
+			check_outcomes(records, fleet.backends.run_counts());
 		}
 		check_no_work_after(fleet.backends.runs(),
 				    fleet.backends.port(DRAINING_BACKEND),
