--- a/review/6/case.py
+++ b/review/6/case.py
@@ -50,8 +50,8 @@
         bed.record.write(f"client: {request} not answered: {error!r}")
 
 
-def case(folder):
-    with tb.Testbed(folder, BOUNDS) as bed:
+def case(record):
+    with tb.Testbed(record, BOUNDS) as bed:
         instance = bed.add_instance(10, "zone-a")
         for number in range(2):
             tb.Server(bed, f"i-{number}", "gallery", 30 + number, "zone-a",
@@ -74,8 +74,9 @@
             thread.join(max(0.0, stop_due - time.monotonic()))
         cut = [request for request, answer in answers.items()
                if answer != (200, True)]
-        print(f"{REQUESTS} requests, {len(cut)} cut while their server worked")
-        return tb.BROKEN if cut else tb.HELD
+        bed.summarize(f"{REQUESTS} requests, "
+                      f"{len(cut)} cut while their server worked")
+        return bed.result(tb.BROKEN if cut else tb.HELD)
 
 
-tb.run(case, os.path.dirname(os.path.abspath(__file__)))
+tb.run(case, sys.argv)
--- a/review/testbed/testbed.py
+++ b/review/testbed/testbed.py
@@ -450,8 +450,9 @@
 class Testbed:
     """A small deployment; leaving it ends all processes that it started."""
 
-    def __init__(self, folder, bounds=None):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, bounds=None):
+        self.record = Record(record)
+        self.record.write(f"case: TROUBLE={1 if trouble() else 0}")
         self.network = Network()
         self.directory = tempfile.mkdtemp(prefix="nutmegcrank-review-")
         self.bounds = {**BOUNDS, **(bounds or {})}
@@ -471,6 +472,15 @@
             shutil.rmtree(self.directory, ignore_errors=True)
         self.record.close()
 
+    def summarize(self, text):
+        print(text)
+        self.record.write(f"summary: {text}")
+
+    def result(self, code):
+        """Note the result in the record; run.sh looks for it."""
+        self.record.write(f"result: {'broken' if code == BROKEN else 'held'}")
+        return code
+
     def add_instance(self, host, zone, memory_mb=260):
         instance = Instance(self, host, zone, memory_mb)
         self.instances.append(instance)
@@ -590,11 +600,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def run(case, folder):
-    """Run a case and exit with its result."""
+def run(case, arguments):
+    """Run a case, which writes its record to the first argument."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
-        result = case(os.path.abspath(folder))
+        result = case(os.path.abspath(arguments[1]))
     except Exception as error:  # the case could not run
         print(f"could not run: {error!r}")
         result = COULD_NOT_RUN
