leave: a planned stop uses the deployment's grace time

Cause: drain_max_ms, 5500 in the template for all deployments, stood for a grace time of 6 s. The last start of requests that may outlast the stop, half of it, would have moved with it past the 3 s after which the platform no longer excuses what is broken off.

Change: the setting stop_grace, a duration as the platform writes it, replaces drain_max_ms; core/stop.c derives the deadlines from it and from the time of the signal. With 6 s they are what they were.

--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -25,6 +25,10 @@
 static bool read_permille(const struct json_node *node,
 			  const struct field_range *range, uint32_t *permille,
 			  GError **error);
+static bool read_duration(const struct json_node *node,
+			  const struct field_range *range,
+			  uint32_t *duration_ms, GError **error);
+static bool parse_duration(const char *text, double *ms);
 static bool read_choice(const struct json_node *node,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error);
@@ -228,6 +232,11 @@
 			return false;
 		memcpy(target, &value_u32, sizeof(value_u32));
 		return true;
+	case FIELD_DURATION:
+		if (!read_duration(node, &field->range, &value_u32, error))
+			return false;
+		memcpy(target, &value_u32, sizeof(value_u32));
+		return true;
 	case FIELD_PORT:
 		if (!read_range(node, &range, &number, error))
 			return false;
@@ -272,7 +281,7 @@
 }
 
 /*
- * Integers, permilles and choices have a default value in the table; the other
+ * Integers, permilles, durations and choices have a default value in the table; the other
  * fields keep the zeroes of the struct.
  */
 static void set_default(const struct json_field *field, void *out)
@@ -284,6 +293,7 @@
 	switch (field->kind) {
 	case FIELD_U32:
 	case FIELD_PERMILLE:
+	case FIELD_DURATION:
 		value_u32 = (uint32_t)field->range.default_value;
 		memcpy(target, &value_u32, sizeof(value_u32));
 		break;
@@ -351,6 +361,48 @@
 	return true;
 }
 
+static bool read_duration(const struct json_node *node,
+			  const struct field_range *range,
+			  uint32_t *duration_ms, GError **error)
+{
+	const char *text;
+	double ms;
+
+	if (!check_type(node, json_type_string, "a duration such as \"6s\"",
+			error))
+		return false;
+	text = json_object_get_string(node->value);
+	if (!parse_duration(text, &ms))
+		return fail_text(node, text, error,
+				 "is not a duration; write one such as \"6s\" "
+				 "or \"1500ms\"");
+	if (ms < (double)range->min || ms > (double)range->max)
+		return json_fail(node, NULL, SETTINGS_ERROR_RANGE, error,
+				 "%s is out of range; write "
+				 "%" G_GUINT64_FORMAT "ms to %" G_GUINT64_FORMAT
+				 "ms",
+				 text, range->min, range->max);
+	*duration_ms = (uint32_t)ms;
+	return true;
+}
+
+/* Return: false unless @text is a number and its unit, without spaces. */
+static bool parse_duration(const char *text, double *ms)
+{
+	double number;
+	char *end;
+
+	if (!g_ascii_isdigit(text[0]))
+		return false;
+	number = g_ascii_strtod(text, &end);
+	if (strcmp(end, "s") == 0)
+		number *= MS_PER_S;
+	else if (strcmp(end, "ms") != 0)
+		return false;
+	*ms = number;
+	return true;
+}
+
 static bool read_choice(const struct json_node *node,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error)
@@ -402,6 +454,7 @@
 	case FIELD_U32:
 	case FIELD_U64:
 	case FIELD_PERMILLE:
+	case FIELD_DURATION:
 	case FIELD_PORT:
 	case FIELD_BOOL:
 	case FIELD_CHOICE:
--- a/src/codec/json_fields.h
+++ b/src/codec/json_fields.h
@@ -19,6 +19,8 @@
  * @FIELD_U64: integer within bounds, stored as uint64_t
  * @FIELD_PERMILLE: number, stored as uint32_t in thousandths, rounded down; the
  *	bounds are in thousandths
+ * @FIELD_DURATION: string of a number and its unit, "6s" or "1500ms", stored as
+ *	uint32_t in ms, rounded down; the bounds are in ms
  * @FIELD_PORT: integer from 1 to 65535, stored as uint16_t
  * @FIELD_BOOL: true or false, stored as bool
  * @FIELD_NAME: string, stored as struct name
@@ -34,6 +36,7 @@
 	FIELD_U32,
 	FIELD_U64,
 	FIELD_PERMILLE,
+	FIELD_DURATION,
 	FIELD_PORT,
 	FIELD_BOOL,
 	FIELD_NAME,
@@ -96,7 +99,8 @@
  * @kind: type of the value; selects the member of the union
  * @required: true when the absence of the field is an error
  * @offset_bytes: offset of the value in the struct that is filled
- * @range: bounds and default, with FIELD_U32, FIELD_U64 and FIELD_PERMILLE
+ * @range: bounds and default, with FIELD_U32, FIELD_U64, FIELD_PERMILLE and
+ *	FIELD_DURATION
  * @choices: allowed strings, with FIELD_CHOICE
  * @table: fields of the object, with FIELD_OBJECT; their offsets are relative
  *	to the same struct
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -35,11 +35,8 @@
 			now.mono_us +
 			state->settings->entries_ttl_ms * US_PER_MS +
 			ENTRIES_MARGIN_US;
-		state->leave_deadline_us =
-			now.mono_us + state->settings->drain_max_ms * US_PER_MS;
-		state->leave_bounded_from_us =
-			now.mono_us +
-			state->settings->drain_max_ms * US_PER_MS / 2;
+		state->stop = stop_times(command->signalled_us,
+					 state->settings->stop_grace_ms);
 		record.subject = state->membership.self.peer;
 		state_audit(state, &record, now, out);
 		state->membership.members_digest = members_digest(state);
@@ -54,7 +51,7 @@
 void leave_extend_accept(struct state *state, struct instant now)
 {
 	uint64_t until_us =
-		MIN(now.mono_us + LATE_CALLERS_US, state->leave_deadline_us);
+		MIN(now.mono_us + LATE_CALLERS_US, state->stop.work_ends_us);
 
 	if (!state->leaving || state->leave_hurried)
 		return;
@@ -63,20 +60,20 @@
 }
 
 /*
- * In the second half of a planned stop, only requests whose own deadline ends
- * them in time are started: a backend server may hang, and the caller can still
- * use another instance.
+ * Later in a planned stop, only requests whose own deadline ends them in time
+ * are started: a backend server may hang, and the caller can still use another
+ * instance.
  */
 bool leave_admits(const struct state *state, const struct ticket *ticket,
 		  struct instant now)
 {
 	uint64_t work_us = WORK_FACTOR * ticket_typical_us(ticket);
 
-	if (!state->leaving || ticket->deadline_us <= state->leave_deadline_us)
+	if (!state->leaving || ticket->deadline_us <= state->stop.work_ends_us)
 		return true;
-	if (now.mono_us >= state->leave_bounded_from_us)
+	if (now.mono_us >= state->stop.starts_bounded_us)
 		return false;
-	return now.mono_us + work_us <= state->leave_deadline_us;
+	return now.mono_us + work_us <= state->stop.work_ends_us;
 }
 
 void leave_tick(struct state *state, struct instant now, struct event_list *out)
@@ -89,7 +86,7 @@
 	if (now.mono_us < state->leave_accept_until_us)
 		return;
 	if (state->admitted_requests > 0 &&
-	    now.mono_us < state->leave_deadline_us)
+	    now.mono_us < state->stop.work_ends_us)
 		return;
 	cancel_running(state, out);
 	state->left = true;
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -162,10 +162,12 @@
 
 /**
  * struct leave_command - start of a planned stop
+ * @signalled_us: boot time of the signal
  * @hurry: do not wait until the answers to entries that name this instance have
  *	expired
  */
 struct leave_command {
+	uint64_t signalled_us;
 	bool hurry;
 };
 
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -305,7 +305,8 @@
  * @hold_max_bytes: answers up to this size are received completely before they
  *	are sent to the caller
  * @entries_ttl_ms: how long callers may cache an answer to entries
- * @drain_max_ms: time limit of a planned stop
+ * @stop_grace_ms: time after a SIGTERM at which the process is killed, if it has
+ *	not ended
  * @log_format: text or JSON
  * @log_requests: enum log_requests
  * @log_level: mask of the GLib log levels that are logged
@@ -352,7 +353,7 @@
 	uint32_t head_max_bytes;
 	uint32_t hold_max_bytes;
 	uint32_t entries_ttl_ms;
-	uint32_t drain_max_ms;
+	uint32_t stop_grace_ms;
 	enum log_format log_format;
 	uint32_t log_requests;
 	uint32_t log_level;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -16,6 +16,7 @@
 #include "core/metrics.h"
 #include "core/quota.h"
 #include "core/routing.h"
+#include "core/stop.h"
 
 #define TICKETS_MAX 4096
 #define TICKET_TRIES_MAX 4
@@ -529,9 +530,7 @@
  * @leave_accept_until_us: the planned stop accepts requests at least until this
  *	time, at which answers to entries that name this instance have expired;
  *	each request prolongs it
- * @leave_deadline_us: end of the planned stop
- * @leave_bounded_from_us: from then on only requests whose own deadline is
- *	before @leave_deadline_us are started
+ * @stop: deadlines of the planned stop
  * @left: EVENT_LEFT has been sent
  * @reader_role: whether this instance reads the configuration from the platform
  * @quotas: quotas of the customers
@@ -562,8 +561,7 @@
 	bool leaving;
 	bool leave_hurried;
 	uint64_t leave_accept_until_us;
-	uint64_t leave_deadline_us;
-	uint64_t leave_bounded_from_us;
+	struct stop_times stop;
 	bool left;
 	enum reader_role reader_role;
 	struct quotas quotas;
--- a/src/duty/signal.c
+++ b/src/duty/signal.c
@@ -1,6 +1,7 @@
 #include "duty/signal.h"
 
 #include "codec/document_json.h"
+#include "core/clock.h"
 #include "core/command.h"
 
 #include <errno.h>
@@ -104,6 +105,7 @@
 {
 	struct command command = { .kind = COMMAND_LEAVE };
 
+	command.leave.signalled_us = clock_now_us();
 	command.leave.hurry = hurry;
 	g_message("signal: planned stop%s", hurry ? ", hurried" : "");
 	if (send_command(duty->dispatch, &command) != RING_OK)
--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -212,6 +212,7 @@
 				     ", seed " + std::to_string(seed));
 			leave.kind = COMMAND_LEAVE;
 			fleet.pass_ms(5000);
+			leave.leave.signalled_us = fleet.insts[0]->now.mono_us;
 			fleet.insts[0]->apply(leave);
 			EXPECT_LE(fleet.until(LEAVING_KNOWN_MS,
 					      [&] {
