run: a process is gone before the grace time of its stop ends

Cause: the front, CivetWeb's two servers and the log waited at the end of a stop with time limits of their own: 0.5 to 3 s for callers that do not close, read or send, up to 2 s for each server's acceptor, 0.5 s for the log.

Change: EVENT_LEFT carries the deadlines of the stop to them.

--- a/src/cli/log.c
+++ b/src/cli/log.c
@@ -53,12 +53,13 @@
 	return true;
 }
 
-void log_stop(void)
+void log_stop(uint64_t deadline_us)
 {
 	bool finished;
 
 	ring_close(writer.ring);
-	ring_pop(writer.finished, &finished, clock_now_us() + STOP_TIMEOUT_US);
+	ring_pop(writer.finished, &finished,
+		 MIN(clock_now_us() + STOP_TIMEOUT_US, deadline_us));
 }
 
 /*
--- a/src/cli/log.h
+++ b/src/cli/log.h
@@ -23,7 +23,8 @@
 
 /**
  * log_stop() - close the log and wait up to 500 ms until all lines are written
+ * @deadline_us: boot time after which it does not wait
  */
-void log_stop(void);
+void log_stop(uint64_t deadline_us);
 
 #endif
--- a/src/cli/run.c
+++ b/src/cli/run.c
@@ -1,6 +1,7 @@
 #include "cli/run.h"
 
 #include "core/clock.h"
+#include "core/stop.h"
 #include "duty/dispatch.h"
 #include "duty/front.h"
 #include "duty/operator.h"
@@ -11,6 +12,9 @@
 #include <signal.h>
 #include <stdlib.h>
 
+/* Grace time of the stop that follows a failed start. */
+#define FAILED_START_STOP_MS 2000
+
 /* All duties of one instance, in the order in which they start. */
 struct instance {
 	const char *settings_path;
@@ -39,14 +43,17 @@
 			   const struct settings *settings, GError **error);
 static bool start_listeners(struct instance *instance,
 			    const struct settings *settings, GError **error);
-static void stop_duties(struct instance *instance);
+static void wait_left(struct instance *instance, struct left_event *left);
+static void stop_duties(struct instance *instance,
+			const struct stop_times *stop);
 static void free_queued_messages(struct ring *ring);
 
-int run_main(const struct settings *settings, const char *settings_path)
+int run_main(const struct settings *settings, const char *settings_path,
+	     uint64_t *ends_us)
 {
 	struct instance instance = { .settings_path = settings_path };
 	GError *error = NULL;
-	struct instant stopped_at;
+	struct left_event left = { 0 };
 	int status = EXIT_SUCCESS;
 
 	/*
@@ -56,14 +63,15 @@
 		return EXIT_FAILURE;
 	if (start_duties(&instance, settings, &error)) {
 		g_message("instance started");
-		ring_pop(instance.stopped_ring, &stopped_at, DEADLINE_NONE_US);
-		g_message("planned stop done");
+		wait_left(&instance, &left);
 	} else {
 		g_critical("%s", error->message);
 		g_clear_error(&error);
 		status = EXIT_FAILURE;
+		left.stop = stop_times(clock_now_us(), FAILED_START_STOP_MS);
 	}
-	stop_duties(&instance);
+	*ends_us = left.stop.process_ends_us;
+	stop_duties(&instance, &left.stop);
 	return status;
 }
 
@@ -73,7 +81,7 @@
 	instance->dispatch_ring =
 		message_ring_new(DISPATCH_RING_CAPACITY_MESSAGES,
 				 DISPATCH_RING_RESERVED_MESSAGES);
-	instance->stopped_ring = ring_new(sizeof(struct instant), 1, 0);
+	instance->stopped_ring = ring_new(sizeof(struct left_event), 1, 0);
 	return start_event_handlers(instance, settings, error) &&
 	       start_dispatch(instance, settings, error) &&
 	       start_listeners(instance, settings, error);
@@ -145,16 +153,30 @@
 	return instance->directory != NULL;
 }
 
+static void wait_left(struct instance *instance, struct left_event *left)
+{
+	while (ring_pop(instance->stopped_ring, left, DEADLINE_NONE_US) !=
+	       RING_OK)
+		continue;
+	g_message("planned stop done");
+}
+
 /*
  * Duties that send messages to the dispatch duty stop first, those that serve
  * callers before those that take long to stop; then the dispatch duty; last the
  * duties that carry out its events.
  */
-static void stop_duties(struct instance *instance)
+static void stop_duties(struct instance *instance,
+			const struct stop_times *stop)
 {
-	front_stop(instance->front);
-	directory_stop(instance->directory);
-	operator_stop(instance->operator);
+	bool web_stopped;
+
+	front_stop(instance->front, stop->callers_close_us);
+	/* Stopped in any case, so no short-circuit. */
+	web_stopped =
+		directory_stop(instance->directory, stop->web_servers_end_us);
+	web_stopped &=
+		operator_stop(instance->operator, stop->web_servers_end_us);
 	peer_serve_stop(instance->peer_serve);
 	signal_stop(instance->signal);
 	dispatch_stop(instance->dispatch);
@@ -165,6 +187,10 @@
 	probe_stop(instance->probe);
 	exchange_stop(instance->exchange);
 	audit_stop(instance->audit);
+	if (!web_stopped) {
+		g_message("the process ends while web servers read");
+		return;
+	}
 	free_queued_messages(instance->dispatch_ring);
 	ring_free(instance->dispatch_ring);
 	ring_free(instance->stopped_ring);
--- a/src/command/leave.c
+++ b/src/command/leave.c
@@ -78,7 +78,8 @@
 
 void leave_tick(struct state *state, struct instant now, struct event_list *out)
 {
-	struct event event = { .kind = EVENT_LEFT };
+	struct event event = { .kind = EVENT_LEFT,
+			       .left = { .stop = state->stop } };
 
 	if (!state->leaving || state->left)
 		return;
--- a/src/core/event.h
+++ b/src/core/event.h
@@ -10,11 +10,11 @@
 
 #include "core/audit.h"
 #include "core/command.h"
+#include "core/stop.h"
 #include "core/trace.h"
 
 /**
- * enum event_kind - kind of an event; all have a member in struct event but
- *	EVENT_LEFT, which tells that the planned stop has ended
+ * enum event_kind - kind of an event; each has a member in struct event
  */
 enum event_kind {
 	EVENT_GRANT,
@@ -189,6 +189,14 @@
 	GArray *targets;
 };
 
+/**
+ * struct left_event - no request is in progress any more in a planned stop
+ * @stop: deadlines of the planned stop
+ */
+struct left_event {
+	struct stop_times stop;
+};
+
 /**
  * struct event - instruction for another duty, tagged union
  * @kind: which member of the union is valid
@@ -207,6 +215,7 @@
 		struct config_pull_event config_pull;
 		struct config_role_event config_role;
 		struct probe_plan_event probe_plan;
+		struct left_event left;
 	};
 };
 
--- a/src/core/stop.h
+++ b/src/core/stop.h
@@ -17,12 +17,15 @@
  *	@work_ends_us are started
  * @work_ends_us: the requests that still run are cancelled
  * @callers_close_us: the callers' connections that are still open are closed
+ * @web_servers_end_us: the threads of the directory and the operators' server are
+ *	no longer waited for
  * @process_ends_us: the process ends, whatever still runs in it
  */
 struct stop_times {
 	uint64_t starts_bounded_us;
 	uint64_t work_ends_us;
 	uint64_t callers_close_us;
+	uint64_t web_servers_end_us;
 	uint64_t process_ends_us;
 };
 
--- a/src/duty/dispatch.c
+++ b/src/duty/dispatch.c
@@ -176,7 +176,6 @@
 static void send_event(struct dispatch_duty *duty, struct event *event)
 {
 	const struct dispatch_links *links = &duty->links;
-	struct instant now;
 
 	switch (event->kind) {
 	case EVENT_GRANT:
@@ -219,8 +218,7 @@
 			   "probe", event);
 		break;
 	case EVENT_LEFT:
-		now = clock_now();
-		check_sent(ring_push(links->left, &now), "left", event);
+		check_sent(ring_push(links->left, &event->left), "left", event);
 		break;
 	}
 }
--- a/src/duty/dispatch.h
+++ b/src/duty/dispatch.h
@@ -37,7 +37,7 @@
  * @probe: gets the backend servers to probe
  * @peer_send: gets datagrams for peers
  * @peer_pull: gets documents to fetch from peers
- * @left: ring of struct instant, gets the time when a planned stop is done
+ * @left: ring of struct left_event, gets one when a planned stop is done
  */
 struct dispatch_links {
 	struct exchange_duty *exchange;
--- a/src/duty/front.c
+++ b/src/duty/front.c
@@ -30,6 +30,7 @@
  * @next_id: id of the next connection; ids are never reused
  * @next_deadline_us: no deadline of a connection is before this time
  * @accept_paused_until_us: time when accepting resumes, 0 when it is not paused
+ * @close_by_us: during a stop, when connections that are still open are closed
  * @stopping: set by front_stop(), atomic
  * @thread: serves the connections
  */
@@ -40,6 +41,7 @@
 	uint64_t next_id;
 	uint64_t next_deadline_us;
 	uint64_t accept_paused_until_us;
+	uint64_t close_by_us;
 	gint stopping;
 	pthread_t thread;
 };
@@ -59,6 +61,7 @@
 static void reap_or_schedule(struct front_duty *front, struct caller *caller);
 static void handle_timeouts(struct front_duty *front, uint64_t now_us);
 static void begin_stop(struct front_duty *front);
+static void close_callers(struct front_duty *front);
 static void free_caller(gpointer data);
 
 struct front_duty *front_start(const struct settings *settings,
@@ -90,10 +93,11 @@
 	return NULL;
 }
 
-void front_stop(struct front_duty *duty)
+void front_stop(struct front_duty *duty, uint64_t close_by_us)
 {
 	if (!duty)
 		return;
+	duty->close_by_us = close_by_us;
 	g_atomic_int_set(&duty->stopping, 1);
 	notify_queue_push(duty->links.notify, NOTIFY_ID);
 	pthread_join(duty->thread, NULL);
@@ -317,6 +321,11 @@
 	gpointer value;
 
 	front->next_deadline_us = DEADLINE_NONE_US;
+	if (front->listen_fd < 0) {
+		front->next_deadline_us = front->close_by_us;
+		if (now_us >= front->close_by_us)
+			close_callers(front);
+	}
 	g_hash_table_iter_init(&iter, front->callers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		caller = value;
@@ -341,6 +350,8 @@
 	close(front->listen_fd);
 	front->listen_fd = -1;
 	front->links.close_after_answer = true;
+	front->next_deadline_us =
+		MIN(front->next_deadline_us, front->close_by_us);
 	g_hash_table_iter_init(&iter, front->callers);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		caller = value;
@@ -351,6 +362,17 @@
 	}
 }
 
+static void close_callers(struct front_duty *front)
+{
+	guint count = g_hash_table_size(front->callers);
+
+	if (count > 0)
+		g_message("front: the planned stop closes %u connections that "
+			  "are still open",
+			  count);
+	g_hash_table_remove_all(front->callers);
+}
+
 static void free_caller(gpointer data)
 {
 	caller_free(data);
--- a/src/duty/front.h
+++ b/src/duty/front.h
@@ -29,7 +29,8 @@
  * front_stop() - stop accepting, wait for answers in progress and free
  *	the front duty
  * @duty: front duty, or NULL
+ * @close_by_us: boot time at which connections that are still open are closed
  */
-void front_stop(struct front_duty *duty);
+void front_stop(struct front_duty *duty, uint64_t close_by_us);
 
 #endif
--- a/src/duty/operator.c
+++ b/src/duty/operator.c
@@ -1,12 +1,12 @@
 #include "duty/operator.h"
 
-#include <civetweb.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "codec/report_text.h"
 #include "core/clock.h"
 #include "core/report.h"
+#include "duty/web_server.h"
 #include "ring/ring.h"
 
 #define HTTP_THREADS "8"
@@ -29,7 +29,7 @@
 	struct ring *dispatch;
 	struct ring *closed;
 	gint followers;
-	struct mg_context *server;
+	struct web_server *server;
 };
 
 /**
@@ -96,42 +96,37 @@
 	struct mg_callbacks callbacks = { .begin_request = begin_request,
 					  .log_message = log_message };
 	char listen[ADDR_TEXT_BYTES];
-	const char *options[] = { "listening_ports",
-				  addr_format(settings->operator_listen,
-					      listen),
-				  "num_threads",
-				  HTTP_THREADS,
-				  "request_timeout_ms",
-				  REQUEST_TIMEOUT_MS,
-				  "enable_keep_alive",
-				  "no",
-				  NULL };
+	struct web_server_options options = {
+		.name = "operators",
+		.listen = addr_format(settings->operator_listen, listen),
+		.wake = settings->operator_listen,
+		.threads = HTTP_THREADS,
+		.request_timeout_ms = REQUEST_TIMEOUT_MS,
+		.callbacks = &callbacks,
+		.data = duty,
+	};
 
 	duty->dispatch = dispatch;
 	duty->closed = ring_new(sizeof(uint32_t), 1, 0);
-	mg_init_library(0);
-	duty->server = mg_start(&callbacks, duty, options);
+	duty->server = web_server_start(&options, error);
 	if (duty->server)
 		return duty;
-	g_set_error(error, DUTY_ERROR, DUTY_ERROR_LISTEN,
-		    "operators: %s: cannot listen; choose a free address",
-		    listen);
-	mg_exit_library();
 	ring_free(duty->closed);
 	g_free(duty);
 	return NULL;
 }
 
-void operator_stop(struct operator_duty *duty)
+bool operator_stop(struct operator_duty *duty, uint64_t deadline_us)
 {
 	if (!duty)
-		return;
+		return true;
 	/* Wakes the threads that wait for audit records. */
 	ring_close(duty->closed);
-	mg_stop(duty->server);
-	mg_exit_library();
+	if (!web_server_stop(duty->server, deadline_us))
+		return false;
 	ring_free(duty->closed);
 	g_free(duty);
+	return true;
 }
 
 static int begin_request(struct mg_connection *connection)
--- a/src/duty/operator.h
+++ b/src/duty/operator.h
@@ -23,8 +23,12 @@
 
 /**
  * operator_stop() - stop the threads of the operator duty and free it
- * @duty: operator duty, or NULL
+ * @duty: the duty, or NULL
+ * @deadline_us: boot time until which to wait for its threads
+ *
+ * Return: false when threads still run; the duty and its dispatch ring must then
+ * not be freed before the process ends.
  */
-void operator_stop(struct operator_duty *duty);
+bool operator_stop(struct operator_duty *duty, uint64_t deadline_us);
 
 #endif
--- a/src/main.c
+++ b/src/main.c
@@ -52,6 +52,7 @@
 	/* Static, as the log thread may use them until the process ends. */
 	static struct settings settings;
 	GError *error = NULL;
+	uint64_t ends_us;
 	int status;
 
 	if (!settings_load(args->settings_path, &settings, &error) ||
@@ -63,7 +64,7 @@
 	if (settings.random_seed == 0)
 		settings.random_seed = g_random_int();
 	g_message("settings accepted, random seed %u", settings.random_seed);
-	status = run_main(&settings, args->settings_path);
-	log_stop();
+	status = run_main(&settings, args->settings_path, &ends_us);
+	log_stop(ends_us);
 	return status;
 }
--- a/test/unit/front_test.cc
+++ b/test/unit/front_test.cc
@@ -114,7 +114,7 @@
 	}
 	void TearDown() override
 	{
-		front_stop(front_);
+		front_stop(front_, DEADLINE_NONE_US);
 		exchange_stop(exchange_);
 		ring_close(dispatch_);
 		thread_.join();
@@ -656,7 +656,7 @@
 	while (!late_)
 		g_usleep(1000);
 	std::thread stop([this] {
-		front_stop(front_);
+		front_stop(front_, DEADLINE_NONE_US);
 		front_ = nullptr;
 	});
 	read_all(idle_fd, 1000, &closed);
--- a/test/unit/operator_duty_test.cc
+++ b/test/unit/operator_duty_test.cc
@@ -18,6 +18,7 @@
 
 const uint32_t ANSWER_TIMEOUT_MS = 5000;
 const uint32_t RECORDS_AT_START = 2;
+const uint64_t STOP_US = 5 * US_PER_S;
 
 /* Answers queries with fixed values, or not at all if it is unresponsive. */
 class fake_dispatch {
@@ -130,7 +131,7 @@
 
 	~operator_under_test()
 	{
-		operator_stop(duty);
+		EXPECT_TRUE(operator_stop(duty, clock_now_us() + STOP_US));
 	}
 
 	/* Return: body of an answer with status 200, else the error's text. */
@@ -256,10 +257,10 @@
 	uint64_t began_us = clock_now_us();
 
 	/* The stop must not wait for the request, arrived or not. */
-	operator_stop(op.duty);
+	EXPECT_TRUE(operator_stop(op.duty, began_us + STOP_US));
 	op.duty = NULL;
 	client.join();
-	EXPECT_LT(clock_now_us(), began_us + 5 * US_PER_S);
+	EXPECT_LT(clock_now_us(), began_us + STOP_US);
 }
 
 TEST_F(OperatorDutySharedTest, AddressInUseIsListenError)
