finish: no retry that may outlast a planned stop

Cause: late in a planned stop a request is started only if its own deadline ends it in time, but a try that failed, or of which nothing was sent, was granted again without that question.

Change: may_retry() and requeue_unsent() ask leave_admits(), as admission does. A held answer is delivered, else the request is refused at once, as not run where that is certain.

--- a/src/command/finish.c
+++ b/src/command/finish.c
@@ -2,6 +2,7 @@
 
 #include "command/cross.h"
 #include "command/health.h"
+#include "command/leave.h"
 #include "command/load_report.h"
 #include "command/quota.h"
 #include "command/recall.h"
@@ -31,7 +32,7 @@
 static void deliver_held(struct state *state, uint32_t index,
 			 struct finish_command *command, struct instant now,
 			 struct event_list *out);
-static bool may_retry(const struct ticket *ticket,
+static bool may_retry(const struct state *state, const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now);
 static bool untried_backend_left(const struct ticket *ticket,
 				 struct instant now);
@@ -186,7 +187,7 @@
 		requeue_unsent(state, index, evidence, now, out);
 		return;
 	}
-	if (may_retry(ticket, evidence, now)) {
+	if (may_retry(state, ticket, evidence, now)) {
 		/* A try that was not sent costs no retry budget. */
 		if (!evidence->request_sent ||
 		    spend_retry(state, ticket, now)) {
@@ -216,16 +217,17 @@
 /*
  * Handles a try of which nothing was sent, because the process was paused, the
  * lease of the slot ended or the grant was recalled. The request waits again if
- * its deadline allows.
+ * its deadline and a planned stop allow.
  */
 static void requeue_unsent(struct state *state, uint32_t index,
 			   const struct evidence *evidence, struct instant now,
 			   struct event_list *out)
 {
 	struct ticket *ticket = &state->tickets[index];
-	bool in_time = now.mono_us < ticket->deadline_us && !state->left;
+	bool admitted = !state->left && leave_admits(state, ticket, now);
+	bool in_time = admitted && now.mono_us < ticket->deadline_us;
 	struct refusal refusal = {
-		.cause = REFUSAL_DEADLINE,
+		.cause = admitted ? REFUSAL_DEADLINE : REFUSAL_LEAVING,
 		.outcome = ticket->outcome,
 	};
 
@@ -256,7 +258,7 @@
 	ticket_free(state, index, now);
 }
 
-static bool may_retry(const struct ticket *ticket,
+static bool may_retry(const struct state *state, const struct ticket *ticket,
 		      const struct evidence *evidence, struct instant now)
 {
 	if (ticket->cancelled || evidence->kind == EVIDENCE_CANCELLED ||
@@ -270,6 +272,9 @@
 		return false;
 	if (ticket->shed && !untried_backend_left(ticket, now))
 		return false;
+	/* It starts work as well, which may outlast a planned stop. */
+	if (!leave_admits(state, ticket, now))
+		return false;
 	return now.mono_us + ticket_typical_us(ticket) < ticket->deadline_us;
 }
 
--- a/test/unit/leave_test.cc
+++ b/test/unit/leave_test.cc
@@ -66,6 +66,61 @@
 	}
 }
 
+/* A try that ends without an answer during the stop. */
+struct retry_case {
+	const char *name;
+	uint64_t after_ms; /* since the stop began */
+	uint64_t deadline_ms; /* from the end of the try */
+	enum evidence_kind kind;
+	bool sent;
+	enum event_kind follows; /* a grant of the next try or a refusal */
+};
+
+const struct retry_case retry_cases[] = {
+	{ "at first", 1000, 60000, EVIDENCE_RESET, true, EVENT_GRANT },
+	{ "at 3 s, deadline before the end of work", 3000, 24000,
+	  EVIDENCE_RESET, true, EVENT_GRANT },
+	{ "at 3 s, deadline after the end of work", 3000, 25000, EVIDENCE_RESET,
+	  true, EVENT_REFUSE },
+	{ "at 3 s, nothing was sent", 3000, 25000, EVIDENCE_CONNECT, false,
+	  EVENT_REFUSE },
+	{ "late, deadline before the end of work", 20000, 7000, EVIDENCE_RESET,
+	  true, EVENT_GRANT },
+	{ "late, deadline after the end of work", 20000, 8000, EVIDENCE_RESET,
+	  true, EVENT_REFUSE },
+};
+
+/* A retry that is broken off at the end would be work lost by the stop. */
+TEST(LeaveTest, RetriesNothingThatMayOutlastTheStop)
+{
+	for (const auto &c : retry_cases) {
+		SCOPED_TRACE(c.name);
+		TestInstance inst;
+		const struct event *event;
+		struct grant_event grant;
+		uint32_t number;
+
+		inst.list(1);
+		inst.accept(make_doc(doc_shape()));
+		inst.pass_ms(100);
+		number = inst.request("/s/short", 1,
+				      inst.now.mono_us +
+					      (c.after_ms + c.deadline_ms) *
+						      US_PER_MS);
+		event = inst.last_result_of(number);
+		ASSERT_NE(event, nullptr);
+		ASSERT_EQ(event->kind, EVENT_GRANT);
+		grant = event->grant;
+		inst.begin_stop();
+		inst.now.mono_us += c.after_ms * US_PER_MS;
+		inst.forget();
+		inst.finish(grant, ended(c.kind, c.sent));
+		event = inst.last_result_of(number);
+		ASSERT_NE(event, nullptr);
+		EXPECT_EQ(event->kind, c.follows);
+	}
+}
+
 struct end_case {
 	const char *name;
 	bool sent;
