documents: a start that has ended stays ended, whoever lists it again

Change: documents give how often each start has written its entry. Each instance learns from successive documents which starts have ended or drain and uses a listed one again only after a later write. It reports that in its digests as a drain, so an instance that has restarted since learns it.

Why it works: the judging is done where a document comes into force, so it holds for all publishers, and a server that lives counts on and is back with its next write.

--- a/src/codec/document_json.c
+++ b/src/codec/document_json.c
@@ -83,6 +83,8 @@
 	  .range = { 1, DOC_CONNECTIONS_MAX, 0 } },
 	{ "draining", FIELD_BOOL, false, AT_BACKEND(draining) },
 	{ "warming", FIELD_BOOL, false, AT_BACKEND(warming) },
+	{ "writes", FIELD_U64, false, AT_BACKEND(writes),
+	  .range = { 0, INT64_MAX - 1, 0 } },
 	{ "instance", FIELD_NAME, false, AT_BACKEND(start.instance) },
 	{ "started_unix_ms", FIELD_U64, false,
 	  AT_BACKEND(start.started_unix_ms),
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -51,6 +51,7 @@
 static void observe_draining(struct health_change *change, uint64_t until_us,
 			     enum audit_cause cause);
 static void update_closed(struct backend *backend, struct instant now);
+static void audit_drain(struct health_change *change);
 static void observe_cold(struct health_change *change, bool cold);
 static struct health_view *find_view(struct health *health,
 				     struct net_addr home, struct instant now);
@@ -186,12 +187,27 @@
 		if (notice)
 			restore_notice(backend, notice);
 		update_closed(backend, now);
-		if (backend->drain_document && !backend->health.drain_audited) {
-			backend->health.drain_audited = true;
-			health_audit(&change, AUDIT_DRAIN_BEGUN,
-				     CAUSE_DOCUMENT);
-		}
+		audit_drain(&change);
+	}
+}
+
+static void audit_drain(struct health_change *change)
+{
+	struct backend *backend = change->backend;
+
+	if (backend->health.drain_audited)
+		return;
+	if (!backend->drain_document && !backend->left)
+		return;
+	backend->health.drain_audited = true;
+	if (backend->drain_document) {
+		health_audit(change, AUDIT_DRAIN_BEGUN, CAUSE_DOCUMENT);
+		return;
 	}
+	/* Other homes may not know it. */
+	change->service->digest_due_us =
+		MIN(change->service->digest_due_us, change->now.mono_us);
+	health_audit(change, AUDIT_DRAIN_BEGUN, CAUSE_START_LEFT);
 }
 
 void health_clear_unreachable(struct state *state, struct service *service,
--- a/src/command/replace_document.c
+++ b/src/command/replace_document.c
@@ -5,6 +5,7 @@
 #include "command/fair_share.h"
 #include "command/health.h"
 #include "command/recall.h"
+#include "command/start_record.h"
 #include "command/ticket.h"
 
 #define INDEX_NONE UINT32_MAX
@@ -76,6 +77,7 @@
 	remap.known =
 		g_new0(bool, service->backend_count + remap.old_count + 1);
 	map_backends(state, &remap);
+	start_records_follow(service, remap.old_doc);
 	map_classes(&remap);
 	map_routes(&remap);
 	move_tickets(state, &remap);
--- /dev/null
+++ b/src/command/start_record.c
@@ -0,0 +1,177 @@
+#include "command/start_record.h"
+
+/* Known starts of a service; beyond that, the oldest is forgotten. */
+#define START_RECORDS_MAX DOC_BACKENDS_MAX
+
+static bool has_history(const struct backend_doc *listed);
+static GHashTable *index_by_start(const struct service_doc *doc);
+static void learn(struct service *service, const struct backend_doc *before,
+		  const struct backend_doc *after);
+static void note(struct service *service, const struct backend_doc *listed,
+		 enum start_standing standing);
+static struct start_record *find_or_add(struct service *service,
+					const struct start_id *start);
+static void drop_oldest(GHashTable *records);
+static void drop_outdated(struct service *service);
+static bool has_left(const struct service *service,
+		     const struct backend_doc *listed);
+static guint start_bucket(gconstpointer data);
+static gboolean starts_equal(gconstpointer a, gconstpointer b);
+
+void start_records_follow(struct service *service,
+			  const struct service_doc *old_doc)
+{
+	GHashTable *listed = index_by_start(service->doc);
+	const struct backend_doc *before;
+	uint32_t i;
+
+	for (i = 0; i < old_doc->backend_count; i++) {
+		before = &old_doc->backends[i];
+		if (has_history(before))
+			learn(service, before,
+			      g_hash_table_lookup(listed, &before->start));
+	}
+	g_hash_table_unref(listed);
+	drop_outdated(service);
+	for (i = 0; i < service->doc->backend_count; i++)
+		service->backends[i].left =
+			has_left(service, &service->doc->backends[i]);
+}
+
+/* Return: whether writes of the start can be compared. */
+static bool has_history(const struct backend_doc *listed)
+{
+	return start_named(&listed->start) &&
+	       listed->start.started_unix_ms != 0 && listed->writes != 0;
+}
+
+/* Return: an owned map of starts to struct backend_doc, not owned. */
+static GHashTable *index_by_start(const struct service_doc *doc)
+{
+	GHashTable *index = g_hash_table_new(start_bucket, starts_equal);
+	struct backend_doc *listed;
+	uint32_t i;
+
+	for (i = 0; i < doc->backend_count; i++) {
+		listed = &doc->backends[i];
+		if (has_history(listed))
+			g_hash_table_insert(index, &listed->start, listed);
+	}
+	return index;
+}
+
+/* @after is NULL when the new document lacks the start. */
+static void learn(struct service *service, const struct backend_doc *before,
+		  const struct backend_doc *after)
+{
+	if (after && after->writes >= before->writes)
+		return;
+	if (after) {
+		note(service, before,
+		     before->draining ? START_DRAINING : START_READY);
+		return;
+	}
+	/* A full list has no room for all that the platform has. */
+	if (service->doc->backend_count < DOC_BACKENDS_MAX)
+		note(service, before, START_ENDED);
+}
+
+static void note(struct service *service, const struct backend_doc *listed,
+		 enum start_standing standing)
+{
+	struct start_record *record = find_or_add(service, &listed->start);
+
+	record->noted = ++service->start_notes;
+	if (standing == START_ENDED || listed->writes >= record->writes)
+		record->standing = standing;
+	record->writes = MAX(record->writes, listed->writes);
+}
+
+static struct start_record *find_or_add(struct service *service,
+					const struct start_id *start)
+{
+	struct start_record *record;
+
+	if (!service->start_records)
+		service->start_records = g_hash_table_new_full(
+			start_bucket, starts_equal, NULL, g_free);
+	record = g_hash_table_lookup(service->start_records, start);
+	if (record)
+		return record;
+	if (g_hash_table_size(service->start_records) >= START_RECORDS_MAX)
+		drop_oldest(service->start_records);
+	record = g_new0(struct start_record, 1);
+	record->start = *start;
+	g_hash_table_insert(service->start_records, &record->start, record);
+	return record;
+}
+
+static void drop_oldest(GHashTable *records)
+{
+	const struct start_record *oldest = NULL;
+	const struct start_record *record;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record = value;
+		if (!oldest || record->noted < oldest->noted)
+			oldest = record;
+	}
+	if (oldest)
+		g_hash_table_remove(records, &oldest->start);
+}
+
+/* Drops the records of starts whose entries were written again. */
+static void drop_outdated(struct service *service)
+{
+	const struct backend_doc *listed;
+	const struct start_record *record;
+	uint32_t i;
+
+	if (!service->start_records)
+		return;
+	for (i = 0; i < service->doc->backend_count; i++) {
+		listed = &service->doc->backends[i];
+		record = g_hash_table_lookup(service->start_records,
+					     &listed->start);
+		if (record && listed->writes > record->writes)
+			g_hash_table_remove(service->start_records,
+					    &listed->start);
+	}
+}
+
+static bool has_left(const struct service *service,
+		     const struct backend_doc *listed)
+{
+	const struct start_record *record;
+
+	if (!service->start_records || !has_history(listed))
+		return false;
+	record = g_hash_table_lookup(service->start_records, &listed->start);
+	if (!record)
+		return false;
+	switch (record->standing) {
+	case START_READY:
+		return false;
+	case START_DRAINING:
+		return listed->writes < record->writes;
+	case START_ENDED:
+		return listed->writes <= record->writes;
+	}
+	return false;
+}
+
+static guint start_bucket(gconstpointer data)
+{
+	const struct start_id *start = data;
+
+	return g_str_hash(start->instance.text) ^
+	       g_int64_hash(&start->started_unix_ms);
+}
+
+static gboolean starts_equal(gconstpointer a, gconstpointer b)
+{
+	return start_equal(a, b);
+}
--- a/src/core/audit.c
+++ b/src/core/audit.c
@@ -49,6 +49,7 @@
 		[CAUSE_DRAIN_ANSWER] = "drain_answer",
 		[CAUSE_RETRY_AFTER] = "retry_after",
 		[CAUSE_LOAD_REPORT] = "load_report",
+		[CAUSE_START_LEFT] = "start_left",
 		[CAUSE_PLATFORM] = "platform",
 		[CAUSE_PEER] = "peer",
 		[CAUSE_OLDER_VERSION] = "older_version",
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -51,6 +51,8 @@
  * @connections_max: connections that it accepts from the whole fleet
  * @draining: no new requests may be sent to it
  * @warming: it has just started and is still slow
+ * @writes: writes of its entry in the platform's store by this start, from 1;
+ *	0 if the document does not give them
  * @start: identifies one start of the server, so that a request does not reach
  *	a different one at the same address
  */
@@ -61,6 +63,7 @@
 	uint32_t connections_max;
 	bool draining;
 	bool warming;
+	uint64_t writes;
 	struct start_id start;
 };
 
--- a/src/core/state.c
+++ b/src/core/state.c
@@ -103,6 +103,7 @@
 	for (i = 0; i < DOC_CLASSES_MAX; i++)
 		class_queue_clear(&service->queues[i]);
 	g_hash_table_unref(service->callers);
+	g_clear_pointer(&service->start_records, g_hash_table_unref);
 	g_free(service->route_typical_us);
 	g_free(service->backends);
 	service_doc_unref(service->doc);
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -173,6 +173,29 @@
 	struct backend_notice notice;
 };
 
+/**
+ * enum start_standing - what a start of a backend server said last
+ * @START_READY: it accepts requests
+ * @START_DRAINING: it drains
+ * @START_ENDED: its entry was removed
+ */
+enum start_standing { START_READY, START_DRAINING, START_ENDED };
+
+/**
+ * struct start_record - last known state of a start, where the document in
+ *	force may show an older one (command/start_record.h)
+ * @start: the start
+ * @writes: writes of its entry, as struct backend_doc has them
+ * @standing: what it said then
+ * @noted: number of the note, rises with each one of the service
+ */
+struct start_record {
+	struct start_id start;
+	uint64_t writes;
+	enum start_standing standing;
+	uint64_t noted;
+};
+
 /**
  * struct backend_load - last load report of a backend server
  * @others_permille: requests of other instances that it works on or queues, in
@@ -234,6 +257,8 @@
  * @in_use_slots: own slots in use
  * @in_use_long_slots: own slots in use by long work
  * @drain_document: the document says that it drains
+ * @left: it is known to drain or to have ended, and the document lists an
+ *	earlier state of it
  * @drain_seen_until_us: time until which a drain notice of its answers or its
  *	load report holds; 0 for none, DEADLINE_NONE_US for a notice of a named
  *	start
@@ -263,6 +288,7 @@
 	uint32_t in_use_slots;
 	uint32_t in_use_long_slots;
 	bool drain_document;
+	bool left;
 	uint64_t drain_seen_until_us;
 	uint64_t pause_until_us;
 	uint32_t slow_start_slots;
@@ -450,6 +476,9 @@
  * @crossing: requests that go to other failure domains
  * @start_notices: notices of named starts, a circular buffer
  * @start_notice_next: index of the oldest entry of @start_notices
+ * @start_records: owned map of starts to owned struct start_record, NULL until
+ *	the first one
+ * @start_notes: number of notes made in @start_records
  * @counters: counters for metrics
  */
 struct service {
@@ -495,6 +524,8 @@
 	struct crossing crossing;
 	struct start_notice start_notices[START_NOTICES_MAX];
 	uint32_t start_notice_next;
+	GHashTable *start_records;
+	uint64_t start_notes;
 	struct service_counters counters;
 };
 
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -52,7 +52,7 @@
 
 bool backend_draining(const struct backend *backend, struct instant now)
 {
-	return backend->drain_document ||
+	return backend->drain_document || backend->left ||
 	       now.mono_us < backend->drain_seen_until_us ||
 	       any_view_draining(backend, now);
 }
