store: a document that an older text has replaced is stated again

Cause: a reader publishes a document when its text changes.

Change: after each answer of the store a reader compares the documents in force with its own; if another text of an older state is in force, its own rises to the version of the state read. Not while its view holds unconfirmed or unpublished changes, and a second after it has published at the earliest.

StoreView.OverruledDocumentIsStatedAgain and StoreSource.OverruledDocumentIsStatedAgainOnceSettled hold; there was nothing to call before.

--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -62,6 +62,7 @@
 			  struct source_answer *answer);
 static void handle_index(struct config_duty *duty,
 			 struct source_answer *answer);
+static void restate_overruled(struct config_duty *duty);
 static uint64_t document_due_us(const struct config_duty *duty,
 				const struct name *key, uint64_t now_us);
 static void handle_instances(struct config_duty *duty,
@@ -264,10 +265,16 @@
 static void handle_answer(struct config_duty *duty,
 			  struct source_answer *answer)
 {
+	bool first;
+
 	switch (answer->request.kind) {
 	case SOURCE_INDEX:
+		/* The first answer after the role was gained is urgent. */
+		first = duty->role_is_new;
 		handle_index(duty, answer);
 		report_platform_state(duty, answer);
+		if (!first && !answer->error && duty->role != READER_NONE)
+			restate_overruled(duty);
 		break;
 	case SOURCE_INSTANCES:
 		handle_instances(duty, answer);
@@ -309,6 +316,29 @@
 			    now_us);
 }
 
+/*
+ * Publishes documents again whose text has not changed, but which other texts
+ * have replaced since.
+ */
+static void restate_overruled(struct config_duty *duty)
+{
+	GArray *held = relay_query_offers(duty->dispatch);
+	const struct config_offer *offer;
+	uint64_t version;
+	guint i;
+
+	if (!held)
+		return;
+	for (i = 0; i < held->len; i++) {
+		offer = &g_array_index(held, struct config_offer, i);
+		version = config_source_restate(duty->source, offer);
+		if (version != 0)
+			fetch_list_add(&duty->fetches, &offer->key, version,
+				       clock_now_us());
+	}
+	g_array_unref(held);
+}
+
 /*
  * A standby fetches an unknown document now: its peers may lack it too. So it
  * does with all when it has just begun to read: readers were missing.
--- a/src/duty/config_fetch.c
+++ b/src/duty/config_fetch.c
@@ -1,9 +1,9 @@
 #include "duty/config_fetch.h"
 
+#include "duty/relay.h"
+
 static void set_known_version(struct fetch_list *list, const struct name *key,
 			      uint64_t version);
-static const struct config_offer *find_offer(const GArray *held,
-					     const struct name *key);
 
 void fetch_list_init(struct fetch_list *list)
 {
@@ -69,7 +69,7 @@
 		fetch = value;
 		if (fetch->running || fetch->due_us > now_us)
 			continue;
-		offer = find_offer(held, &fetch->key);
+		offer = relay_find_offer(held, &fetch->key);
 		if (!offer || offer->version < fetch->version)
 			continue;
 		set_known_version(list, &fetch->key, fetch->version);
@@ -146,17 +146,3 @@
 	g_hash_table_insert(list->known_versions, g_strdup(key->text),
 			    g_memdup2(&version, sizeof(version)));
 }
-
-static const struct config_offer *find_offer(const GArray *held,
-					     const struct name *key)
-{
-	const struct config_offer *offer;
-	guint i;
-
-	for (i = 0; i < held->len; i++) {
-		offer = &g_array_index(held, struct config_offer, i);
-		if (name_equal(&offer->key, key))
-			return offer;
-	}
-	return NULL;
-}
--- a/src/duty/config_source.c
+++ b/src/duty/config_source.c
@@ -80,6 +80,19 @@
 	return false;
 }
 
+uint64_t config_source_restate(struct config_source *source,
+			       const struct config_offer *held)
+{
+	switch (source->kind) {
+	case PLATFORM_DOCUMENTS:
+		/* Its publisher gives each document its version. */
+		return 0;
+	case PLATFORM_STORE:
+		return store_source_restate(source->store, held);
+	}
+	return 0;
+}
+
 void config_source_wake(struct config_source *source)
 {
 	switch (source->kind) {
--- a/src/duty/config_source.h
+++ b/src/duty/config_source.h
@@ -11,6 +11,7 @@
 
 #include "core/document.h"
 #include "core/error.h"
+#include "core/peer.h"
 
 /**
  * enum source_request_kind - tag of struct source_request
@@ -104,6 +105,16 @@
 bool config_source_wait(struct config_source *source, uint64_t deadline_us,
 			struct source_answer *answer);
 
+/**
+ * config_source_restate() - raise the version of a document that was overruled
+ * @source: the source
+ * @held: document in force, with another text than the source's may have
+ *
+ * Return: new version of the source's document, 0 if that stays as it is.
+ */
+uint64_t config_source_restate(struct config_source *source,
+			       const struct config_offer *held);
+
 /**
  * config_source_wake() - make config_source_wait() return, from any thread
  * @source: the source
--- a/src/duty/relay.c
+++ b/src/duty/relay.c
@@ -96,20 +96,30 @@
 	return reply.offers;
 }
 
-bool relay_needs_fetch(const GArray *held, const struct config_offer *offer)
+const struct config_offer *relay_find_offer(const GArray *offers,
+					    const struct name *key)
 {
-	const struct config_offer *held_offer;
+	const struct config_offer *offer;
 	guint i;
 
-	for (i = 0; i < held->len; i++) {
-		held_offer = &g_array_index(held, struct config_offer, i);
-		if (!name_equal(&held_offer->key, &offer->key))
-			continue;
-		return offer->version > held_offer->version ||
-		       (offer->version == held_offer->version &&
-			offer->hash != held_offer->hash);
+	for (i = 0; i < offers->len; i++) {
+		offer = &g_array_index(offers, struct config_offer, i);
+		if (name_equal(&offer->key, key))
+			return offer;
 	}
-	return true;
+	return NULL;
+}
+
+bool relay_needs_fetch(const GArray *held, const struct config_offer *offer)
+{
+	const struct config_offer *held_offer =
+		relay_find_offer(held, &offer->key);
+
+	if (!held_offer)
+		return true;
+	return offer->version > held_offer->version ||
+	       (offer->version == held_offer->version &&
+		offer->hash != held_offer->hash);
 }
 
 /* Logs the error and reports the document as refused; frees @error. */
--- a/src/duty/relay.h
+++ b/src/duty/relay.h
@@ -47,6 +47,16 @@
  */
 GArray *relay_query_offers(struct ring *dispatch);
 
+/**
+ * relay_find_offer() - find the offer of a document
+ * @offers: array of struct config_offer
+ * @key: key of the document
+ *
+ * Return: the offer, owned by @offers, or NULL.
+ */
+const struct config_offer *relay_find_offer(const GArray *offers,
+					    const struct name *key);
+
 /**
  * relay_needs_fetch() - whether a document should be fetched
  * @held: array of struct config_offer, the documents in force
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -372,4 +372,65 @@
 	}
 }
 
+/* When a document that another reader's text has replaced is stated again. */
+struct restate_case {
+	const char *name;
+	uint64_t wait_us; /* after the first page */
+	std::string second; /* answer after that */
+	uint64_t version; /* to which the document rises, 0 if it does not */
+};
+
+const struct restate_case restate_cases[] = {
+	{ "documents were published just now", 0, in_era(changes("", 120), 1),
+	  0 },
+	{ "the state has been newer for a while", 1100 * US_PER_MS,
+	  in_era(changes("", 120), 1), version_in(1, 120) },
+	{ "the store has come back from a copy", 1100 * US_PER_MS,
+	  in_era(changes("", 120), 2), 0 },
+};
+
+TEST(StoreSource, OverruledDocumentIsStatedAgainOnceSettled)
+{
+	for (const auto &c : restate_cases) {
+		SCOPED_TRACE(c.name);
+		ScriptServer server({
+			{ in_era(page(first_entries, false, 100), 1),
+			  AFTER_KEEP, 0, "" },
+			{ c.second, AFTER_KEEP, 0, "" },
+			{ in_era(page(first_entries, false, 120), 2),
+			  AFTER_KEEP, 0, "" },
+		});
+		struct config_offer held = {};
+		struct settings settings = {};
+
+		addr_ip_parse("127.0.0.1", &settings.platform.ip);
+		settings.platform.port = server.port();
+		settings.peer_bind.ip = settings.platform.ip;
+		settings.platform_answer_ms = 200;
+		settings.platform_value_bytes = 1 << 20;
+		struct store_source *source =
+			store_source_new(&settings, nullptr);
+
+		ASSERT_NE(source, nullptr);
+		for (int i = 0; i < 2; i++) {
+			struct source_request request = {};
+			struct source_answer answer = {};
+
+			if (i > 0)
+				g_usleep(c.wait_us);
+			request.kind = SOURCE_INDEX;
+			request.watch.wait_ms = 50;
+			ASSERT_TRUE(store_source_begin(source, &request));
+			wait_for_answer(source, &answer);
+			EXPECT_EQ(answer.error, nullptr);
+			source_answer_clear(&answer);
+		}
+		name_set(&held.key, "rolls");
+		held.version = version_in(1, 110);
+		held.hash = 1;
+		EXPECT_EQ(store_source_restate(source, &held), c.version);
+		store_source_free(source);
+	}
+}
+
 } // namespace
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -373,6 +373,70 @@
 	}
 }
 
+/*
+ * Another text is in force than the view's, whose own has not changed: a reader
+ * that knew less published it, and nobody would correct it (review/8).
+ */
+struct restate_case {
+	const char *name;
+	const char *key;
+	uint64_t held_version;
+	bool same_text;
+	std::vector<struct step> then; /* after the state of version 20 */
+	uint64_t version; /* of the document afterwards */
+};
+
+const struct restate_case restate_cases[] = {
+	{ "another text of a newer version", "rolls", 15, false, {}, 20 },
+	{ "another text of the same version", "rolls", 10, false, {}, 20 },
+	{ "the same text under a newer version", "rolls", 15, true, {}, 10 },
+	{ "another text of an older version", "rolls", 9, false, {}, 10 },
+	{ "the text in force is of the same state", "rolls", 20, false, {}, 10 },
+	{ "the text in force is of a newer state", "rolls", 21, false, {}, 10 },
+	{ "changes are not published yet",
+	  "rolls",
+	  15,
+	  false,
+	  { second_write },
+	  10 },
+	{ "a reload is not complete",
+	  "rolls",
+	  15,
+	  false,
+	  { { BEGIN, "", "", 0 } },
+	  10 },
+	{ "a service without a document", "other", 15, false, {}, 0 },
+};
+
+TEST(StoreView, OverruledDocumentIsStatedAgain)
+{
+	for (const auto &c : restate_cases) {
+		SCOPED_TRACE(c.name);
+		struct store_view *view = store_view_new();
+		struct config_offer held = {};
+		const struct view_document *document;
+		uint64_t before = 0;
+		uint64_t raised;
+
+		name_set(&held.key, c.key);
+		run_step(view, first_config);
+		run_step(view, first_write);
+		store_view_publish(view, 10, 10);
+		store_view_publish(view, 20, 20);
+		for (const auto &step : c.then)
+			run_step(view, step);
+		document = store_view_find(view, &held.key);
+		if (document)
+			before = document->version;
+		held.version = c.held_version;
+		held.hash = document && c.same_text ? document->hash : 1;
+		raised = store_view_restate(view, &held);
+		EXPECT_EQ(raised, c.version == before ? 0 : c.version);
+		EXPECT_EQ(document ? document->version : 0, c.version);
+		store_view_free(view);
+	}
+}
+
 /* Entry of a valid backend server with one member replaced. */
 struct odd_entry_case {
 	const char *name;
