settings: the stated retry window, floor and value length are taken

Cause: as with the grace time, figures of ours stood for bounds that the platform states for each deployment: 10 s for budgetWindow, 70 percent for floorShare, 16 MB for valueBytes.

Change: the template passes them on where they are stated. retry_window takes the platform's text in place of retry_window_ms, floor_share is new, and service documents get their healthy floor from it.

DeployTest.FilledTemplateIsAccepted: 7 of its 9 figures for these differ with the template of before.

--- a/test/unit/deploy_test.cc
+++ b/test/unit/deploy_test.cc
@@ -30,15 +30,22 @@
 	uint32_t allowance_permille;
 	uint32_t seed_count;
 	bool quota;
+	const char *retry_window;
+	uint64_t retry_window_ms;
+	const char *floor;
+	uint32_t floor_permille;
+	const char *value_bytes;
+	uint32_t platform_value_bytes;
 };
 
 const struct fill_case fill_cases[] = {
 	{ "whole slack", "0.2", "58", R"(["10.1.0.3:8146"])", "0.2", 200, 58000,
-	  1, true },
+	  1, true, "10s", 10000, "0.7", 700, "1048576", 1048576 },
 	{ "slack with a fraction", "0.15", "58.5",
 	  R"(["10.1.0.3:8146","10.2.0.3:8146","10.3.0.3:8146"])", "0.5", 150,
-	  58500, 3, true },
-	{ "no retries, no seeds", "0", "0", "[]", "1", 0, 0, 0, false },
+	  58500, 3, true, "2500ms", 2500, "0.855", 855, "33554432", 33554432 },
+	{ "no retries, no seeds", "0", "0", "[]", "1", 0, 0, 0, false, "60s",
+	  60000, "1", 1000, "4096", 4096 },
 };
 
 void replace_all(std::string *text, const std::string &from,
@@ -79,6 +86,15 @@
 		{ "{{bounds.budgetSlack}}", c.retry_slack },
 		{ "{{limits.cpuShare}}", c.cpu_share },
 		{ "{{limits.cores}}", "1" },
+		{ "{{#platform.valueBytes}}", "" },
+		{ "{{/platform.valueBytes}}", "" },
+		{ "{{platform.valueBytes}}", c.value_bytes },
+		{ "{{#bounds.budgetWindow}}", "" },
+		{ "{{/bounds.budgetWindow}}", "" },
+		{ "{{bounds.budgetWindow}}", c.retry_window },
+		{ "{{#bounds.floorShare}}", "" },
+		{ "{{/bounds.floorShare}}", "" },
+		{ "{{bounds.floorShare}}", c.floor },
 		{ "{{#bounds.grace}}", "" },
 		{ "{{/bounds.grace}}", "" },
 		{ "{{bounds.grace}}", grace },
@@ -117,6 +133,11 @@
 		EXPECT_EQ(settings.retry_earned_permille, c.earned_permille);
 		EXPECT_EQ(settings.retry_allowance_permille,
 			  c.allowance_permille);
+		/* Bounds that a figure of ours once stood for. */
+		EXPECT_EQ(settings.retry_window_ms, c.retry_window_ms);
+		EXPECT_EQ(settings.floor_permille, c.floor_permille);
+		EXPECT_EQ(settings.platform_value_bytes,
+			  c.platform_value_bytes);
 		EXPECT_EQ(settings.seed_count, c.seed_count);
 		EXPECT_EQ(settings.quota_window_ms, c.quota ? 5000u : 0u);
 		EXPECT_EQ(settings.quota_overshoot_permille,
--- a/test/unit/store_view_test.cc
+++ b/test/unit/store_view_test.cc
@@ -228,11 +228,29 @@
 	  3 },
 };
 
+TEST(StoreView, DocumentsHaveTheStatedFloor)
+{
+	for (uint32_t percent : { 1u, 70u, 100u }) {
+		SCOPED_TRACE(percent);
+		struct store_view *view = store_view_new(percent);
+
+		run_step(view, first_config);
+		store_view_publish(view, 3, 3);
+		struct service_doc *doc = parse_service(view, "rolls");
+
+		ASSERT_NE(doc, nullptr);
+		EXPECT_EQ(doc->floor.kind, FLOOR_PERCENT);
+		EXPECT_EQ(doc->floor.percent, percent);
+		service_doc_unref(doc);
+		store_view_free(view);
+	}
+}
+
 TEST(StoreView, GeneratesServiceDocument)
 {
 	for (const auto &c : view_cases) {
 		SCOPED_TRACE(c.name);
-		struct store_view *view = store_view_new();
+		struct store_view *view = store_view_new(70);
 
 		for (const auto &step : c.steps)
 			run_step(view, step);
@@ -334,7 +352,7 @@
 {
 	for (const auto &c : restored_cases) {
 		SCOPED_TRACE(c.name);
-		struct store_view *view = store_view_new();
+		struct store_view *view = store_view_new(70);
 		std::vector<std::string> instances;
 		struct name table = { ROUTING_KEY };
 		uint32_t draining = 0;
@@ -412,7 +430,7 @@
 {
 	for (const auto &c : restate_cases) {
 		SCOPED_TRACE(c.name);
-		struct store_view *view = store_view_new();
+		struct store_view *view = store_view_new(70);
 		struct config_offer held = {};
 		const struct view_document *document;
 		uint64_t before = 0;
@@ -508,7 +526,7 @@
 {
 	for (const auto &c : odd_entry_cases) {
 		SCOPED_TRACE(c.name);
-		struct store_view *view = store_view_new();
+		struct store_view *view = store_view_new(70);
 
 		run_step(view, first_config);
 		run_step(view, first_entry);
@@ -567,7 +585,7 @@
 
 		text.replace(from, end - from, value);
 		SCOPED_TRACE(text);
-		struct store_view *view = store_view_new();
+		struct store_view *view = store_view_new(70);
 
 		run_step(view, first_config);
 		run_step(view, first_entry);
@@ -586,7 +604,7 @@
 
 TEST(StoreView, NothingIsPublishedWithoutAConfiguration)
 {
-	struct store_view *view = store_view_new();
+	struct store_view *view = store_view_new(70);
 
 	run_step(view, first_entry);
 	store_view_publish(view, 3, 3);
@@ -608,8 +626,8 @@
 			  entry(i % 2 ? "rolls" : "desk",
 				"10.0.0." + std::to_string(i + 1) + ":80", 1),
 			  (uint64_t)(3 + i) });
-	struct store_view *forward = store_view_new();
-	struct store_view *backward = store_view_new();
+	struct store_view *forward = store_view_new(70);
+	struct store_view *backward = store_view_new(70);
 
 	for (auto step = steps.begin(); step != steps.end(); ++step)
 		run_step(forward, *step);
@@ -632,7 +650,7 @@
 
 TEST(StoreView, TableAndIndexCanBeParsed)
 {
-	struct store_view *view = store_view_new();
+	struct store_view *view = store_view_new(70);
 	struct name key = { ROUTING_KEY };
 	uint64_t version = 0;
 	GArray *list = nullptr;
