web server: a stop leaves no connection unserved and open

Cause: a connection that is accepted right before the stop is taken from the queue by no thread, and CivetWeb does not close it. A process that ends closes them, so operators were not kept waiting.

--- a/src/duty/web_server.c
+++ b/src/duty/web_server.c
@@ -1,6 +1,9 @@
 #include "duty/web_server.h"
 
+#include <errno.h>
+#include <netinet/in.h>
 #include <pthread.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "core/clock.h"
@@ -9,6 +12,8 @@
 
 /* Interval at which a stop that is not done wakes the acceptor again. */
 #define WAKE_INTERVAL_US (20 * US_PER_MS)
+/* Has the number of each open file of this process. */
+#define OPEN_FILES_DIR "/proc/self/fd"
 
 /**
  * struct web_server - one CivetWeb server
@@ -26,6 +31,8 @@
 
 static void *stopper_thread(void *data);
 static void wake_acceptor(const struct web_server *server);
+static void close_unserved(const struct web_server *server);
+static bool accepted_by(const struct web_server *server, int fd);
 
 struct web_server *web_server_start(const struct web_server_options *options,
 				    GError **error)
@@ -76,6 +83,7 @@
 	if (!stopped)
 		return false;
 	pthread_join(server->stopper, NULL);
+	close_unserved(server);
 	mg_exit_library();
 	ring_free(server->stopped);
 	g_free(server);
@@ -109,3 +117,41 @@
 	g_debug("web server: %s", error->message);
 	g_error_free(error);
 }
+
+/*
+ * A connection that was accepted right before the stop is served by no thread
+ * any more and not closed by CivetWeb; its client would wait for nothing. All
+ * of the server's threads have ended, so nothing else uses its sockets.
+ */
+static void close_unserved(const struct web_server *server)
+{
+	GError *error = NULL;
+	GDir *dir = g_dir_open(OPEN_FILES_DIR, 0, &error);
+	const char *name;
+	int fd;
+
+	if (!dir) {
+		g_warning("web server: %s", error->message);
+		g_error_free(error);
+		return;
+	}
+	while ((name = g_dir_read_name(dir)) != NULL) {
+		fd = (int)g_ascii_strtoll(name, NULL, 10);
+		if (accepted_by(server, fd) && close(fd) != 0)
+			g_warning("web server: cannot close a connection: %s",
+				  g_strerror(errno));
+	}
+	g_dir_close(dir);
+}
+
+static bool accepted_by(const struct web_server *server, int fd)
+{
+	struct sockaddr_in local = { 0 };
+	socklen_t local_bytes = sizeof(local);
+
+	if (getsockname(fd, (struct sockaddr *)&local, &local_bytes) != 0)
+		return false;
+	return local.sin_family == AF_INET &&
+	       ntohl(local.sin_addr.s_addr) == server->wake.ip &&
+	       ntohs(local.sin_port) == server->wake.port;
+}
