start records: bounded by the servers that a service lists

Change: two for each listed server and 64 more, so that all may lapse at once; the oldest go first, when new ones come.

StartRecordTest.OldestIsForgotten: 69 of 70 ends are known, the oldest of 70 and of 700 is not.

--- a/src/command/start_record.c
+++ b/src/command/start_record.c
@@ -1,17 +1,23 @@
 #include "command/start_record.h"
 
-/* Known starts of a service; beyond that, the oldest is forgotten. */
-#define START_RECORDS_MAX DOC_BACKENDS_MAX
+/*
+ * Records of a service beyond two for each listed backend server, so that all
+ * of them may lapse at once; beyond that, the oldest is dropped.
+ */
+#define SPARE_RECORDS 64
 
 static bool has_history(const struct backend_doc *listed);
 static GHashTable *index_by_start(const struct service_doc *doc);
+static uint32_t records_max(const struct service *service,
+			    const struct service_doc *old_doc);
 static void learn(struct service *service, const struct backend_doc *before,
 		  const struct backend_doc *after);
 static void note(struct service *service, const struct backend_doc *listed,
 		 enum start_standing standing);
 static struct start_record *find_or_add(struct service *service,
 					const struct start_id *start);
-static void drop_oldest(GHashTable *records);
+static void drop_oldest(struct service *service, uint32_t max);
+static gint compare_notes(gconstpointer a, gconstpointer b);
 static void drop_outdated(struct service *service);
 static bool has_left(const struct service *service,
 		     const struct backend_doc *listed);
@@ -23,6 +29,7 @@
 {
 	GHashTable *listed = index_by_start(service->doc);
 	const struct backend_doc *before;
+	uint64_t notes = service->start_notes;
 	uint32_t i;
 
 	for (i = 0; i < old_doc->backend_count; i++) {
@@ -33,6 +40,9 @@
 	}
 	g_hash_table_unref(listed);
 	drop_outdated(service);
+	/* Of a service that has lapsed as a whole, what is known is kept. */
+	if (service->start_notes != notes)
+		drop_oldest(service, records_max(service, old_doc));
 	for (i = 0; i < service->doc->backend_count; i++)
 		service->backends[i].left =
 			has_left(service, &service->doc->backends[i]);
@@ -98,29 +108,54 @@
 	record = g_hash_table_lookup(service->start_records, start);
 	if (record)
 		return record;
-	if (g_hash_table_size(service->start_records) >= START_RECORDS_MAX)
-		drop_oldest(service->start_records);
 	record = g_new0(struct start_record, 1);
 	record->start = *start;
 	g_hash_table_insert(service->start_records, &record->start, record);
 	return record;
 }
 
-static void drop_oldest(GHashTable *records)
+static uint32_t records_max(const struct service *service,
+			    const struct service_doc *old_doc)
+{
+	return 2 * MAX(service->doc->backend_count, old_doc->backend_count) +
+	       SPARE_RECORDS;
+}
+
+/* Drops all but the latest @max records. */
+static void drop_oldest(struct service *service, uint32_t max)
 {
-	const struct start_record *oldest = NULL;
 	const struct start_record *record;
 	GHashTableIter iter;
+	GArray *notes;
 	gpointer value;
+	uint64_t oldest;
 
-	g_hash_table_iter_init(&iter, records);
+	if (!service->start_records ||
+	    g_hash_table_size(service->start_records) <= max)
+		return;
+	notes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	g_hash_table_iter_init(&iter, service->start_records);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		record = value;
-		if (!oldest || record->noted < oldest->noted)
-			oldest = record;
+		g_array_append_val(notes, record->noted);
 	}
-	if (oldest)
-		g_hash_table_remove(records, &oldest->start);
+	g_array_sort(notes, compare_notes);
+	oldest = g_array_index(notes, uint64_t, notes->len - max);
+	g_array_unref(notes);
+	g_hash_table_iter_init(&iter, service->start_records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		record = value;
+		if (record->noted < oldest)
+			g_hash_table_iter_remove(&iter);
+	}
+}
+
+static gint compare_notes(gconstpointer a, gconstpointer b)
+{
+	const uint64_t *x = a;
+	const uint64_t *y = b;
+
+	return (*x > *y) - (*x < *y);
 }
 
 /* Drops the records of starts whose entries were written again. */
--- a/test/unit/start_record_test.cc
+++ b/test/unit/start_record_test.cc
@@ -166,4 +166,38 @@
 	}
 }
 
+/* Servers of a service that end and are replaced, three in each document. */
+struct bound_case {
+	const char *name;
+	uint32_t ended; /* starts that end, one after the other */
+	uint32_t records;
+	bool first_granted; /* the first of them, when it is listed again */
+};
+
+const struct bound_case bound_cases[] = {
+	{ "there is room for the last one that ends", 69, 69, false },
+	{ "there is none", 70, 70, true },
+	{ "many more have ended", 700, 70, true },
+};
+
+TEST(StartRecordTest, OldestIsForgotten)
+{
+	for (const auto &c : bound_cases) {
+		SCOPED_TRACE(c.name);
+		TestInstance inst;
+		uint64_t version = 0;
+
+		inst.list(1);
+		for (uint64_t start = 1; start <= c.ended + 1; start++)
+			inst.accept(
+				doc_of({ true, 3, false, start }, ++version));
+		EXPECT_EQ(g_hash_table_size(inst.service()->start_records),
+			  c.records);
+		inst.accept(doc_of({ true, 3, false, 1 }, ++version));
+		inst.pass_ms(10000);
+		inst.forget();
+		EXPECT_EQ(gets_requests(inst), c.first_granted);
+	}
+}
+
 } // namespace
