--- a/test/unit/start_notice_test.cc
+++ b/test/unit/start_notice_test.cc
@@ -97,23 +97,6 @@
 	}
 }
 
-bool gets_requests(TestInstance &inst)
-{
-	const uint32_t requests = 12;
-	bool granted = false;
-
-	for (uint32_t i = 0; i < requests; i++) {
-		const struct event *event =
-			inst.last_result_of(inst.request("/s/short", i));
-
-		if (!event || event->kind != EVENT_GRANT)
-			continue;
-		granted |= event->grant.backend.ip == addr_of(200, 9000).ip;
-		inst.finish(event->grant, ended(EVIDENCE_OK));
-	}
-	return granted;
-}
-
 /* Whether backend server 0 gets requests after a notice and a change. */
 bool gets_requests_after(const struct change_case &c,
 			 struct backend_notice notice)
--- a/test/unit/start_record_test.cc
+++ b/test/unit/start_record_test.cc
@@ -103,23 +103,6 @@
 	return doc;
 }
 
-bool gets_requests(TestInstance &inst)
-{
-	const uint32_t requests = 12;
-	bool granted = false;
-
-	for (uint32_t i = 0; i < requests; i++) {
-		const struct event *event =
-			inst.last_result_of(inst.request("/s/short", i));
-
-		if (!event || event->kind != EVENT_GRANT)
-			continue;
-		granted |= event->grant.backend.ip == addr_of(200, 9000).ip;
-		inst.finish(event->grant, ended(EVIDENCE_OK));
-	}
-	return granted;
-}
-
 void make_steps(TestInstance &inst, const struct record_case &c)
 {
 	uint64_t version = 0;
--- a/test/unit/test_instance.h
+++ b/test/unit/test_instance.h
@@ -307,4 +307,22 @@
 	return evidence;
 }
 
+/* Return: whether backend server 0 gets some of 12 requests. */
+inline bool gets_requests(TestInstance &inst)
+{
+	const uint32_t requests = 12;
+	bool granted = false;
+
+	for (uint32_t i = 0; i < requests; i++) {
+		const struct event *event =
+			inst.last_result_of(inst.request("/s/short", i));
+
+		if (!event || event->kind != EVENT_GRANT)
+			continue;
+		granted |= event->grant.backend.ip == addr_of(200, 9000).ip;
+		inst.finish(event->grant, ended(EVIDENCE_OK));
+	}
+	return granted;
+}
+
 #endif
