start records: an end holds until a later write

What callers saw: after two restores of the store, the second from an older copy than the first, requests went to a server that had ended.

Cause: an instance that saw the ended start listed again, and then in an older state, noted what the first of the two documents said of it, and that replaced the end at the same number of writes.

Change: a note replaces an end only if its entry was written later.

--- a/src/command/start_record.c
+++ b/src/command/start_record.c
@@ -14,6 +14,8 @@
 		  const struct backend_doc *after);
 static void note(struct service *service, const struct backend_doc *listed,
 		 enum start_standing standing);
+static bool overrides(const struct start_record *record, uint64_t writes,
+		      enum start_standing standing);
 static struct start_record *find_or_add(struct service *service,
 					const struct start_id *start);
 static void drop_oldest(struct service *service, uint32_t max);
@@ -92,11 +94,20 @@
 	struct start_record *record = find_or_add(service, &listed->start);
 
 	record->noted = ++service->start_notes;
-	if (standing == START_ENDED || listed->writes >= record->writes)
+	if (overrides(record, listed->writes, standing))
 		record->standing = standing;
 	record->writes = MAX(record->writes, listed->writes);
 }
 
+/* An end holds until a later write. */
+static bool overrides(const struct start_record *record, uint64_t writes,
+		      enum start_standing standing)
+{
+	if (standing == START_ENDED || writes > record->writes)
+		return true;
+	return writes == record->writes && record->standing != START_ENDED;
+}
+
 static struct start_record *find_or_add(struct service *service,
 					const struct start_id *start)
 {
