starts that have left are told to all instances

Cause: what is known of an ended start was told in digests, as a drain. They go from home to home of the service; with the policy "domain" other instances use its servers, too, and a home that is alone in knowing nothing has no other home.

Change: while a document in force lists a start that has left, an instance tells four drawn peers each 500 ms, with the writes and the standing; the receiver judges by the same table as for what it has seen itself, and tells others. The digests no longer carry it, so there is one way.

--- a/src/codec/gen/peer.h
+++ b/src/codec/gen/peer.h
@@ -18,6 +18,7 @@
 #define WIRE_OFFERS_MAX 8
 #define WIRE_DIGEST_ENTRIES_MAX 192
 #define WIRE_LEASES_MAX 32
+#define WIRE_LEFT_STARTS_MAX 16
 #define WIRE_OFFER_LIST_MAX 4096
 #define WIRE_INSTANCES_MAX 1025
 #define WIRE_PACKED_MAX 33600000
@@ -111,6 +112,23 @@
 };
 typedef struct wire_quota wire_quota;
 
+struct wire_left_start {
+	wire_name service;
+	wire_name instance;
+	u_quad_t started_unix_ms;
+	u_quad_t writes;
+	u_int standing;
+};
+typedef struct wire_left_start wire_left_start;
+
+struct wire_left_starts {
+	struct {
+		u_int starts_len;
+		wire_left_start *starts_val;
+	} starts;
+};
+typedef struct wire_left_starts wire_left_starts;
+
 enum wire_kind {
 	WIRE_PING = 0,
 	WIRE_ACK = 1,
@@ -121,6 +139,7 @@
 	WIRE_LEASE_RETURN = 6,
 	WIRE_QUOTA_REQUEST = 7,
 	WIRE_QUOTA_GRANT = 8,
+	WIRE_LEFT_STARTS = 9,
 };
 typedef enum wire_kind wire_kind;
 
@@ -131,6 +150,7 @@
 		wire_digest digest;
 		wire_lease lease;
 		wire_quota quota;
+		wire_left_starts left_starts;
 	} wire_body_u;
 };
 typedef struct wire_body wire_body;
@@ -248,6 +268,8 @@
 extern  bool_t xdr_wire_slots (XDR *, wire_slots*);
 extern  bool_t xdr_wire_lease (XDR *, wire_lease*);
 extern  bool_t xdr_wire_quota (XDR *, wire_quota*);
+extern  bool_t xdr_wire_left_start (XDR *, wire_left_start*);
+extern  bool_t xdr_wire_left_starts (XDR *, wire_left_starts*);
 extern  bool_t xdr_wire_kind (XDR *, wire_kind*);
 extern  bool_t xdr_wire_body (XDR *, wire_body*);
 extern  bool_t xdr_wire_message (XDR *, wire_message*);
@@ -269,6 +291,8 @@
 extern bool_t xdr_wire_slots ();
 extern bool_t xdr_wire_lease ();
 extern bool_t xdr_wire_quota ();
+extern bool_t xdr_wire_left_start ();
+extern bool_t xdr_wire_left_starts ();
 extern bool_t xdr_wire_kind ();
 extern bool_t xdr_wire_body ();
 extern bool_t xdr_wire_message ();
--- a/src/codec/gen/peer_xdr.c
+++ b/src/codec/gen/peer_xdr.c
@@ -287,6 +287,35 @@
 	return TRUE;
 }
 
+bool_t
+xdr_wire_left_start (XDR *xdrs, wire_left_start *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_wire_name (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_wire_name (xdrs, &objp->instance))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_unix_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->writes))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->standing))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_wire_left_starts (XDR *xdrs, wire_left_starts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->starts.starts_val, (u_int *) &objp->starts.starts_len, WIRE_LEFT_STARTS_MAX,
+		sizeof (wire_left_start), (xdrproc_t) xdr_wire_left_start))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_wire_kind (XDR *xdrs, wire_kind *objp)
 {
@@ -326,6 +355,10 @@
 		 if (!xdr_wire_quota (xdrs, &objp->wire_body_u.quota))
 			 return FALSE;
 		break;
+	case WIRE_LEFT_STARTS:
+		 if (!xdr_wire_left_starts (xdrs, &objp->wire_body_u.left_starts))
+			 return FALSE;
+		break;
 	default:
 		return FALSE;
 	}
--- a/src/codec/peer.x
+++ b/src/codec/peer.x
@@ -9,6 +9,7 @@
 const WIRE_OFFERS_MAX = 8;
 const WIRE_DIGEST_ENTRIES_MAX = 192;
 const WIRE_LEASES_MAX = 32;
+const WIRE_LEFT_STARTS_MAX = 16;
 const WIRE_OFFER_LIST_MAX = 4096;
 const WIRE_INSTANCES_MAX = 1025;
 const WIRE_PACKED_MAX = 33600000;
@@ -86,6 +87,18 @@
 	unsigned int flags;
 };
 
+struct wire_left_start {
+	wire_name service;
+	wire_name instance;
+	unsigned hyper started_unix_ms;
+	unsigned hyper writes;
+	unsigned int standing;
+};
+
+struct wire_left_starts {
+	wire_left_start starts<WIRE_LEFT_STARTS_MAX>;
+};
+
 enum wire_kind {
 	WIRE_PING = 0,
 	WIRE_ACK = 1,
@@ -95,7 +108,8 @@
 	WIRE_LEASE_GRANT = 5,
 	WIRE_LEASE_RETURN = 6,
 	WIRE_QUOTA_REQUEST = 7,
-	WIRE_QUOTA_GRANT = 8
+	WIRE_QUOTA_GRANT = 8,
+	WIRE_LEFT_STARTS = 9
 };
 
 union wire_body switch (wire_kind kind) {
@@ -112,6 +126,8 @@
 case WIRE_QUOTA_REQUEST:
 case WIRE_QUOTA_GRANT:
 	wire_quota quota;
+case WIRE_LEFT_STARTS:
+	wire_left_starts left_starts;
 };
 
 struct wire_message {
--- a/src/codec/peer_rpc.c
+++ b/src/codec/peer_rpc.c
@@ -31,12 +31,14 @@
  * @offers: for wire_message.offers
  * @entries: for wire_digest.entries
  * @leases: for wire_lease.leases
+ * @left_starts: for wire_left_starts.starts
  */
 struct wire_arrays {
 	wire_rumour rumours[PEER_RUMOURS_MAX];
 	wire_offer offers[PEER_OFFERS_MAX];
 	wire_digest_entry entries[PEER_DIGEST_ENTRIES_MAX];
 	wire_slots leases[PEER_LEASES_MAX];
+	wire_left_start left_starts[PEER_LEFT_STARTS_MAX];
 };
 
 static void write_message(const struct peer_message *message,
@@ -48,6 +50,9 @@
 static void write_lease(const struct peer_lease *lease,
 			struct wire_arrays *arrays, wire_lease *wire);
 static void write_quota(const struct peer_quota *quota, wire_quota *wire);
+static void write_left_starts(const struct peer_left_starts *left_starts,
+			      struct wire_arrays *arrays,
+			      wire_left_starts *wire);
 static bool read_message(const wire_message *wire, struct peer_message *out);
 static bool read_rumours(const wire_message *wire, struct peer_message *out);
 static bool read_offers(const wire_message *wire, struct peer_message *out);
@@ -56,6 +61,8 @@
 static bool read_digest(const wire_digest *wire, struct peer_digest *out);
 static bool read_lease(const wire_lease *wire, struct peer_lease *out);
 static bool read_quota(const wire_quota *wire, struct peer_quota *out);
+static bool read_left_starts(const wire_left_starts *wire,
+			     struct peer_left_starts *out);
 
 uint32_t peer_message_encode(const struct peer_message *message, uint32_t xid,
 			     uint8_t *out, uint32_t out_bytes)
@@ -150,6 +157,10 @@
 	case PEER_QUOTA_GRANT:
 		write_quota(&message->quota, &wire->body.wire_body_u.quota);
 		break;
+	case PEER_LEFT_STARTS:
+		write_left_starts(&message->left_starts, arrays,
+				  &wire->body.wire_body_u.left_starts);
+		break;
 	}
 }
 
@@ -232,6 +243,27 @@
 		wire->flags |= QUOTA_DECLINED;
 }
 
+static void write_left_starts(const struct peer_left_starts *left_starts,
+			      struct wire_arrays *arrays,
+			      wire_left_starts *wire)
+{
+	const struct left_start *left;
+	uint32_t i;
+
+	for (i = 0; i < left_starts->start_count; i++) {
+		left = &left_starts->starts[i];
+		arrays->left_starts[i].service = (char *)left->service.text;
+		arrays->left_starts[i].instance =
+			(char *)left->start.instance.text;
+		arrays->left_starts[i].started_unix_ms =
+			left->start.started_unix_ms;
+		arrays->left_starts[i].writes = left->writes;
+		arrays->left_starts[i].standing = left->standing;
+	}
+	wire->starts.starts_len = left_starts->start_count;
+	wire->starts.starts_val = arrays->left_starts;
+}
+
 static bool read_message(const wire_message *wire, struct peer_message *out)
 {
 	if (!wire_addr_read(&wire->sender, &out->sender) ||
@@ -300,6 +332,9 @@
 	case WIRE_QUOTA_REQUEST:
 	case WIRE_QUOTA_GRANT:
 		return read_quota(&wire->wire_body_u.quota, &out->quota);
+	case WIRE_LEFT_STARTS:
+		return read_left_starts(&wire->wire_body_u.left_starts,
+					&out->left_starts);
 	}
 	return false;
 }
@@ -386,3 +421,29 @@
 	out->declined = (wire->flags & QUOTA_DECLINED) != 0;
 	return true;
 }
+
+static bool read_left_starts(const wire_left_starts *wire,
+			     struct peer_left_starts *out)
+{
+	const wire_left_start *from;
+	struct left_start *to;
+	u_int i;
+
+	for (i = 0; i < wire->starts.starts_len; i++) {
+		from = &wire->starts.starts_val[i];
+		to = &out->starts[out->start_count++];
+		if (!name_set(&to->service, from->service) ||
+		    !name_set(&to->start.instance, from->instance) ||
+		    from->started_unix_ms == 0 ||
+		    from->started_unix_ms > DOC_STARTED_MAX_UNIX_MS ||
+		    from->writes == 0)
+			return false;
+		if (from->standing != START_DRAINING &&
+		    from->standing != START_ENDED)
+			return false;
+		to->start.started_unix_ms = from->started_unix_ms;
+		to->writes = from->writes;
+		to->standing = (enum start_standing)from->standing;
+	}
+	return true;
+}
--- a/src/command/apply.c
+++ b/src/command/apply.c
@@ -15,6 +15,7 @@
 #include "command/reader.h"
 #include "command/recall.h"
 #include "command/schedule.h"
+#include "command/start_gossip.h"
 #include "command/tick.h"
 
 static void accept_instances(struct state *state,
@@ -130,6 +131,9 @@
 	case PEER_QUOTA_GRANT:
 		quota_handle_message(state, message, now, out);
 		break;
+	case PEER_LEFT_STARTS:
+		start_gossip_handle(state, &message->left_starts, now, out);
+		break;
 	case PEER_PING:
 	case PEER_ACK:
 	case PEER_PING_REQUEST:
--- a/src/command/health.c
+++ b/src/command/health.c
@@ -204,9 +204,8 @@
 		health_audit(change, AUDIT_DRAIN_BEGUN, CAUSE_DOCUMENT);
 		return;
 	}
-	/* Other homes may not know it. */
-	change->service->digest_due_us =
-		MIN(change->service->digest_due_us, change->now.mono_us);
+	/* Other instances may not know it. */
+	change->state->left_starts_due_us = change->now.mono_us;
 	health_audit(change, AUDIT_DRAIN_BEGUN, CAUSE_START_LEFT);
 }
 
--- a/src/command/lease.c
+++ b/src/command/lease.c
@@ -89,6 +89,7 @@
 	case PEER_DIGEST:
 	case PEER_QUOTA_REQUEST:
 	case PEER_QUOTA_GRANT:
+	case PEER_LEFT_STARTS:
 		break;
 	}
 }
--- a/src/command/member_gossip.c
+++ b/src/command/member_gossip.c
@@ -10,13 +10,11 @@
 #define RUMOUR_SENDS_FACTOR 3
 /* Number of times that each member is sent an announcement of a change. */
 #define ANNOUNCE_SENDS 3
-/* Number of peers to which a changed document is offered at once. */
-#define OFFER_PEERS 4
 /*
- * Number of these in other failure domains when traffic between domains has a
- * cost, since each of them may pull the document from this one.
+ * Number of the drawn peers in other failure domains when traffic between
+ * domains has a cost, since each of them may pull a document from this one.
  */
-#define OFFER_PEERS_ELSEWHERE 1
+#define PEERS_ELSEWHERE 1
 #define ANNOUNCE_INTERVAL_US (150 * US_PER_MS)
 #define OFFER_INTERVAL_US (100 * US_PER_MS)
 /* Time after a change in which it is offered to more and more peers. */
@@ -34,8 +32,6 @@
 
 static bool offers_are_due(struct membership *membership, struct instant now);
 static bool peers_may_be_lost(const struct membership *membership);
-static uint32_t draw_offer_peers(struct state *state,
-				 struct net_addr peers[OFFER_PEERS]);
 static uint32_t draw_live_peers(struct state *state, enum draw_from from,
 				uint32_t count_max, struct net_addr *peers);
 static bool is_drawn_from(const struct state *state,
@@ -127,7 +123,7 @@
 			    struct event_list *out)
 {
 	struct membership *membership = &state->membership;
-	struct net_addr peers[OFFER_PEERS];
+	struct net_addr peers[MEMBER_DRAWN_PEERS];
 	uint32_t count;
 	uint32_t i;
 
@@ -137,11 +133,28 @@
 	if (!offers_are_due(membership, now))
 		return;
 	membership->offers_next_us = now.mono_us + OFFER_INTERVAL_US;
-	count = draw_offer_peers(state, peers);
+	count = member_draw_peers(state, peers);
 	for (i = 0; i < count; i++)
 		member_send_self(state, peers[i], out);
 }
 
+uint32_t member_draw_peers(struct state *state,
+			   struct net_addr peers[MEMBER_DRAWN_PEERS])
+{
+	uint32_t count;
+
+	if (!state->settings->reduce_cross_domain_traffic)
+		return draw_live_peers(state, DRAW_ALL, MEMBER_DRAWN_PEERS,
+				       peers);
+	count = draw_live_peers(state, DRAW_ELSEWHERE, PEERS_ELSEWHERE, peers);
+	count += draw_live_peers(state, DRAW_OWN_DOMAIN,
+				 MEMBER_DRAWN_PEERS - count, peers + count);
+	if (count == MEMBER_DRAWN_PEERS)
+		return count;
+	/* Too few in the own domain: a change must spread all the same. */
+	return draw_live_peers(state, DRAW_ALL, MEMBER_DRAWN_PEERS, peers);
+}
+
 uint32_t member_gossip_rounds(const struct state *state)
 {
 	return log2_ceil(state->membership.members->len + 1);
@@ -220,24 +233,6 @@
 	return false;
 }
 
-/* Return: used entries of @peers. */
-static uint32_t draw_offer_peers(struct state *state,
-				 struct net_addr peers[OFFER_PEERS])
-{
-	uint32_t count;
-
-	if (!state->settings->reduce_cross_domain_traffic)
-		return draw_live_peers(state, DRAW_ALL, OFFER_PEERS, peers);
-	count = draw_live_peers(state, DRAW_ELSEWHERE, OFFER_PEERS_ELSEWHERE,
-				peers);
-	count += draw_live_peers(state, DRAW_OWN_DOMAIN, OFFER_PEERS - count,
-				 peers + count);
-	if (count == OFFER_PEERS)
-		return count;
-	/* Too few in the own domain: a change must spread all the same. */
-	return draw_live_peers(state, DRAW_ALL, OFFER_PEERS, peers);
-}
-
 /*
  * Draws each peer by itself: members next to each other in the list are often
  * of one failure domain, and lost together.
--- a/src/command/member_gossip.h
+++ b/src/command/member_gossip.h
@@ -11,6 +11,19 @@
 
 #include "core/state.h"
 
+/* Number of peers that are told of a change at once. */
+#define MEMBER_DRAWN_PEERS 4
+
+/**
+ * member_draw_peers() - draw peers that are told of a change at once
+ * @state: routing state
+ * @peers: receives their addresses
+ *
+ * Return: number of peers drawn.
+ */
+uint32_t member_draw_peers(struct state *state,
+			   struct net_addr peers[MEMBER_DRAWN_PEERS]);
+
 /**
  * member_gossip_rounds() - rounds in which gossip reaches the whole fleet
  * @state: routing state, not changed
--- a/src/command/member_probe.c
+++ b/src/command/member_probe.c
@@ -172,6 +172,7 @@
 	case PEER_LEASE_RETURN:
 	case PEER_QUOTA_REQUEST:
 	case PEER_QUOTA_GRANT:
+	case PEER_LEFT_STARTS:
 		break;
 	}
 }
--- a/src/command/quota.c
+++ b/src/command/quota.c
@@ -219,6 +219,7 @@
 	case PEER_LEASE_REQUEST:
 	case PEER_LEASE_GRANT:
 	case PEER_LEASE_RETURN:
+	case PEER_LEFT_STARTS:
 		break;
 	}
 }
--- a/src/command/start_record.c
+++ b/src/command/start_record.c
@@ -12,8 +12,8 @@
 			    const struct service_doc *old_doc);
 static void learn(struct service *service, const struct backend_doc *before,
 		  const struct backend_doc *after);
-static void note(struct service *service, const struct backend_doc *listed,
-		 enum start_standing standing);
+static void note(struct service *service, const struct start_id *start,
+		 uint64_t writes, enum start_standing standing);
 static bool overrides(const struct start_record *record, uint64_t writes,
 		      enum start_standing standing);
 static struct start_record *find_or_add(struct service *service,
@@ -21,8 +21,11 @@
 static void drop_oldest(struct service *service, uint32_t max);
 static gint compare_notes(gconstpointer a, gconstpointer b);
 static void drop_outdated(struct service *service);
-static bool has_left(const struct service *service,
-		     const struct backend_doc *listed);
+static void judge(struct service *service);
+static bool is_news(const struct service *service,
+		    const struct left_start *heard);
+static const struct backend_doc *find_listed(const struct service_doc *doc,
+					     const struct start_id *start);
 static guint start_bucket(gconstpointer data);
 static gboolean starts_equal(gconstpointer a, gconstpointer b);
 
@@ -45,9 +48,43 @@
 	/* Of a service that has lapsed as a whole, what is known is kept. */
 	if (service->start_notes != notes)
 		drop_oldest(service, records_max(service, old_doc));
-	for (i = 0; i < service->doc->backend_count; i++)
-		service->backends[i].left =
-			has_left(service, &service->doc->backends[i]);
+	judge(service);
+}
+
+bool start_record_hear(struct service *service, const struct left_start *heard)
+{
+	const struct backend_doc *listed;
+
+	if (!is_news(service, heard))
+		return false;
+	listed = find_listed(service->doc, &heard->start);
+	if (!listed || !has_history(listed) || listed->writes > heard->writes)
+		return false;
+	note(service, &heard->start, heard->writes, heard->standing);
+	drop_oldest(service, records_max(service, service->doc));
+	judge(service);
+	return start_record_left(service, listed) != NULL;
+}
+
+const struct start_record *start_record_left(const struct service *service,
+					     const struct backend_doc *listed)
+{
+	const struct start_record *record;
+
+	if (!service->start_records || !has_history(listed))
+		return NULL;
+	record = g_hash_table_lookup(service->start_records, &listed->start);
+	if (!record)
+		return NULL;
+	switch (record->standing) {
+	case START_READY:
+		return NULL;
+	case START_DRAINING:
+		return listed->writes < record->writes ? record : NULL;
+	case START_ENDED:
+		return listed->writes <= record->writes ? record : NULL;
+	}
+	return NULL;
 }
 
 /* Return: whether writes of the start can be compared. */
@@ -79,24 +116,24 @@
 	if (after && after->writes >= before->writes)
 		return;
 	if (after) {
-		note(service, before,
+		note(service, &before->start, before->writes,
 		     before->draining ? START_DRAINING : START_READY);
 		return;
 	}
 	/* A full list has no room for all that the platform has. */
 	if (service->doc->backend_count < DOC_BACKENDS_MAX)
-		note(service, before, START_ENDED);
+		note(service, &before->start, before->writes, START_ENDED);
 }
 
-static void note(struct service *service, const struct backend_doc *listed,
-		 enum start_standing standing)
+static void note(struct service *service, const struct start_id *start,
+		 uint64_t writes, enum start_standing standing)
 {
-	struct start_record *record = find_or_add(service, &listed->start);
+	struct start_record *record = find_or_add(service, start);
 
 	record->noted = ++service->start_notes;
-	if (overrides(record, listed->writes, standing))
+	if (overrides(record, writes, standing))
 		record->standing = standing;
-	record->writes = MAX(record->writes, listed->writes);
+	record->writes = MAX(record->writes, writes);
 }
 
 /* An end holds until a later write. */
@@ -188,25 +225,45 @@
 	}
 }
 
-static bool has_left(const struct service *service,
-		     const struct backend_doc *listed)
+static void judge(struct service *service)
+{
+	uint32_t i;
+
+	service->left_backends = 0;
+	for (i = 0; i < service->doc->backend_count; i++) {
+		service->backends[i].left =
+			start_record_left(service, &service->doc->backends[i]);
+		service->left_backends += service->backends[i].left;
+	}
+}
+
+/* Return: whether the peer has seen a later state than this instance. */
+static bool is_news(const struct service *service,
+		    const struct left_start *heard)
 {
 	const struct start_record *record;
 
-	if (!service->start_records || !has_history(listed))
-		return false;
-	record = g_hash_table_lookup(service->start_records, &listed->start);
-	if (!record)
-		return false;
-	switch (record->standing) {
-	case START_READY:
-		return false;
-	case START_DRAINING:
-		return listed->writes < record->writes;
-	case START_ENDED:
-		return listed->writes <= record->writes;
+	if (!service->start_records)
+		return true;
+	record = g_hash_table_lookup(service->start_records, &heard->start);
+	if (!record || heard->writes > record->writes)
+		return true;
+	return heard->writes == record->writes &&
+	       record->standing != START_ENDED &&
+	       heard->standing == START_ENDED;
+}
+
+/* Return: the entry of the start, or NULL. */
+static const struct backend_doc *find_listed(const struct service_doc *doc,
+					     const struct start_id *start)
+{
+	uint32_t i;
+
+	for (i = 0; i < doc->backend_count; i++) {
+		if (start_equal(&doc->backends[i].start, start))
+			return &doc->backends[i];
 	}
-	return false;
+	return NULL;
 }
 
 static guint start_bucket(gconstpointer data)
--- a/src/command/start_record.h
+++ b/src/command/start_record.h
@@ -17,9 +17,28 @@
  * @service: service with its new document and the backend servers of that
  * @old_doc: document that was in force before, not owned
  *
- * Sets the field left of each listed backend server.
+ * Sets the field left of each listed backend server, and their number.
  */
 void start_records_follow(struct service *service,
 			  const struct service_doc *old_doc);
 
+/**
+ * start_record_hear() - learn what a peer has seen of a start
+ * @service: service of the start
+ * @heard: the start as the peer has seen it
+ *
+ * Return: true if a listed backend server is known to have left by it.
+ */
+bool start_record_hear(struct service *service, const struct left_start *heard);
+
+/**
+ * start_record_left() - by what a listed start is known to have left
+ * @service: service that lists it
+ * @listed: entry of its document
+ *
+ * Return: the record, owned by the service, or NULL if it has not left.
+ */
+const struct start_record *start_record_left(const struct service *service,
+					     const struct backend_doc *listed);
+
 #endif
--- a/src/command/tick.c
+++ b/src/command/tick.c
@@ -11,6 +11,7 @@
 #include "command/quota.h"
 #include "command/recall.h"
 #include "command/schedule.h"
+#include "command/start_gossip.h"
 
 static void tick_service(struct state *state, struct service *service,
 			 struct instant now, struct event_list *out);
@@ -29,6 +30,7 @@
 	g_hash_table_iter_init(&iter, state->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		tick_service(state, value, now, out);
+	start_gossip_tick(state, now, out);
 	try_timeout_tick(state, now, out);
 	quota_tick(state, now, out);
 	leave_tick(state, now, out);
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -67,6 +67,14 @@
 	struct start_id start;
 };
 
+/**
+ * enum start_standing - what a start of a backend server said last
+ * @START_READY: it accepts requests
+ * @START_DRAINING: it drains
+ * @START_ENDED: its entry was removed
+ */
+enum start_standing { START_READY, START_DRAINING, START_ENDED };
+
 /**
  * struct route_doc - one route of a service document
  * @path_prefix: prefix of the paths it matches; the longest matching prefix
--- a/src/core/peer.h
+++ b/src/core/peer.h
@@ -14,6 +14,7 @@
 #define PEER_OFFERS_MAX 8
 #define PEER_DIGEST_ENTRIES_MAX 192
 #define PEER_LEASES_MAX 32
+#define PEER_LEFT_STARTS_MAX 16
 
 /**
  * enum member_status - status of an instance
@@ -117,6 +118,7 @@
 	PEER_LEASE_RETURN,
 	PEER_QUOTA_REQUEST,
 	PEER_QUOTA_GRANT,
+	PEER_LEFT_STARTS,
 };
 
 /**
@@ -198,6 +200,31 @@
 	bool declined;
 };
 
+/**
+ * struct left_start - start of a backend server that is listed in an earlier
+ *	state than the sender has seen
+ * @service: name of the service
+ * @start: the start
+ * @writes: writes of its entry in that state, not 0
+ * @standing: START_DRAINING or START_ENDED
+ */
+struct left_start {
+	struct name service;
+	struct start_id start;
+	uint64_t writes;
+	enum start_standing standing;
+};
+
+/**
+ * struct peer_left_starts - starts that the sender does not use any more
+ * @starts: the starts, or some of them
+ * @start_count: used entries of @starts
+ */
+struct peer_left_starts {
+	struct left_start starts[PEER_LEFT_STARTS_MAX];
+	uint32_t start_count;
+};
+
 /**
  * struct peer_message - one datagram
  * @sender: peer address of the sender
@@ -218,6 +245,7 @@
  * @digest: with PEER_DIGEST
  * @lease: with PEER_LEASE_*
  * @quota: with PEER_QUOTA_*
+ * @left_starts: with PEER_LEFT_STARTS
  */
 struct peer_message {
 	struct net_addr sender;
@@ -238,6 +266,7 @@
 		struct peer_digest digest;
 		struct peer_lease lease;
 		struct peer_quota quota;
+		struct peer_left_starts left_starts;
 	};
 };
 
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -173,14 +173,6 @@
 	struct backend_notice notice;
 };
 
-/**
- * enum start_standing - what a start of a backend server said last
- * @START_READY: it accepts requests
- * @START_DRAINING: it drains
- * @START_ENDED: its entry was removed
- */
-enum start_standing { START_READY, START_DRAINING, START_ENDED };
-
 /**
  * struct start_record - last known state of a start, where the document in
  *	force may show an older one (command/start_record.h)
@@ -479,6 +471,7 @@
  * @start_records: owned map of starts to owned struct start_record, NULL until
  *	the first one
  * @start_notes: number of notes made in @start_records
+ * @left_backends: number of backend servers that have left
  * @counters: counters for metrics
  */
 struct service {
@@ -526,6 +519,7 @@
 	uint32_t start_notice_next;
 	GHashTable *start_records;
 	uint64_t start_notes;
+	uint32_t left_backends;
 	struct service_counters counters;
 };
 
@@ -565,6 +559,7 @@
  * @left: EVENT_LEFT has been sent
  * @reader_role: whether this instance reads the configuration from the platform
  * @quotas: quotas of the customers
+ * @left_starts_due_us: when peers are told next of listed starts that have left
  * @homes_dirty: the home sets must be recomputed
  * @probes_dirty: the probe plan must be recomputed
  */
@@ -596,6 +591,7 @@
 	bool left;
 	enum reader_role reader_role;
 	struct quotas quotas;
+	uint64_t left_starts_due_us;
 	bool homes_dirty;
 	bool probes_dirty;
 };
--- a/src/query/health_digest.c
+++ b/src/query/health_digest.c
@@ -131,7 +131,7 @@
  */
 static bool observed_draining(const struct backend *backend, struct instant now)
 {
-	return backend->left || now.mono_us < backend->drain_seen_until_us;
+	return now.mono_us < backend->drain_seen_until_us;
 }
 
 static bool observed_cold(const struct backend *backend, struct instant now)
--- a/test/process/store_test.cc
+++ b/test/process/store_test.cc
@@ -706,10 +706,7 @@
 	}
 }
 
-/*
- * The same for instances that have started since. Digests tell them, but only
- * from home to home of the service.
- */
+/* The same for instances that have started since: those that know tell them. */
 TEST(StorePlatform, EndedBackendStaysEndedAtRestartedInstances)
 {
 	for (const auto &c : ended_cases) {
