--- /dev/null
+++ b/test/unit/ended_orders_test.cc
@@ -0,0 +1,602 @@
+/*
+ * Every order, to a depth, in which a backend server ends, the store comes back
+ * from a copy, and instances read it, restart and hear from each other, played
+ * on the reader's view and the routing state. Guards against an order in which
+ * an instance uses a server again that it has seen leave, or in which a server
+ * that lives stays out of use (review/8, review/9, review/10).
+ */
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "store_texts.h"
+#include "test_instance.h"
+
+extern "C" {
+#include "codec/document_json.h"
+#include "platform/store_view.h"
+#include "query/health.h"
+}
+
+namespace
+{
+
+constexpr uint32_t INSTANCES = 3;
+constexpr uint32_t RESTORES_MAX = 2;
+/* Depth of the search in CI; ORDERS_DEPTH in the environment is another one. */
+constexpr uint32_t DEPTH = 4;
+constexpr uint32_t ERA_SHIFT = 53;
+
+enum action_kind {
+	DRAINS, /* the server says that it drains */
+	ENDS, /* its entry is removed */
+	COPY, /* the store is copied */
+	RESTORE, /* it comes back from the copy */
+	WRITE, /* servers that live write again */
+	CONFIRM, /* readers drop what the copy lacked */
+	READ, /* an instance reads the store, as the first or once more */
+	RESTART, /* an instance starts again and knows nothing */
+	PULL, /* an instance gets the document of another one */
+	HEAR, /* an instance is told by another one */
+};
+
+struct action {
+	enum action_kind kind;
+	uint32_t at; /* instance that acts */
+	uint32_t from; /* with PULL and HEAR, the other instance */
+};
+
+using path = std::vector<struct action>;
+
+struct server {
+	std::string id;
+	std::string addr;
+	bool alive = true;
+	bool draining = false;
+	uint64_t sequence = 1;
+
+	std::string key() const
+	{
+		return "servers/" + id;
+	}
+
+	std::string text() const
+	{
+		return entry("rolls", addr, 1, draining ? "draining" : "ready",
+			     sequence);
+	}
+};
+
+using store_items = std::map<std::string, std::string>;
+
+struct store {
+	store_items items;
+	uint64_t revision = 10;
+	uint64_t era = 1;
+
+	void put(const std::string &key, const std::string &value)
+	{
+		items[key] = value;
+		revision++;
+	}
+};
+
+/* An instance and, once it has read the store, its view of that. */
+struct node {
+	std::unique_ptr<TestInstance> inst;
+	struct store_view *view = NULL;
+	store_items read; /* entries when it read last */
+	uint64_t era = 0;
+	bool unconfirmed = false;
+	bool listed_once = false;
+	bool saw_leave = false; /* it has acknowledged that the server left */
+
+	~node()
+	{
+		store_view_free(view);
+	}
+
+	const struct service_doc *doc() const
+	{
+		return service() ? service()->doc : NULL;
+	}
+
+	struct service *service() const
+	{
+		struct name name;
+
+		name_set(&name, "rolls");
+		return service_lookup(inst->state, &name);
+	}
+
+	/* Return: the server as the document in force lists it, or NULL. */
+	const struct backend *find(const struct server &server) const
+	{
+		for (uint32_t i = 0; doc() && i < doc()->backend_count; i++) {
+			if (doc()->backends[i].start.instance.text == server.id)
+				return &service()->backends[i];
+		}
+		return NULL;
+	}
+
+	bool uses(const struct server &server) const
+	{
+		const struct backend *backend = find(server);
+
+		return backend && !backend_draining(backend, inst->now);
+	}
+};
+
+class World {
+    public:
+	struct server leaver = { "i-leaves", "10.0.0.1:80" };
+	struct server stayer = { "i-stays", "10.0.0.2:80" };
+	struct node nodes[INSTANCES];
+
+	/* Both servers are in use everywhere, by the document of instance 0. */
+	World()
+	{
+		store.put("op/config", config(1, "rolls"));
+		store.put(leaver.key(), leaver.text());
+		store.put(stayer.key(), stayer.text());
+		for (auto &node : nodes)
+			start(node);
+		read(nodes[0]);
+		for (uint32_t i = 1; i < INSTANCES; i++)
+			pull(nodes[i], nodes[0]);
+	}
+
+	/* Return: false when the action is not possible now. */
+	bool act(const struct action &action)
+	{
+		struct node &node = nodes[action.at];
+
+		switch (action.kind) {
+		case DRAINS:
+			if (!leaver.alive || leaver.draining)
+				return false;
+			leaver.draining = true;
+			write(leaver);
+			break;
+		case ENDS:
+			if (!leaver.alive)
+				return false;
+			leaver.alive = false;
+			store.items.erase(leaver.key());
+			store.revision++;
+			break;
+		case COPY:
+			if (copied && copy.items == store.items)
+				return false;
+			copied = true;
+			copy = store;
+			break;
+		case RESTORE:
+			if (!copied || store.era > RESTORES_MAX)
+				return false;
+			store.items = copy.items;
+			store.revision = copy.revision;
+			store.era++;
+			written = false;
+			break;
+		case WRITE:
+			if (written)
+				return false;
+			write_again();
+			break;
+		case CONFIRM:
+			return confirm();
+		case READ:
+			read(node);
+			break;
+		case RESTART:
+			start(node);
+			break;
+		case PULL:
+			pull(node, nodes[action.from]);
+			break;
+		case HEAR:
+			hear(node, nodes[action.from]);
+			break;
+		}
+		return true;
+	}
+
+	/*
+	 * Plays what follows once all is calm again, before the copy's entry of
+	 * a server that has ended expires.
+	 */
+	void settle()
+	{
+		bool any_reader = false;
+
+		for (auto &node : nodes)
+			any_reader |= node.view != NULL;
+		write_again();
+		for (uint32_t round = 0; round < 2; round++) {
+			store.revision++;
+			for (auto &node : nodes) {
+				if (node.view ||
+				    (!any_reader && &node == &nodes[0]))
+					read(node);
+			}
+			confirm();
+		}
+		for (uint32_t round = 0; round < 2; round++)
+			tell_all();
+	}
+
+	/* Return: what distinguishes this state from others. */
+	std::string print() const
+	{
+		std::string out;
+
+		add_items(store.items, store.revision, store.era, out);
+		if (copied)
+			add_items(copy.items, copy.revision, 0, out);
+		out += written ? "w" : "-";
+		out += std::to_string(leaver.sequence) + "/" +
+		       std::to_string(stayer.sequence);
+		for (const auto &node : nodes)
+			add_node(node, out);
+		return out;
+	}
+
+    private:
+	struct store store;
+	struct store copy;
+	bool copied = false;
+	bool written = true; /* servers that live have, since the restore */
+
+	void write(struct server &server)
+	{
+		server.sequence++;
+		store.put(server.key(), server.text());
+	}
+
+	void write_again()
+	{
+		written = true;
+		write(stayer);
+		if (leaver.alive)
+			write(leaver);
+	}
+
+	static void start(struct node &node)
+	{
+		g_clear_pointer(&node.view, store_view_free);
+		node.read.clear();
+		node.era = 0;
+		node.unconfirmed = false;
+		node.listed_once = false;
+		node.saw_leave = false;
+		node.inst = std::make_unique<TestInstance>(
+			(uint32_t)0, (uint32_t)3, (uint32_t)0);
+		node.inst->list(INSTANCES);
+	}
+
+	void tell_all()
+	{
+		for (auto &to : nodes) {
+			for (auto &from : nodes) {
+				if (&to == &from)
+					continue;
+				pull(to, from);
+				hear(to, from);
+			}
+		}
+	}
+
+	/* As a reader of the store does it (platform/store_source.c). */
+	void read(struct node &node)
+	{
+		bool again = node.view && node.era != store.era;
+		bool whole = !node.view || again;
+
+		if (!node.view)
+			node.view = store_view_new(70);
+		if (again) {
+			store_view_restored(node.view);
+			node.unconfirmed = true;
+		}
+		node.era = store.era;
+		if (whole)
+			store_view_begin_reload(node.view);
+		for (const auto &item : store.items) {
+			if (whole || node.read.count(item.first) == 0 ||
+			    node.read[item.first] != item.second)
+				apply(node, item.first, &item.second);
+		}
+		if (whole) {
+			store_view_end_reload(node.view);
+		} else {
+			for (const auto &item : node.read) {
+				if (store.items.count(item.first) == 0)
+					apply(node, item.first, NULL);
+			}
+		}
+		node.read = store.items;
+		publish(node);
+	}
+
+	static void apply(struct node &node, const std::string &key,
+			  const std::string *value)
+	{
+		struct store_item item = {};
+
+		item.key = (char *)key.c_str();
+		item.removed = !value;
+		if (value)
+			item.value = g_bytes_new(value->data(), value->size());
+		store_view_apply(node.view, &item);
+		g_clear_pointer(&item.value, g_bytes_unref);
+	}
+
+	void publish(struct node &node)
+	{
+		struct config_offer held = {};
+
+		store_view_publish(node.view, store.revision,
+				   (store.era << ERA_SHIFT) + store.revision);
+		if (node.doc()) {
+			held.key = node.doc()->service;
+			held.version = node.doc()->version;
+			held.hash = node.doc()->hash;
+			if (!node.unconfirmed)
+				store_view_restate(node.view, &held);
+		}
+		accept(node, parse(node.view));
+	}
+
+	static struct service_doc *parse(const struct store_view *view)
+	{
+		const struct view_document *document;
+		struct service_doc *doc;
+		struct name key;
+
+		EXPECT_TRUE(name_set(&key, "rolls"));
+		document = store_view_find(view, &key);
+		if (!document)
+			return NULL;
+		doc = service_doc_parse("rolls", document->text,
+					strlen(document->text),
+					document->version, NULL);
+		EXPECT_NE(doc, nullptr);
+		return doc;
+	}
+
+	void accept(struct node &node, struct service_doc *doc)
+	{
+		const struct backend *backend;
+
+		if (!doc)
+			return;
+		node.inst->accept(doc);
+		node.inst->forget();
+		backend = node.find(leaver);
+		if (!leaver.alive && node.listed_once && !backend)
+			node.saw_leave = true;
+		node.listed_once |= backend != NULL;
+		node.saw_leave |= backend && backend->drain_document;
+	}
+
+	/* Return: false when no reader has something to confirm. */
+	bool confirm()
+	{
+		bool any = false;
+
+		for (auto &node : nodes) {
+			if (!node.unconfirmed || node.era != store.era)
+				continue;
+			any = true;
+			node.unconfirmed = false;
+			store_view_drop_unconfirmed(node.view);
+			publish(node);
+		}
+		return any;
+	}
+
+	void pull(struct node &to, const struct node &from)
+	{
+		if (from.doc())
+			accept(to, service_doc_ref(
+					   (struct service_doc *)from.doc()));
+	}
+
+	/* Which peers @from draws is left out: it tells @to. */
+	static void hear(struct node &to, struct node &from)
+	{
+		struct command command = {};
+
+		from.inst->state->left_starts_due_us = 0;
+		from.inst->tick();
+		for (struct event &event : from.inst->events) {
+			if (event.kind != EVENT_PEER_SEND ||
+			    event.peer_send.message->kind != PEER_LEFT_STARTS)
+				continue;
+			command.kind = COMMAND_PEER_MESSAGE;
+			command.peer_message =
+				g_steal_pointer(&event.peer_send.message);
+			to.inst->apply(command);
+			break;
+		}
+		from.inst->forget();
+		to.inst->forget();
+	}
+
+	static void add_items(const store_items &items, uint64_t revision,
+			      uint64_t era, std::string &out)
+	{
+		for (const auto &item : items)
+			out += item.first + item.second;
+		out += "@" + std::to_string(revision) + "/" +
+		       std::to_string(era);
+	}
+
+	static void add_node(const struct node &node, std::string &out)
+	{
+		const struct start_record *record;
+		std::set<std::string> records;
+		GHashTableIter iter;
+		gpointer value;
+
+		out += "\n" + std::to_string(node.era) +
+		       (node.unconfirmed ? "u" : "-") +
+		       (node.listed_once ? "l" : "-") +
+		       (node.saw_leave ? "s" : "-");
+		if (node.doc())
+			out += std::to_string(node.doc()->version) + ":" +
+			       std::to_string(node.doc()->hash);
+		if (node.doc() && node.service()->start_records) {
+			g_hash_table_iter_init(&iter,
+					       node.service()->start_records);
+			while (g_hash_table_iter_next(&iter, NULL, &value)) {
+				record = (const struct start_record *)value;
+				records.insert(
+					record->start.instance.text +
+					std::to_string(record->writes) + "=" +
+					std::to_string(record->standing));
+			}
+		}
+		for (const auto &text : records)
+			out += "," + text;
+		if (!node.view)
+			return;
+		add_items(node.read, node.view->version, 0, out);
+		records.clear();
+		g_hash_table_iter_init(&iter, node.view->upstreams);
+		while (g_hash_table_iter_next(&iter, NULL, &value)) {
+			const struct upstream *upstream =
+				(const struct upstream *)value;
+
+			records.insert(upstream->instance.text +
+				       std::to_string(upstream->sequence));
+		}
+		for (const auto &text : records)
+			out += "|" + text;
+	}
+};
+
+path all_actions()
+{
+	path out = { { DRAINS, 0, 0 },	{ ENDS, 0, 0 },	 { COPY, 0, 0 },
+		     { RESTORE, 0, 0 }, { WRITE, 0, 0 }, { CONFIRM, 0, 0 } };
+
+	for (uint32_t i = 0; i < INSTANCES; i++) {
+		out.push_back({ READ, i, 0 });
+		out.push_back({ RESTART, i, 0 });
+		for (uint32_t j = 0; j < INSTANCES; j++) {
+			if (i == j)
+				continue;
+			out.push_back({ PULL, i, j });
+			out.push_back({ HEAR, i, j });
+		}
+	}
+	return out;
+}
+
+std::string describe(const path &steps)
+{
+	const char *const names[] = { "drains", "ends",	   "copy", "restore",
+				      "write",	"confirm", "read", "restart",
+				      "pull",	"hear" };
+	std::string out;
+
+	for (const auto &step : steps) {
+		out += std::string(" ") + names[step.kind];
+		if (step.kind >= READ)
+			out += " " + std::to_string(step.at);
+		if (step.kind >= PULL)
+			out += "<" + std::to_string(step.from);
+	}
+	return out;
+}
+
+/* Return: what is wrong in this state, or NULL. */
+const char *broken_now(const World &world)
+{
+	for (const auto &node : world.nodes) {
+		if (node.saw_leave && node.uses(world.leaver))
+			return "a server is used by one that saw it leave";
+	}
+	return NULL;
+}
+
+const char *broken_when_calm(const World &world, bool known)
+{
+	const struct server &leaver = world.leaver;
+
+	for (const auto &node : world.nodes) {
+		if (!node.doc())
+			return "an instance has no document";
+		if (!node.uses(world.stayer))
+			return "a server that lives is not used";
+		if (leaver.alive && !leaver.draining && !node.uses(leaver))
+			return "a server that has not left yet is not used";
+		if ((leaver.draining || !leaver.alive) && known &&
+		    node.uses(leaver))
+			return "a server that some saw leave is used";
+	}
+	return NULL;
+}
+
+/*
+ * Plays @steps. Return: false when the last one is not possible or changes
+ * nothing; then nothing was checked.
+ */
+bool play(const path &steps, std::set<std::string> &seen)
+{
+	World world;
+	const char *broken;
+	bool known = false;
+
+	for (const auto &step : steps) {
+		if (!world.act(step))
+			return false;
+	}
+	if (!seen.insert(world.print()).second)
+		return false;
+	broken = broken_now(world);
+	for (const auto &node : world.nodes)
+		known |= node.saw_leave;
+	if (!broken) {
+		world.settle();
+		broken = broken_now(world);
+	}
+	if (!broken)
+		broken = broken_when_calm(world, known);
+	EXPECT_EQ(broken, nullptr) << broken << ":" << describe(steps);
+	return true;
+}
+
+TEST(EndedOrders, NoneBringsAnEndedServerBack)
+{
+	const char *depth_text = getenv("ORDERS_DEPTH");
+	const uint32_t depth = depth_text ? atoi(depth_text) : DEPTH;
+	const path actions = all_actions();
+	std::vector<path> states = { {} };
+	std::set<std::string> seen;
+
+	ASSERT_TRUE(play({}, seen));
+	for (uint32_t length = 1; length <= depth; length++) {
+		std::vector<path> next;
+
+		for (const auto &state : states) {
+			for (const auto &action : actions) {
+				path steps = state;
+
+				steps.push_back(action);
+				if (play(steps, seen))
+					next.push_back(steps);
+				if (HasFailure())
+					return;
+			}
+		}
+		states = std::move(next);
+		printf("depth %u: %zu states\n", length, seen.size());
+	}
+}
+
+} // namespace
