--- a/test/unit/ended_orders_test.cc
+++ b/test/unit/ended_orders_test.cc
@@ -141,8 +141,8 @@
 		store.put("op/config", config(1, "rolls"));
 		store.put(leaver.key(), leaver.text());
 		store.put(stayer.key(), stayer.text());
-		for (auto &node : nodes)
-			start(node);
+		for (uint32_t i = 0; i < INSTANCES; i++)
+			start(i);
 		read(nodes[0]);
 		for (uint32_t i = 1; i < INSTANCES; i++)
 			pull(nodes[i], nodes[0]);
@@ -192,7 +192,7 @@
 			read(node);
 			break;
 		case RESTART:
-			start(node);
+			start(action.at);
 			break;
 		case PULL:
 			pull(node, nodes[action.from]);
@@ -264,16 +264,17 @@
 			write(leaver);
 	}
 
-	static void start(struct node &node)
+	void start(uint32_t index)
 	{
+		struct node &node = nodes[index];
+
 		g_clear_pointer(&node.view, store_view_free);
 		node.read.clear();
 		node.era = 0;
 		node.unconfirmed = false;
 		node.listed_once = false;
 		node.saw_leave = false;
-		node.inst = std::make_unique<TestInstance>(
-			(uint32_t)0, (uint32_t)3, (uint32_t)0);
+		node.inst = std::make_unique<TestInstance>(index);
 		node.inst->list(INSTANCES);
 	}
 
