--- a/test/unit/crossing_test.cc
+++ b/test/unit/crossing_test.cc
@@ -446,16 +446,12 @@
 	void send(struct event &event)
 	{
 		uint32_t to = event.peer_send.to.ip - addr_of(256, 0).ip;
-		struct command command = {};
 
 		if (to >= DOMAINS ||
 		    (digests_lost &&
 		     event.peer_send.message->kind == PEER_DIGEST))
 			return;
-		command.kind = COMMAND_PEER_MESSAGE;
-		command.peer_message = event.peer_send.message;
-		event.peer_send.message = NULL;
-		insts[to]->apply(command);
+		insts[to]->receive(g_steal_pointer(&event.peer_send.message));
 	}
 };
 
--- a/test/unit/ended_orders_test.cc
+++ b/test/unit/ended_orders_test.cc
@@ -84,7 +84,7 @@
 };
 
 /* An instance and, once it has read the store, its view of that. */
-struct node {
+struct instance {
 	std::unique_ptr<TestInstance> inst;
 	struct store_view *view = NULL;
 	store_items read; /* entries when it read last */
@@ -93,7 +93,7 @@
 	bool listed_once = false;
 	bool saw_leave = false; /* it has acknowledged that the server left */
 
-	~node()
+	~instance()
 	{
 		store_view_free(view);
 	}
@@ -131,40 +131,40 @@
 
 class World {
     public:
-	struct server leaver = { "i-leaves", "10.0.0.1:80" };
-	struct server stayer = { "i-stays", "10.0.0.2:80" };
-	struct node nodes[INSTANCES];
+	struct server leaving = { "i-leaves", "10.0.0.1:80" };
+	struct server staying = { "i-stays", "10.0.0.2:80" };
+	struct instance instances[INSTANCES];
 
 	/* Both servers are in use everywhere, by the document of instance 0. */
 	World()
 	{
 		store.put("op/config", config(1, "rolls"));
-		store.put(leaver.key(), leaver.text());
-		store.put(stayer.key(), stayer.text());
+		store.put(leaving.key(), leaving.text());
+		store.put(staying.key(), staying.text());
 		for (uint32_t i = 0; i < INSTANCES; i++)
 			start(i);
-		read(nodes[0]);
+		read(instances[0]);
 		for (uint32_t i = 1; i < INSTANCES; i++)
-			pull(nodes[i], nodes[0]);
+			pull(instances[i], instances[0]);
 	}
 
 	/* Return: false when the action is not possible now. */
 	bool act(const struct action &action)
 	{
-		struct node &node = nodes[action.at];
+		struct instance &instance = instances[action.at];
 
 		switch (action.kind) {
 		case DRAINS:
-			if (!leaver.alive || leaver.draining)
+			if (!leaving.alive || leaving.draining)
 				return false;
-			leaver.draining = true;
-			write(leaver);
+			leaving.draining = true;
+			write(leaving);
 			break;
 		case ENDS:
-			if (!leaver.alive)
+			if (!leaving.alive)
 				return false;
-			leaver.alive = false;
-			store.items.erase(leaver.key());
+			leaving.alive = false;
+			store.items.erase(leaving.key());
 			store.revision++;
 			break;
 		case COPY:
@@ -189,16 +189,16 @@
 		case CONFIRM:
 			return confirm();
 		case READ:
-			read(node);
+			read(instance);
 			break;
 		case RESTART:
 			start(action.at);
 			break;
 		case PULL:
-			pull(node, nodes[action.from]);
+			pull(instance, instances[action.from]);
 			break;
 		case HEAR:
-			hear(node, nodes[action.from]);
+			hear(instance, instances[action.from]);
 			break;
 		}
 		return true;
@@ -212,15 +212,15 @@
 	{
 		bool any_reader = false;
 
-		for (auto &node : nodes)
-			any_reader |= node.view != NULL;
+		for (auto &instance : instances)
+			any_reader |= instance.view != NULL;
 		write_again();
 		for (uint32_t round = 0; round < 2; round++) {
 			store.revision++;
-			for (auto &node : nodes) {
-				if (node.view ||
-				    (!any_reader && &node == &nodes[0]))
-					read(node);
+			for (auto &instance : instances) {
+				if (instance.view ||
+				    (!any_reader && &instance == &instances[0]))
+					read(instance);
 			}
 			confirm();
 		}
@@ -237,10 +237,10 @@
 		if (copied)
 			add_items(copy.items, copy.revision, 0, out);
 		out += written ? "w" : "-";
-		out += std::to_string(leaver.sequence) + "/" +
-		       std::to_string(stayer.sequence);
-		for (const auto &node : nodes)
-			add_node(node, out);
+		out += std::to_string(leaving.sequence) + "/" +
+		       std::to_string(staying.sequence);
+		for (const auto &instance : instances)
+			add_instance(instance, out);
 		return out;
 	}
 
@@ -259,29 +259,29 @@
 	void write_again()
 	{
 		written = true;
-		write(stayer);
-		if (leaver.alive)
-			write(leaver);
+		write(staying);
+		if (leaving.alive)
+			write(leaving);
 	}
 
 	void start(uint32_t index)
 	{
-		struct node &node = nodes[index];
+		struct instance &instance = instances[index];
 
-		g_clear_pointer(&node.view, store_view_free);
-		node.read.clear();
-		node.era = 0;
-		node.unconfirmed = false;
-		node.listed_once = false;
-		node.saw_leave = false;
-		node.inst = std::make_unique<TestInstance>(index);
-		node.inst->list(INSTANCES);
+		g_clear_pointer(&instance.view, store_view_free);
+		instance.read.clear();
+		instance.era = 0;
+		instance.unconfirmed = false;
+		instance.listed_once = false;
+		instance.saw_leave = false;
+		instance.inst = std::make_unique<TestInstance>(index);
+		instance.inst->list(INSTANCES);
 	}
 
 	void tell_all()
 	{
-		for (auto &to : nodes) {
-			for (auto &from : nodes) {
+		for (auto &to : instances) {
+			for (auto &from : instances) {
 				if (&to == &from)
 					continue;
 				pull(to, from);
@@ -291,38 +291,38 @@
 	}
 
 	/* As a reader of the store does it (platform/store_source.c). */
-	void read(struct node &node)
+	void read(struct instance &instance)
 	{
-		bool again = node.view && node.era != store.era;
-		bool whole = !node.view || again;
+		bool again = instance.view && instance.era != store.era;
+		bool whole = !instance.view || again;
 
-		if (!node.view)
-			node.view = store_view_new(70);
+		if (!instance.view)
+			instance.view = store_view_new(70);
 		if (again) {
-			store_view_restored(node.view);
-			node.unconfirmed = true;
+			store_view_restored(instance.view);
+			instance.unconfirmed = true;
 		}
-		node.era = store.era;
+		instance.era = store.era;
 		if (whole)
-			store_view_begin_reload(node.view);
+			store_view_begin_reload(instance.view);
 		for (const auto &item : store.items) {
-			if (whole || node.read.count(item.first) == 0 ||
-			    node.read[item.first] != item.second)
-				apply(node, item.first, &item.second);
+			if (whole || instance.read.count(item.first) == 0 ||
+			    instance.read[item.first] != item.second)
+				apply(instance, item.first, &item.second);
 		}
 		if (whole) {
-			store_view_end_reload(node.view);
+			store_view_end_reload(instance.view);
 		} else {
-			for (const auto &item : node.read) {
+			for (const auto &item : instance.read) {
 				if (store.items.count(item.first) == 0)
-					apply(node, item.first, NULL);
+					apply(instance, item.first, NULL);
 			}
 		}
-		node.read = store.items;
-		publish(node);
+		instance.read = store.items;
+		publish(instance);
 	}
 
-	static void apply(struct node &node, const std::string &key,
+	static void apply(struct instance &instance, const std::string &key,
 			  const std::string *value)
 	{
 		struct store_item item = {};
@@ -331,24 +331,24 @@
 		item.removed = !value;
 		if (value)
 			item.value = g_bytes_new(value->data(), value->size());
-		store_view_apply(node.view, &item);
+		store_view_apply(instance.view, &item);
 		g_clear_pointer(&item.value, g_bytes_unref);
 	}
 
-	void publish(struct node &node)
+	void publish(struct instance &instance)
 	{
 		struct config_offer held = {};
 
-		store_view_publish(node.view, store.revision,
+		store_view_publish(instance.view, store.revision,
 				   (store.era << ERA_SHIFT) + store.revision);
-		if (node.doc()) {
-			held.key = node.doc()->service;
-			held.version = node.doc()->version;
-			held.hash = node.doc()->hash;
-			if (!node.unconfirmed)
-				store_view_restate(node.view, &held);
+		if (instance.doc()) {
+			held.key = instance.doc()->service;
+			held.version = instance.doc()->version;
+			held.hash = instance.doc()->hash;
+			if (!instance.unconfirmed)
+				store_view_restate(instance.view, &held);
 		}
-		accept(node, parse(node.view));
+		accept(instance, parse(instance.view));
 	}
 
 	static struct service_doc *parse(const struct store_view *view)
@@ -368,19 +368,19 @@
 		return doc;
 	}
 
-	void accept(struct node &node, struct service_doc *doc)
+	void accept(struct instance &instance, struct service_doc *doc)
 	{
 		const struct backend *backend;
 
 		if (!doc)
 			return;
-		node.inst->accept(doc);
-		node.inst->forget();
-		backend = node.find(leaver);
-		if (!leaver.alive && node.listed_once && !backend)
-			node.saw_leave = true;
-		node.listed_once |= backend != NULL;
-		node.saw_leave |= backend && backend->drain_document;
+		instance.inst->accept(doc);
+		instance.inst->forget();
+		backend = instance.find(leaving);
+		if (!leaving.alive && instance.listed_once && !backend)
+			instance.saw_leave = true;
+		instance.listed_once |= backend != NULL;
+		instance.saw_leave |= backend && backend->drain_document;
 	}
 
 	/* Return: false when no reader has something to confirm. */
@@ -388,18 +388,18 @@
 	{
 		bool any = false;
 
-		for (auto &node : nodes) {
-			if (!node.unconfirmed || node.era != store.era)
+		for (auto &instance : instances) {
+			if (!instance.unconfirmed || instance.era != store.era)
 				continue;
 			any = true;
-			node.unconfirmed = false;
-			store_view_drop_unconfirmed(node.view);
-			publish(node);
+			instance.unconfirmed = false;
+			store_view_drop_unconfirmed(instance.view);
+			publish(instance);
 		}
 		return any;
 	}
 
-	void pull(struct node &to, const struct node &from)
+	void pull(struct instance &to, const struct instance &from)
 	{
 		if (from.doc())
 			accept(to, service_doc_ref(
@@ -407,20 +407,16 @@
 	}
 
 	/* Which peers @from draws is left out: it tells @to. */
-	static void hear(struct node &to, struct node &from)
+	static void hear(struct instance &to, struct instance &from)
 	{
-		struct command command = {};
-
 		from.inst->state->left_starts_due_us = 0;
 		from.inst->tick();
 		for (struct event &event : from.inst->events) {
 			if (event.kind != EVENT_PEER_SEND ||
 			    event.peer_send.message->kind != PEER_LEFT_STARTS)
 				continue;
-			command.kind = COMMAND_PEER_MESSAGE;
-			command.peer_message =
-				g_steal_pointer(&event.peer_send.message);
-			to.inst->apply(command);
+			to.inst->receive(
+				g_steal_pointer(&event.peer_send.message));
 			break;
 		}
 		from.inst->forget();
@@ -436,23 +432,24 @@
 		       std::to_string(era);
 	}
 
-	static void add_node(const struct node &node, std::string &out)
+	static void add_instance(const struct instance &instance,
+				 std::string &out)
 	{
 		const struct start_record *record;
 		std::set<std::string> records;
 		GHashTableIter iter;
 		gpointer value;
 
-		out += "\n" + std::to_string(node.era) +
-		       (node.unconfirmed ? "u" : "-") +
-		       (node.listed_once ? "l" : "-") +
-		       (node.saw_leave ? "s" : "-");
-		if (node.doc())
-			out += std::to_string(node.doc()->version) + ":" +
-			       std::to_string(node.doc()->hash);
-		if (node.doc() && node.service()->start_records) {
-			g_hash_table_iter_init(&iter,
-					       node.service()->start_records);
+		out += "\n" + std::to_string(instance.era) +
+		       (instance.unconfirmed ? "u" : "-") +
+		       (instance.listed_once ? "l" : "-") +
+		       (instance.saw_leave ? "s" : "-");
+		if (instance.doc())
+			out += std::to_string(instance.doc()->version) + ":" +
+			       std::to_string(instance.doc()->hash);
+		if (instance.doc() && instance.service()->start_records) {
+			g_hash_table_iter_init(
+				&iter, instance.service()->start_records);
 			while (g_hash_table_iter_next(&iter, NULL, &value)) {
 				record = (const struct start_record *)value;
 				records.insert(
@@ -463,11 +460,11 @@
 		}
 		for (const auto &text : records)
 			out += "," + text;
-		if (!node.view)
+		if (!instance.view)
 			return;
-		add_items(node.read, node.view->version, 0, out);
+		add_items(instance.read, instance.view->version, 0, out);
 		records.clear();
-		g_hash_table_iter_init(&iter, node.view->upstreams);
+		g_hash_table_iter_init(&iter, instance.view->upstreams);
 		while (g_hash_table_iter_next(&iter, NULL, &value)) {
 			const struct upstream *upstream =
 				(const struct upstream *)value;
@@ -518,8 +515,8 @@
 /* Return: what is wrong in this state, or NULL. */
 const char *broken_now(const World &world)
 {
-	for (const auto &node : world.nodes) {
-		if (node.saw_leave && node.uses(world.leaver))
+	for (const auto &instance : world.instances) {
+		if (instance.saw_leave && instance.uses(world.leaving))
 			return "a server is used by one that saw it leave";
 	}
 	return NULL;
@@ -527,17 +524,18 @@
 
 const char *broken_when_calm(const World &world, bool known)
 {
-	const struct server &leaver = world.leaver;
+	const struct server &leaving = world.leaving;
 
-	for (const auto &node : world.nodes) {
-		if (!node.doc())
+	for (const auto &instance : world.instances) {
+		if (!instance.doc())
 			return "an instance has no document";
-		if (!node.uses(world.stayer))
+		if (!instance.uses(world.staying))
 			return "a server that lives is not used";
-		if (leaver.alive && !leaver.draining && !node.uses(leaver))
+		if (leaving.alive && !leaving.draining &&
+		    !instance.uses(leaving))
 			return "a server that has not left yet is not used";
-		if ((leaver.draining || !leaver.alive) && known &&
-		    node.uses(leaver))
+		if ((leaving.draining || !leaving.alive) && known &&
+		    instance.uses(leaving))
 			return "a server that some saw leave is used";
 	}
 	return NULL;
@@ -560,8 +558,8 @@
 	if (!seen.insert(world.print()).second)
 		return false;
 	broken = broken_now(world);
-	for (const auto &node : world.nodes)
-		known |= node.saw_leave;
+	for (const auto &instance : world.instances)
+		known |= instance.saw_leave;
 	if (!broken) {
 		world.settle();
 		broken = broken_now(world);
--- a/test/unit/fleet_sim.h
+++ b/test/unit/fleet_sim.h
@@ -240,11 +240,7 @@
 
 	void deliver(uint32_t i, struct peer_message *message)
 	{
-		struct command command = {};
-
-		command.kind = COMMAND_PEER_MESSAGE;
-		command.peer_message = message;
-		insts[i]->apply(command);
+		insts[i]->receive(message);
 	}
 
 	void handle_events(uint32_t i)
--- a/test/unit/homes_test.cc
+++ b/test/unit/homes_test.cc
@@ -210,10 +210,7 @@
 					from->events.push_back(event);
 					continue;
 				}
-				struct command command = {};
-				command.kind = COMMAND_PEER_MESSAGE;
-				command.peer_message = event.peer_send.message;
-				to->apply(command);
+				to->receive(event.peer_send.message);
 			}
 		}
 	}
--- a/test/unit/leave_test.cc
+++ b/test/unit/leave_test.cc
@@ -66,6 +66,25 @@
 	}
 }
 
+/* Return: the grant of a request to an instance alone; @number gets its index. */
+struct grant_event grant_alone(TestInstance &inst, const char *path,
+			       uint64_t deadline_ms, uint32_t *number)
+{
+	const struct event *event;
+
+	inst.list(1);
+	inst.accept(make_doc(doc_shape()));
+	inst.pass_ms(100);
+	*number = inst.request(path, 1,
+			       inst.now.mono_us + deadline_ms * US_PER_MS);
+	event = inst.last_result_of(*number);
+	EXPECT_NE(event, nullptr);
+	if (!event)
+		return {};
+	EXPECT_EQ(event->kind, EVENT_GRANT);
+	return event->grant;
+}
+
 /* A try that ends without an answer during the stop. */
 struct retry_case {
 	const char *name;
@@ -100,17 +119,9 @@
 		struct grant_event grant;
 		uint32_t number;
 
-		inst.list(1);
-		inst.accept(make_doc(doc_shape()));
-		inst.pass_ms(100);
-		number = inst.request("/s/short", 1,
-				      inst.now.mono_us +
-					      (c.after_ms + c.deadline_ms) *
-						      US_PER_MS);
-		event = inst.last_result_of(number);
-		ASSERT_NE(event, nullptr);
-		ASSERT_EQ(event->kind, EVENT_GRANT);
-		grant = event->grant;
+		grant = grant_alone(inst, "/s/short",
+				    c.after_ms + c.deadline_ms, &number);
+		ASSERT_FALSE(HasFailure());
 		inst.begin_stop();
 		inst.now.mono_us += c.after_ms * US_PER_MS;
 		inst.forget();
@@ -141,12 +152,8 @@
 		struct grant_event grant;
 		uint32_t number;
 
-		inst.list(1);
-		inst.accept(make_doc(doc_shape()));
-		inst.pass_ms(100);
-		number = inst.request("/s/write", 1,
-				      inst.now.mono_us + 60 * US_PER_S);
-		grant = inst.last_result_of(number)->grant;
+		grant = grant_alone(inst, "/s/write", 60000, &number);
+		ASSERT_FALSE(HasFailure());
 		inst.begin_stop();
 		inst.pass_ms(WORK_ENDS_MS - 100);
 		ASSERT_EQ(inst.count(EVENT_CANCEL), 0u);
--- a/test/unit/start_record_test.cc
+++ b/test/unit/start_record_test.cc
@@ -148,17 +148,12 @@
 	from.forget();
 	from.pass_ms(ms);
 	for (struct event &event : from.events) {
-		struct command command = {};
-
 		if (event.kind != EVENT_PEER_SEND ||
 		    !addr_equal(event.peer_send.to,
 				instance_of(to_index, 3).peer))
 			continue;
 		told |= event.peer_send.message->kind == PEER_LEFT_STARTS;
-		command.kind = COMMAND_PEER_MESSAGE;
-		command.peer_message =
-			g_steal_pointer(&event.peer_send.message);
-		to.apply(command);
+		to.receive(g_steal_pointer(&event.peer_send.message));
 	}
 	return told;
 }
@@ -284,25 +279,23 @@
 	for (const auto &c : heard_cases) {
 		SCOPED_TRACE(c.name);
 		TestInstance inst;
-		struct command command = {};
+		struct peer_message *message = g_new0(struct peer_message, 1);
 		struct left_start *heard;
 		uint64_t version = 0;
 
 		inst.list(2);
 		for (const auto &step : c.steps)
 			inst.accept(doc_of(step, ++version));
-		command.kind = COMMAND_PEER_MESSAGE;
-		command.peer_message = g_new0(struct peer_message, 1);
-		command.peer_message->sender = instance_of(1, 3).peer;
-		command.peer_message->kind = PEER_LEFT_STARTS;
-		command.peer_message->left_starts.start_count = 1;
-		heard = &command.peer_message->left_starts.starts[0];
+		message->sender = instance_of(1, 3).peer;
+		message->kind = PEER_LEFT_STARTS;
+		message->left_starts.start_count = 1;
+		heard = &message->left_starts.starts[0];
 		name_set(&heard->service, "s");
 		name_set(&heard->start.instance, "i-0");
 		heard->start.started_unix_ms = c.started_unix_ms;
 		heard->writes = c.writes;
 		heard->standing = c.standing;
-		inst.apply(command);
+		inst.receive(message);
 		for (const auto &step : c.later)
 			inst.accept(doc_of(step, ++version));
 		inst.pass_ms(10000);
--- a/test/unit/test_instance.h
+++ b/test/unit/test_instance.h
@@ -210,6 +210,16 @@
 		apply(command);
 	}
 
+	/* Takes ownership of @message, from g_new0(). */
+	void receive(struct peer_message *message)
+	{
+		struct command command = {};
+
+		command.kind = COMMAND_PEER_MESSAGE;
+		command.peer_message = message;
+		apply(command);
+	}
+
 	struct service *service()
 	{
 		struct name name;
