start records: a peer's word of one start forgets no other

Cause: hearing of a start dropped the oldest records beyond the bound of the document in force. After a service had lapsed as a whole that bound is small, and starts that had ended were forgotten and in use again when a copy listed them. Found in the review of this change, not seen on a deployment.

Change: only records learned from documents are dropped for the bound, as before. One that a peer's word adds is of a listed start; when that is no longer listed, it is learned again and the bound applies.

--- a/src/command/start_record.c
+++ b/src/command/start_record.c
@@ -61,7 +61,6 @@
 	if (!listed || !has_history(listed) || listed->writes > heard->writes)
 		return false;
 	note(service, &heard->start, heard->writes, heard->standing);
-	drop_oldest(service, records_max(service, service->doc));
 	judge(service);
 	return start_record_left(service, listed) != NULL;
 }
--- a/test/unit/start_record_test.cc
+++ b/test/unit/start_record_test.cc
@@ -89,19 +89,28 @@
 	  true },
 };
 
-struct service_doc *doc_of(const struct listed_step &step, uint64_t version)
+/* A document whose servers have started at 7 and written once. */
+struct service_doc *doc_of_starts(const struct doc_shape &shape,
+				  uint64_t version)
 {
-	struct doc_shape shape;
-	struct service_doc *doc;
+	struct service_doc *doc = make_doc(shape, version);
 
-	shape.backends = 3;
-	doc = make_doc(shape, version);
 	for (uint32_t i = 0; i < shape.backends; i++) {
 		doc->backends[i].start.started_unix_ms = 7;
 		doc->backends[i].writes = 1;
 		name_set(&doc->backends[i].start.instance,
 			 ("i-" + std::to_string(i)).c_str());
 	}
+	return doc;
+}
+
+struct service_doc *doc_of(const struct listed_step &step, uint64_t version)
+{
+	struct doc_shape shape;
+	struct service_doc *doc;
+
+	shape.backends = 3;
+	doc = doc_of_starts(shape, version);
 	if (!step.listed) {
 		doc->backends[0] = doc->backends[--doc->backend_count];
 		return doc;
@@ -273,29 +282,38 @@
 	  true },
 };
 
+/* What another instance says of a start of server 0. */
+struct peer_message *left_start_message(uint64_t started_unix_ms,
+					uint64_t writes,
+					enum start_standing standing)
+{
+	struct peer_message *message = g_new0(struct peer_message, 1);
+	struct left_start *heard = &message->left_starts.starts[0];
+
+	message->sender = instance_of(1, 3).peer;
+	message->kind = PEER_LEFT_STARTS;
+	message->left_starts.start_count = 1;
+	name_set(&heard->service, "s");
+	name_set(&heard->start.instance, "i-0");
+	heard->start.started_unix_ms = started_unix_ms;
+	heard->writes = writes;
+	heard->standing = standing;
+	return message;
+}
+
 /* Neither what is known to have ended is used, nor a server that lives lost. */
 TEST(StartRecordTest, PeersAreHeard)
 {
 	for (const auto &c : heard_cases) {
 		SCOPED_TRACE(c.name);
 		TestInstance inst;
-		struct peer_message *message = g_new0(struct peer_message, 1);
-		struct left_start *heard;
 		uint64_t version = 0;
 
 		inst.list(2);
 		for (const auto &step : c.steps)
 			inst.accept(doc_of(step, ++version));
-		message->sender = instance_of(1, 3).peer;
-		message->kind = PEER_LEFT_STARTS;
-		message->left_starts.start_count = 1;
-		heard = &message->left_starts.starts[0];
-		name_set(&heard->service, "s");
-		name_set(&heard->start.instance, "i-0");
-		heard->start.started_unix_ms = c.started_unix_ms;
-		heard->writes = c.writes;
-		heard->standing = c.standing;
-		inst.receive(message);
+		inst.receive(left_start_message(c.started_unix_ms, c.writes,
+						c.standing));
 		for (const auto &step : c.later)
 			inst.accept(doc_of(step, ++version));
 		inst.pass_ms(10000);
@@ -304,6 +322,32 @@
 	}
 }
 
+/*
+ * What is known of a service that has lapsed as a whole is kept; else a peer's
+ * word of one start puts others back in use that have ended.
+ */
+TEST(StartRecordTest, WordOfOneStartForgetsNoOther)
+{
+	const uint32_t lapsed = 70;
+	TestInstance inst;
+	struct doc_shape shape;
+	struct service_doc *doc;
+
+	inst.list(2);
+	shape.backends = lapsed;
+	inst.accept(doc_of_starts(shape, 1));
+	shape.backends = 0;
+	inst.accept(make_doc(shape, 2));
+	shape.backends = 1;
+	doc = doc_of_starts(shape, 3);
+	doc->backends[0].start.started_unix_ms = 8;
+	inst.accept(doc);
+	inst.receive(left_start_message(8, 1, START_ENDED));
+	shape.backends = lapsed;
+	inst.accept(doc_of_starts(shape, 4));
+	EXPECT_EQ(inst.service()->left_backends, lapsed);
+}
+
 /* Servers of a service that end and are replaced, three in each document. */
 struct bound_case {
 	const char *name;
