settings: healthy_floor in place of floor_share

The key of this change had the platform's word (floorShare), which is decoded in the template alone. The project's own word, as in documents, is healthy floor.

--- a/src/codec/settings_json.c
+++ b/src/codec/settings_json.c
@@ -99,7 +99,7 @@
 	  AT(retry_allowance_permille), .range = { 0, 1000000000, 0 } },
 	{ "retry_window", FIELD_DURATION, false, AT(retry_window_ms),
 	  .range = { 1000, 600000, 10000 } },
-	{ "floor_share", FIELD_PERMILLE, false, AT(floor_permille),
+	{ "healthy_floor", FIELD_PERMILLE, false, AT(healthy_floor_permille),
 	  .range = { 10, 1000, 700 } },
 	{ "reduce_cross_domain_traffic", FIELD_BOOL, false,
 	  AT(reduce_cross_domain_traffic) },
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -295,8 +295,8 @@
  * @retry_allowance_permille: retries beyond the earned ones, in thousandths,
  *	for each service in each window over the whole fleet
  * @retry_window_ms: length of the window of @retry_allowance_permille
- * @floor_permille: part of a service's slots that ejections leave in service,
- *	with a platform whose documents are generated here
+ * @healthy_floor_permille: part of a service's slots that ejections leave in
+ *	service, with a platform whose documents are generated here
  * @cross_domain_cost_ms: time that a request may lose before sending it to
  *	another failure domain is worth the cost of the traffic; 0 if such
  *	traffic has no cost
@@ -351,7 +351,7 @@
 	uint32_t retry_earned_permille;
 	uint32_t retry_allowance_permille;
 	uint32_t retry_window_ms;
-	uint32_t floor_permille;
+	uint32_t healthy_floor_permille;
 	uint32_t cross_domain_cost_ms;
 	bool reduce_cross_domain_traffic;
 	uint32_t quota_window_ms;
--- a/test/unit/deploy_test.cc
+++ b/test/unit/deploy_test.cc
@@ -33,7 +33,7 @@
 	const char *retry_window;
 	uint64_t retry_window_ms;
 	const char *floor;
-	uint32_t floor_permille;
+	uint32_t healthy_floor_permille;
 	const char *value_bytes;
 	uint32_t platform_value_bytes;
 };
@@ -135,7 +135,8 @@
 			  c.allowance_permille);
 		/* Bounds that a figure of ours once stood for. */
 		EXPECT_EQ(settings.retry_window_ms, c.retry_window_ms);
-		EXPECT_EQ(settings.floor_permille, c.floor_permille);
+		EXPECT_EQ(settings.healthy_floor_permille,
+			  c.healthy_floor_permille);
 		EXPECT_EQ(settings.platform_value_bytes,
 			  c.platform_value_bytes);
 		EXPECT_EQ(settings.seed_count, c.seed_count);
