--- /dev/null
+++ b/review/testbed-3/slow_readers.c
@@ -0,0 +1,68 @@
+/*
+ * Many clients ask one instance for an answer of a megabyte at the same time.
+ * With the disruption they read slowly, but fast enough to have the whole
+ * answer long before their deadline. Other clients pay through the same
+ * instance.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include "clients.h"
+#include "deployment.h"
+
+#define READERS 300
+#define ANSWER_PATH "/read/roster?work=50&bytes=1048576"
+#define READ_BYTES_PER_S 400000
+#define READERS_START_MS 500
+#define TRIES_MAX 12
+#define RETRY_MS 200
+
+static struct request requests[READERS];
+
+/* A refused request comes back, as its status tells that it has not run. */
+static void *read_answer(void *data)
+{
+	uint32_t i = (uint32_t)(uintptr_t)data;
+	struct answer answer = { .status = 503 };
+	uint32_t tries;
+	int fd;
+
+	for (tries = 0; tries < TRIES_MAX && answer.status == 503; tries++) {
+		if (tries > 0)
+			sleep_ms(RETRY_MS);
+		snprintf(requests[i].id, ID_BYTES, "read-%u-%u", i, tries);
+		fd = client_connect(&instances[0], true);
+		if (fd < 0)
+			break;
+		answer = client_send(fd, &requests[i]);
+		close(fd);
+	}
+	return NULL;
+}
+
+int main(int argc, char **argv)
+{
+	pthread_t threads[READERS];
+	int64_t start_ms;
+	uint32_t i;
+
+	world_open(argc, argv, "record.txt");
+	deployment_open(6, 6, 10000);
+	start_ms = now_ms() + READERS_START_MS;
+	payments_start(&instances[0], start_ms - 100, 3000);
+	sleep_ms(start_ms - now_ms());
+	for (i = 0; i < READERS; i++) {
+		requests[i] = (struct request){
+			.method = "GET",
+			.path = ANSWER_PATH,
+			.deadline_ms = 10000,
+			.read_bytes_per_s = trouble ? READ_BYTES_PER_S : 0,
+		};
+		pthread_create(&threads[i], NULL, read_answer,
+			       (void *)(uintptr_t)i);
+	}
+	for (i = 0; i < READERS; i++)
+		pthread_join(threads[i], NULL);
+	judge_lost(payments_lost());
+}
