--- a/review/testbed-3/testbed.c
+++ b/review/testbed-3/testbed.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -998,6 +999,8 @@
 		       instance->front, (int)instance->pid);
 		return;
 	}
+	/* It must not outlive this program, however that ends. */
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	int fd = open(log, O_CREAT | O_WRONLY | O_APPEND, 0600);
 
 	dup2(fd, STDOUT_FILENO);
