--- a/review/testbed-3/deployment.c
+++ b/review/testbed-3/deployment.c
@@ -18,17 +18,12 @@
 	instances_wait_ready(READY_LIMIT_MS);
 }
 
-void deployment_open(uint32_t per_zone, uint32_t slots, uint32_t timeout_ms)
+void deployment_configure(uint32_t version, uint32_t timeout_ms)
 {
 	char config[2048];
-	uint32_t i;
 
-	store_open();
-	for (i = 0; i < ZONES * per_zone; i++)
-		upstream_register(upstream_open(DEPLOYMENT_ZONES[i % ZONES], slots),
-				  SERVICE, "ready", 1);
 	snprintf(config, sizeof(config),
-		 "{\"version\":\"r7\",\"services\":[{\"name\":\"" SERVICE "\","
+		 "{\"version\":\"r%u\",\"services\":[{\"name\":\"" SERVICE "\","
 		 "\"healthPath\":\"/health\",\"maxConnections\":330,"
 		 "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
 		 "\"maxHeaderBytes\":16384,\"maxBodyBytes\":%d,"
@@ -42,8 +37,20 @@
 		 "\"unsafe\",\"timeout\":\"%ums\",\"targetLatency\":\"%ums\","
 		 "\"priority\":1,\"service\":\"" SERVICE "\","
 		 "\"maxAttempts\":2}]}]}",
-		 BODY_MAX_BYTES, timeout_ms, timeout_ms, timeout_ms,
+		 version, BODY_MAX_BYTES, timeout_ms, timeout_ms, timeout_ms,
 		 timeout_ms);
 	store_put("op/config", config);
+}
+
+void deployment_open(uint32_t per_zone, uint32_t slots, uint32_t timeout_ms)
+{
+	uint32_t i;
+
+	store_open();
+	for (i = 0; i < ZONES * per_zone; i++)
+		upstream_register(
+			upstream_open(DEPLOYMENT_ZONES[i % ZONES], slots),
+			SERVICE, "ready", 1);
+	deployment_configure(7, timeout_ms);
 	deployment_start();
 }
--- a/review/testbed-3/deployment.h
+++ b/review/testbed-3/deployment.h
@@ -17,6 +17,8 @@
 
 /* Starts three instances, one in each zone, and waits until all are ready. */
 void deployment_start(void);
+/* Writes the configuration of deployment_open() with a version. */
+void deployment_configure(uint32_t version, uint32_t timeout_ms);
 /**
  * deployment_open() - start store, upstreams and instances, and wait until all
  *	instances are ready
--- a/review/testbed-3/slow_readers.c
+++ b/review/testbed-3/slow_readers.c
@@ -1,8 +1,7 @@
 /*
- * Many clients ask one instance for an answer of a megabyte at the same time.
+ * Clients ask one instance for an answer of a megabyte, 100 of them in a second.
  * With the disruption they read slowly, but fast enough to have the whole
- * answer long before their deadline. Other clients pay through the same
- * instance.
+ * answer before their deadline. Other clients pay through the same instance.
  */
 #include <pthread.h>
 #include <stdio.h>
@@ -11,9 +10,14 @@
 #include "clients.h"
 #include "deployment.h"
 
-#define READERS 300
+#define READERS 320
+/* The clients send their requests evenly over this time. */
+#define ARRIVAL_MS 3200
 #define ANSWER_PATH "/read/roster?work=50&bytes=1048576"
-#define READ_BYTES_PER_S 400000
+/* The whole answer takes 7 s. */
+#define READ_BYTES_PER_S 150000
+#define PAYMENTS_MS 1500
+#define PAYMENT_WORK_MS 4000
 #define READERS_START_MS 500
 #define TRIES_MAX 12
 #define RETRY_MS 200
@@ -50,9 +54,10 @@
 	world_open(argc, argv, "record.txt");
 	deployment_open(6, 6, 10000);
 	start_ms = now_ms() + READERS_START_MS;
-	payments_start(&instances[0], start_ms - 100, 3000);
-	sleep_ms(start_ms - now_ms());
+	payments_start(&instances[0], start_ms + PAYMENTS_MS, PAYMENT_WORK_MS);
 	for (i = 0; i < READERS; i++) {
+		sleep_ms(start_ms + (int64_t)i * ARRIVAL_MS / READERS -
+			 now_ms());
 		requests[i] = (struct request){
 			.method = "GET",
 			.path = ANSWER_PATH,
--- a/review/testbed-3/testbed.c
+++ b/review/testbed-3/testbed.c
@@ -174,13 +174,16 @@
 	return fd;
 }
 
-static uint16_t free_port(const char *ip)
+/* Finds @count free ports, which differ from each other. */
+static void free_ports(const char *ip, uint16_t **ports, uint32_t count)
 {
-	uint16_t port;
-	int fd = listen_free(ip, &port);
+	int fds[8];
+	uint32_t i;
 
-	close(fd);
-	return port;
+	for (i = 0; i < count; i++)
+		fds[i] = listen_free(ip, ports[i]);
+	for (i = 0; i < count; i++)
+		close(fds[i]);
 }
 
 static int connect_to(const char *ip, uint16_t port, bool slow_reader)
@@ -376,6 +379,13 @@
 static pthread_mutex_t store_lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t store_changed = PTHREAD_COND_INITIALIZER;
 static uint16_t store_listens;
+static uint64_t era = 1;
+static bool away;
+/* Changes up to this revision are not in @changes. */
+static uint64_t history_begins;
+static struct item copied[ITEMS_MAX];
+static uint32_t copied_count;
+static uint64_t copied_revision;
 
 uint16_t store_port(void)
 {
@@ -444,6 +454,39 @@
 	store_change(key, NULL);
 }
 
+void store_copy(void)
+{
+	pthread_mutex_lock(&store_lock);
+	memcpy(copied, items, sizeof(items));
+	copied_count = item_count;
+	copied_revision = revision;
+	pthread_mutex_unlock(&store_lock);
+	record("a copy of the store is taken at revision %llu",
+	       (unsigned long long)copied_revision);
+}
+
+void store_set_away(bool is_away)
+{
+	pthread_mutex_lock(&store_lock);
+	away = is_away;
+	pthread_mutex_unlock(&store_lock);
+	record("the store is %s", is_away ? "away" : "back");
+}
+
+void store_restore(void)
+{
+	pthread_mutex_lock(&store_lock);
+	memcpy(items, copied, sizeof(items));
+	item_count = copied_count;
+	revision = copied_revision;
+	history_begins = revision;
+	change_count = 0;
+	era++;
+	pthread_mutex_unlock(&store_lock);
+	record("the store is restored from its copy: revision %llu, era %llu",
+	       (unsigned long long)revision, (unsigned long long)era);
+}
+
 static void append_item(char **text, size_t *length, const struct item *item)
 {
 	size_t room = 256 + (item->value ? strlen(item->value) : 0);
@@ -515,25 +558,35 @@
 	return text;
 }
 
-static char *store_answer(const char *target)
+static char *store_answer(const char *target, int *status)
 {
-	char *text;
+	uint64_t asked_era;
+	char *text = NULL;
 
 	pthread_mutex_lock(&store_lock);
+	asked_era = era;
+	*status = 200;
 	if (strncmp(target, "/kv-watch", 9) == 0) {
 		uint64_t after = query_number(target, "after", 0);
 		int64_t until = clock_ms() +
 				(int64_t)query_number(target, "waitMs", 0);
 
-		while (revision <= after && clock_ms() < until && !ending) {
+		while (revision <= after && clock_ms() < until && !ending &&
+		       !away && era == asked_era) {
 			pthread_mutex_unlock(&store_lock);
 			sleep_ms(5);
 			pthread_mutex_lock(&store_lock);
 		}
-		text = watch_text(after);
+		if (after < history_begins || after > revision)
+			*status = 410;
+		else
+			text = watch_text(after);
 	} else {
 		text = range_text();
 	}
+	/* A watch that waits is cut when the store goes away. */
+	if (away || era != asked_era)
+		*status = 503;
 	pthread_mutex_unlock(&store_lock);
 	return text;
 }
@@ -549,13 +602,16 @@
 	reader->fd = accepted->fd;
 	while (reader_head(reader, head, sizeof(head)) &&
 	       sscanf(head, "%15s %1023s", method, target) == 2) {
-		char *text = store_answer(target);
-		char *answer = malloc(strlen(text) + 256);
+		int status;
+		char *text = store_answer(target, &status);
+		const char *body = status == 200 ? text : "{}";
+		char *answer = malloc(strlen(body) + 256);
 
 		sprintf(answer,
-			"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+			"HTTP/1.1 %d Status\r\nStore-Era: %llu\r\n"
+			"Content-Type: application/json\r\n"
 			"Content-Length: %zu\r\n\r\n%s",
-			strlen(text), text);
+			status, (unsigned long long)era, strlen(body), body);
 		if (!send_all(accepted->fd, answer, strlen(answer)))
 			break;
 		free(answer);
@@ -701,6 +757,31 @@
 	return count;
 }
 
+static void count_arrival(struct upstream *upstream)
+{
+	pthread_mutex_lock(&runs_lock);
+	if (upstream->arrival_count < ARRIVALS_MAX)
+		upstream->arrivals_ms[upstream->arrival_count++] = now_ms();
+	pthread_mutex_unlock(&runs_lock);
+}
+
+uint32_t upstream_arrivals(const struct upstream *upstream, int64_t since_ms)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	pthread_mutex_lock(&runs_lock);
+	for (i = 0; i < upstream->arrival_count; i++)
+		count += upstream->arrivals_ms[i] >= since_ms;
+	pthread_mutex_unlock(&runs_lock);
+	return count;
+}
+
+void upstream_set_leaving(struct upstream *upstream)
+{
+	upstream->leaving = true;
+}
+
 /* Whether the peer has closed its side. */
 static bool peer_gone(int fd)
 {
@@ -709,7 +790,8 @@
 	return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-static bool send_upstream_answer(int fd, const char *id, uint64_t bytes)
+static bool send_upstream_answer(int fd, const struct upstream *upstream,
+				 const char *id, uint64_t bytes)
 {
 	static char filler[65536];
 	char head[512];
@@ -718,8 +800,10 @@
 	snprintf(head, sizeof(head),
 		 "HTTP/1.1 200 OK\r\nNutmegcrank-Request-Id: %s\r\n"
 		 "Nutmegcrank-Upstream-Signature: %s.%llu\r\n"
-		 "Content-Length: %llu\r\n\r\n",
-		 id, id, (unsigned long long)bytes, (unsigned long long)bytes);
+		 "%sContent-Length: %llu\r\n\r\n",
+		 id, id, (unsigned long long)bytes,
+		 upstream->leaving ? "Server-Leaving: 1\r\n" : "",
+		 (unsigned long long)bytes);
 	if (!send_all(fd, head, strlen(head)))
 		return false;
 	while (bytes > 0) {
@@ -795,6 +879,7 @@
 		if (!head_field(head, "Nutmegcrank-Request-Id", id, sizeof(id)))
 			break;
 		count_run(&served->upstream, id, false);
+		count_arrival(&served->upstream);
 		record("upstream %s of %s runs %s (%s %s, body %lld)",
 		       served->upstream.id, served->upstream.service, id, method, target,
 		       (long long)length);
@@ -803,7 +888,7 @@
 			       served->upstream.id, id);
 			break;
 		}
-		if (!send_upstream_answer(fd, id,
+		if (!send_upstream_answer(fd, &served->upstream, id,
 					  query_number(target, "bytes", 300))) {
 			record("upstream %s cannot send the answer to %s",
 			       served->upstream.id, id);
@@ -832,8 +917,9 @@
 	return &served->upstream;
 }
 
-void upstream_register(struct upstream *upstream, const char *service,
-		       const char *state, uint64_t sequence)
+static void write_entry(struct upstream *upstream, const char *service,
+			const char *state, uint64_t sequence,
+			uint32_t warmup_left_ms)
 {
 	static int64_t born;
 	struct timespec t;
@@ -850,12 +936,25 @@
 		 "{\"address\":\"127.0.0.1:%u\",\"born\":%lld,\"info\":{"
 		 "\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
 		 "\"maxConcurrency\":%u},\"status\":{\"state\":\"%s\","
-		 "\"sequence\":%llu,\"warmupLeft\":\"0ms\"}}",
+		 "\"sequence\":%llu,\"warmupLeft\":\"%ums\"}}",
 		 upstream->port, (long long)born, service, upstream->zone,
-		 upstream->slots, state, (unsigned long long)sequence);
+		 upstream->slots, state, (unsigned long long)sequence,
+		 warmup_left_ms);
 	store_put(key, text);
 }
 
+void upstream_register(struct upstream *upstream, const char *service,
+		       const char *state, uint64_t sequence)
+{
+	write_entry(upstream, service, state, sequence, 0);
+}
+
+void upstream_register_warming(struct upstream *upstream, const char *service,
+			       uint64_t sequence, uint32_t warmup_left_ms)
+{
+	write_entry(upstream, service, "ready", sequence, warmup_left_ms);
+}
+
 /* --- platform ------------------------------------------------------------ */
 
 void setting(const char *name, const char *value)
@@ -971,14 +1070,13 @@
 	struct in_addr addr = {
 		htonl(base_ip + 10 + instance_count),
 	};
+	uint16_t *ports[] = { &instance->front, &instance->ready,
+			      &instance->control, &instance->directory };
 
 	inet_ntop(AF_INET, &addr, instance->ip, sizeof(instance->ip));
 	snprintf(instance->zone, sizeof(instance->zone), "%s", zone);
 	instance->memory_mb = memory_mb;
-	instance->front = free_port(instance->ip);
-	instance->ready = free_port(instance->ip);
-	instance->control = free_port(instance->ip);
-	instance->directory = free_port(instance->ip);
+	free_ports(instance->ip, ports, 4);
 	return instance;
 }
 
--- a/review/testbed-3/testbed.h
+++ b/review/testbed-3/testbed.h
@@ -17,6 +17,7 @@
 #define INSTANCES_MAX 8
 #define UPSTREAMS_MAX 64
 #define ID_BYTES 32
+#define ARRIVALS_MAX 4096
 
 /**
  * struct upstream - one upstream
@@ -25,6 +26,9 @@
  * @service: service that it registered for
  * @port: port it listens on
  * @slots: requests that it works on at the same time
+ * @leaving: its answers say that it leaves
+ * @arrivals_ms: when requests reached it, the first ARRIVALS_MAX
+ * @arrival_count: used entries of @arrivals_ms
  */
 struct upstream {
 	char id[ID_BYTES];
@@ -32,6 +36,9 @@
 	char service[ID_BYTES];
 	uint16_t port;
 	uint32_t slots;
+	volatile bool leaving;
+	int64_t arrivals_ms[ARRIVALS_MAX];
+	volatile uint32_t arrival_count;
 };
 
 /**
@@ -128,11 +135,24 @@
 void store_put(const char *key, const char *value);
 void store_remove(const char *key);
 uint16_t store_port(void);
+/* Keeps a copy of all items and of the revision. */
+void store_copy(void);
+/* While it is away, the store answers every call with 503. */
+void store_set_away(bool away);
+/* Returns to the copy in a new era; its history begins there. */
+void store_restore(void);
 
 /* Upstreams. Work, answer length from the query: work=MS and bytes=N. */
 struct upstream *upstream_open(const char *zone, uint32_t slots);
 void upstream_register(struct upstream *upstream, const char *service,
 		       const char *state, uint64_t sequence);
+/* The same with the time for which the upstream stays slow after its start. */
+void upstream_register_warming(struct upstream *upstream, const char *service,
+			       uint64_t sequence, uint32_t warmup_left_ms);
+/* From now on all its answers have Server-Leaving. */
+void upstream_set_leaving(struct upstream *upstream);
+/* How many requests reached the upstream since a time by now_ms(). */
+uint32_t upstream_arrivals(const struct upstream *upstream, int64_t since_ms);
 /* How often upstreams began to work on the request. */
 uint32_t runs_of(const char *id);
 /* How often upstreams ended work and sent the whole answer. */
