--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 from=review/testbed-3
 out=target/review-3
 mkdir -p "$out"
-for name in weights kept_connections slow_readers drill; do
+for name in weights kept_connections slow_readers drill many_hosts; do
 	gcc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Wno-format-truncation \
 		-pthread -o "$out/$name" "$from/$name.c" "$from/clients.c" \
 		"$from/deployment.c" "$from/testbed.c"
--- a/review/testbed-3/testbed.c
+++ b/review/testbed-3/testbed.c
@@ -22,6 +22,10 @@
 /* A case that takes longer ends as not run. */
 #define CASE_MAX_S 110
 #define RESTART_MS 500
+/* Port of the operators in the template of the settings. */
+#define OPERATORS_PORT 9464
+/* Last part of the first instance's address. */
+#define FIRST_INSTANCE 11
 #define WATCH_PERIOD_MS 10
 #define RUNS_MAX 65536
 #define SETTINGS_MAX 64
@@ -125,6 +129,39 @@
 	_exit(2);
 }
 
+static bool can_listen(uint32_t ip, uint16_t port)
+{
+	struct sockaddr_in addr = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(ip),
+		.sin_port = htons(port),
+	};
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool free = fd >= 0 &&
+		    bind(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0;
+
+	if (fd >= 0)
+		close(fd);
+	return free;
+}
+
+/*
+ * Chooses a range of loopback addresses in which no other run has its
+ * instances: the operators' port is the same for all of them.
+ */
+static void choose_addresses(void)
+{
+	uint32_t first = (uint32_t)getpid();
+	uint32_t i;
+
+	for (i = 0; i < 200; i++) {
+		base_ip = 0x7f000000u | ((first + i) % 200 + 20) << 16;
+		if (can_listen(base_ip + FIRST_INSTANCE, OPERATORS_PORT))
+			return;
+	}
+	not_run("no range of addresses is free");
+}
+
 void world_open(int argc, char **argv, const char *record_name)
 {
 	char path[512];
@@ -150,8 +187,7 @@
 	signal(SIGINT, on_signal);
 	signal(SIGALRM, on_signal);
 	alarm(CASE_MAX_S);
-	/* An address range of this run's own, so that two runs do not meet. */
-	base_ip = 0x7f000000u | (uint32_t)(getpid() % 200 + 20) << 16;
+	choose_addresses();
 	record("disruption: %s", trouble ? "yes" : "no");
 }
 
@@ -1068,7 +1104,7 @@
 {
 	struct instance *instance = &instances[instance_count++];
 	struct in_addr addr = {
-		htonl(base_ip + 10 + instance_count),
+		htonl(base_ip + FIRST_INSTANCE - 1 + instance_count),
 	};
 	uint16_t *ports[] = { &instance->front, &instance->ready,
 			      &instance->control, &instance->directory };
