--- a/review/testbed-3/deployment.c
+++ b/review/testbed-3/deployment.c
@@ -8,12 +8,14 @@
 const char *const DEPLOYMENT_ZONES[ZONES] = { "tas-hobart", "tas-launceston",
 					      "tas-devonport" };
 
+uint32_t deployment_instances = ZONES;
+
 void deployment_start(void)
 {
 	uint32_t i;
 
-	for (i = 0; i < ZONES; i++)
-		instance_add(DEPLOYMENT_ZONES[i], MEMORY_MB);
+	for (i = 0; i < deployment_instances; i++)
+		instance_add(DEPLOYMENT_ZONES[i % ZONES], MEMORY_MB);
 	instances_start();
 	instances_wait_ready(READY_LIMIT_MS);
 }
--- a/review/testbed-3/deployment.h
+++ b/review/testbed-3/deployment.h
@@ -15,7 +15,10 @@
 
 extern const char *const DEPLOYMENT_ZONES[];
 
-/* Starts three instances, one in each zone, and waits until all are ready. */
+/* Number of instances, three if a case does not change it. */
+extern uint32_t deployment_instances;
+
+/* Starts the instances, zone by zone, and waits until all are ready. */
 void deployment_start(void);
 /* Writes the configuration of deployment_open() with a version. */
 void deployment_configure(uint32_t version, uint32_t timeout_ms);
--- a/review/testbed-3/kept_connections.c
+++ b/review/testbed-3/kept_connections.c
@@ -1,8 +1,8 @@
 /*
  * Clients keep their connections open and get an answer of a megabyte on each
- * of them now and then. With the disruption two of the three instances are
- * killed, and their clients connect to the one that is left. Other clients pay
- * through that one.
+ * of them now and then. With the disruption three of five instances are killed,
+ * and their clients connect to the two that are left. Other clients pay through
+ * one of these.
  */
 #include <pthread.h>
 #include <signal.h>
@@ -13,7 +13,10 @@
 #include "clients.h"
 #include "deployment.h"
 
-#define CLIENTS 300
+#define CLIENTS 540
+#define INSTANCES 5
+/* The first of them are left, the others are killed. */
+#define LEFT 2
 #define ANSWER_PATH "/read/picture?work=5&bytes=1000000"
 #define DEADLINE_MS 8000
 /* The clients of each round send their requests evenly over this time. */
@@ -63,14 +66,14 @@
 	}
 }
 
-/* Connects to the next instance that answers, not to the one that failed. */
+/* Connects to one of the instances that answer, evenly chosen. */
 static void reconnect(struct client *client)
 {
-	uint32_t from = (uint32_t)(client->instance - instances);
+	uint32_t from = (uint32_t)(client - clients) / INSTANCES % LEFT;
 	uint32_t i;
 
-	for (i = 1; i < instance_count && client->fd < 0; i++) {
-		client->instance = &instances[(from + i) % instance_count];
+	for (i = 0; i < INSTANCES && client->fd < 0; i++) {
+		client->instance = &instances[(from + i) % INSTANCES];
 		client->fd = client_connect(client->instance, false);
 	}
 }
@@ -87,7 +90,7 @@
 	struct client *client = data;
 	int64_t part_ms = (client - clients) * ROUND_MS / CLIENTS;
 
-	client->instance = &instances[(client - clients) % instance_count];
+	client->instance = &instances[(client - clients) % INSTANCES];
 	client->fd = client_connect(client->instance, false);
 	sleep_ms(start_ms + part_ms - now_ms());
 	look_at_picture(client);
@@ -112,16 +115,15 @@
 	uint32_t i;
 
 	world_open(argc, argv, "record.txt");
+	deployment_instances = INSTANCES;
 	deployment_open(6, 6, 8000);
 	start_ms = now_ms() + 200;
 	payments_start(&instances[0], start_ms + PAYMENTS_MS, 3000);
 	for (i = 0; i < CLIENTS; i++)
 		pthread_create(&threads[i], NULL, run_client, &clients[i]);
 	sleep_ms(start_ms + KILL_MS - now_ms());
-	if (trouble) {
-		instance_signal(&instances[1], SIGKILL);
-		instance_signal(&instances[2], SIGKILL);
-	}
+	for (i = LEFT; trouble && i < INSTANCES; i++)
+		instance_signal(&instances[i], SIGKILL);
 	for (i = 0; i < CLIENTS; i++)
 		pthread_join(threads[i], NULL);
 	judge_lost(payments_lost());
