--- a/review/testbed-3/testbed.c
+++ b/review/testbed-3/testbed.c
@@ -722,7 +722,6 @@
 	char id[ID_BYTES];
 	char service[ID_BYTES];
 	uint32_t begun;
-	uint32_t answered;
 };
 
 static struct run runs[RUNS_MAX];
@@ -744,17 +743,13 @@
 	return &runs[run_count++];
 }
 
-static void count_run(const struct upstream *upstream, const char *id,
-		      bool answered)
+static void count_run(const struct upstream *upstream, const char *id)
 {
 	struct run *run;
 
 	pthread_mutex_lock(&runs_lock);
 	run = find_run(id);
-	if (answered)
-		run->answered++;
-	else
-		run->begun++;
+	run->begun++;
 	snprintf(run->service, ID_BYTES, "%s", upstream->service);
 	pthread_mutex_unlock(&runs_lock);
 }
@@ -783,16 +778,6 @@
 	return count;
 }
 
-uint32_t answers_of(const char *id)
-{
-	uint32_t count;
-
-	pthread_mutex_lock(&runs_lock);
-	count = find_run(id)->answered;
-	pthread_mutex_unlock(&runs_lock);
-	return count;
-}
-
 static void count_arrival(struct upstream *upstream)
 {
 	pthread_mutex_lock(&runs_lock);
@@ -914,7 +899,7 @@
 		}
 		if (!head_field(head, "Nutmegcrank-Request-Id", id, sizeof(id)))
 			break;
-		count_run(&served->upstream, id, false);
+		count_run(&served->upstream, id);
 		count_arrival(&served->upstream);
 		record("upstream %s of %s runs %s (%s %s, body %lld)",
 		       served->upstream.id, served->upstream.service, id, method, target,
@@ -930,7 +915,6 @@
 			       served->upstream.id, id);
 			break;
 		}
-		count_run(&served->upstream, id, true);
 		record("upstream %s has answered %s", served->upstream.id, id);
 	}
 	close(fd);
@@ -1285,10 +1269,7 @@
 static bool send_request(int fd, const struct request *request)
 {
 	static char filler[65536];
-	uint64_t step = sizeof(filler);
 	uint64_t left = request->body_bytes;
-	int64_t next_us = 0;
-	int64_t next;
 	char head[1024];
 
 	memset(filler, 'b', sizeof(filler));
@@ -1304,18 +1285,13 @@
 	strcat(head, "\r\n");
 	if (!send_all(fd, head, strlen(head)))
 		return false;
-	next = clock_ms();
 	while (left > 0) {
-		size_t length = left < step ? (size_t)left : (size_t)step;
+		size_t length = left < sizeof(filler) ? (size_t)left :
+							sizeof(filler);
 
 		if (!send_all(fd, filler, length))
 			return false;
 		left -= length;
-		if (request->send_bytes_per_s == 0)
-			continue;
-		next_us += (int64_t)(length * 1000000 /
-				     request->send_bytes_per_s);
-		sleep_ms(next + next_us / 1000 - clock_ms());
 	}
 	return true;
 }
@@ -1366,7 +1342,6 @@
 			answer.close = strcasecmp(text, "close") == 0;
 		if (head_field(head, "Content-Length", text, sizeof(text)))
 			answer.length = strtoll(text, NULL, 10);
-		sleep_ms(request->read_pause_ms);
 		if (answer.length >= 0)
 			answer.got = read_body(reader, answer.length,
 					       request->read_bytes_per_s);
--- a/review/testbed-3/testbed.h
+++ b/review/testbed-3/testbed.h
@@ -100,9 +100,7 @@
  * @id: id of this attempt
  * @deadline_ms: how long the client waits
  * @body_bytes: length of the body
- * @send_bytes_per_s: pace at which the client sends the body, 0 for no limit
  * @read_bytes_per_s: pace at which the client reads the answer, 0 for no limit
- * @read_pause_ms: the client reads nothing for this time after the head
  */
 struct request {
 	const char *method;
@@ -110,9 +108,7 @@
 	char id[ID_BYTES];
 	uint32_t deadline_ms;
 	uint64_t body_bytes;
-	uint64_t send_bytes_per_s;
 	uint64_t read_bytes_per_s;
-	uint32_t read_pause_ms;
 };
 
 /* Clock and record. */
@@ -155,8 +151,6 @@
 uint32_t upstream_arrivals(const struct upstream *upstream, int64_t since_ms);
 /* How often upstreams began to work on the request. */
 uint32_t runs_of(const char *id);
-/* How often upstreams ended work and sent the whole answer. */
-uint32_t answers_of(const char *id);
 
 /* How many requests whose ids begin so ran at upstreams of the service. */
 uint32_t runs_at(const char *service, const char *id_prefix);
