--- a/review/testbed-3/drill.c
+++ b/review/testbed-3/drill.c
@@ -60,7 +60,7 @@
 	uint32_t late;
 	uint32_t i;
 
-	world_open(argc, argv, "record.txt");
+	world_open(argc, argv);
 	store_open();
 	for (i = 0; i < SERVERS; i++) {
 		servers[i] = upstream_open(DEPLOYMENT_ZONES[i % 3], SLOTS);
--- a/review/testbed-3/kept_connections.c
+++ b/review/testbed-3/kept_connections.c
@@ -114,7 +114,7 @@
 	pthread_t threads[CLIENTS];
 	uint32_t i;
 
-	world_open(argc, argv, "record.txt");
+	world_open(argc, argv);
 	deployment_instances = INSTANCES;
 	deployment_open(6, 6, 8000);
 	start_ms = now_ms() + 200;
--- a/review/testbed-3/slow_readers.c
+++ b/review/testbed-3/slow_readers.c
@@ -51,7 +51,7 @@
 	int64_t start_ms;
 	uint32_t i;
 
-	world_open(argc, argv, "record.txt");
+	world_open(argc, argv);
 	deployment_open(6, 6, 10000);
 	start_ms = now_ms() + READERS_START_MS;
 	payments_start(&instances[0], start_ms + PAYMENTS_MS, PAYMENT_WORK_MS);
--- a/review/testbed-3/testbed.c
+++ b/review/testbed-3/testbed.c
@@ -30,7 +30,6 @@
 #define RUNS_MAX 65536
 #define SETTINGS_MAX 64
 
-const char *case_dir;
 bool trouble;
 struct instance instances[INSTANCES_MAX];
 uint32_t instance_count;
@@ -162,24 +161,20 @@
 	not_run("no range of addresses is free");
 }
 
-void world_open(int argc, char **argv, const char *record_name)
+void world_open(int argc, char **argv)
 {
-	char path[512];
-
 	if (argc != 5) {
-		fprintf(stderr, "usage: %s DIR TROUBLE BINARY TEMPLATE\n",
+		fprintf(stderr, "usage: %s RECORD TROUBLE BINARY TEMPLATE\n",
 			argv[0]);
 		exit(2);
 	}
-	case_dir = argv[1];
 	trouble = strcmp(argv[2], "0") != 0;
 	binary = argv[3];
 	template_path = argv[4];
 	epoch_ms = clock_ms();
-	snprintf(path, sizeof(path), "%s/%s", case_dir, record_name);
-	record_file = fopen(path, "w");
+	record_file = fopen(argv[1], "w");
 	if (record_file == NULL || mkdtemp(temp_dir) == NULL) {
-		perror(path);
+		perror(argv[1]);
 		exit(2);
 	}
 	signal(SIGPIPE, SIG_IGN);
--- a/review/testbed-3/testbed.h
+++ b/review/testbed-3/testbed.h
@@ -119,10 +119,9 @@
 void finish(int code) __attribute__((noreturn));
 void not_run(const char *why) __attribute__((noreturn));
 
-/* World. The case's arguments: DIR TROUBLE BINARY TEMPLATE. */
-extern const char *case_dir;
+/* World. The case's arguments: RECORD TROUBLE BINARY TEMPLATE. */
 extern bool trouble;
-void world_open(int argc, char **argv, const char *record_name);
+void world_open(int argc, char **argv);
 /* Binds a listening socket to a free port of @ip. */
 int listen_free(const char *ip, uint16_t *port);
 
--- a/review/testbed-3/weights.c
+++ b/review/testbed-3/weights.c
@@ -68,7 +68,7 @@
 	uint32_t wrong;
 	uint32_t i;
 
-	world_open(argc, argv, "record.txt");
+	world_open(argc, argv);
 	store_open();
 	for (i = 0; i < 9; i++)
 		upstream_register(upstream_open(DEPLOYMENT_ZONES[i % 3], 3),
