routing: a route that cannot be used rejects its own requests

Cause: weights were read as JSON integers alone, and a route that cannot be read was left out of the routing table, where the route of the next shorter prefix gets its requests.

Change: such a route, a part of a split or a service that cannot be used has a target that rejects, in the table that all instances share; its requests are refused at once as not run (unusable_route). Metrics rejecting_routes and configuration_left_out.

--- a/src/codec/http_answer.c
+++ b/src/codec/http_answer.c
@@ -432,6 +432,7 @@
 		return 502;
 	case REFUSAL_NO_BACKEND:
 	case REFUSAL_NOT_READY:
+	case REFUSAL_UNUSABLE_ROUTE:
 	case REFUSAL_LEAVING:
 	case REFUSAL_QUEUE_FULL:
 	case REFUSAL_CALLER_SHARE:
--- a/src/codec/http_request.c
+++ b/src/codec/http_request.c
@@ -2,7 +2,6 @@
 
 #include "codec/http_credential.h"
 
-#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -42,7 +41,7 @@
 static bool plan_body(const struct control_fields *controls,
 		      uint64_t body_max_bytes, struct http_body_plan *plan,
 		      enum refusal_cause *cause);
-static bool host_parse(const char *value, char out[NAME_BYTES_MAX]);
+static bool host_parse(const char *value, struct host_name *out);
 static bool deadline_parse(const struct control_fields *controls,
 			   struct instant now, const struct settings *settings,
 			   uint64_t *out);
@@ -66,13 +65,15 @@
 	    !query_valid(head->query) || !fields_valid(head))
 		return false;
 	collect_control_fields(head, &settings->headers, &controls);
-	if (controls.host_count != 1 || !host_parse(controls.host, facts->host))
+	if (controls.host_count != 1 ||
+	    !host_parse(controls.host, &facts->host))
 		return false;
 	if (!deadline_parse(&controls, now, settings, &facts->deadline_us))
 		return false;
 	if (!plan_body(&controls, settings->body_max_bytes, plan, cause))
 		return false;
-	g_strlcpy(facts->path, head->path, sizeof(facts->path));
+	request->path = g_strdup(head->path);
+	facts->path = request->path;
 	http_credential_read(head, &facts->credential);
 	facts->caller_hash = hash_bytes(
 		head->caller_ip, strlen(head->caller_ip), CALLER_HASH_SEED);
@@ -186,7 +187,7 @@
 	int32_t low;
 
 	for (; *path != '\0'; path++) {
-		if (*path <= ' ' || *path > '~' || *path == '#')
+		if (!path_char_received(*path))
 			return false;
 		if (*path != '%') {
 			g_string_append_c(out, *path);
@@ -293,25 +294,15 @@
 	return true;
 }
 
-static bool host_parse(const char *value, char out[NAME_BYTES_MAX])
+static bool host_parse(const char *value, struct host_name *out)
 {
 	size_t length = strcspn(value, ":");
 	uint64_t port;
-	size_t i;
 
-	if (length == 0 || length >= NAME_BYTES_MAX)
-		return false;
 	if (value[length] == ':' &&
 	    !http_number_parse(value + length + 1, UINT16_MAX, &port))
 		return false;
-	for (i = 0; i < length; i++) {
-		if (!isalnum((unsigned char)value[i]) &&
-		    !strchr("-._", value[i]))
-			return false;
-		out[i] = g_ascii_tolower(value[i]);
-	}
-	out[length] = '\0';
-	return true;
+	return host_set(out, value, length);
 }
 
 static bool deadline_parse(const struct control_fields *controls,
--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -37,12 +37,16 @@
 		      GError **error);
 static bool read_name(const struct json_node *node, const char *text,
 		      struct name *name, GError **error);
+static bool read_host(const struct json_node *node, const char *text,
+		      struct host_name *host, GError **error);
 static bool read_ip(const struct json_node *node, const char *text,
 		    uint32_t *ip, GError **error);
 static bool read_addr(const struct json_node *node, const char *text,
 		      struct net_addr *addr, GError **error);
 static bool read_path(const struct json_node *node, const char *text,
 		      char *path, GError **error);
+static bool read_route_path(const struct json_node *node, const char *text,
+			    char *target, GError **error);
 static bool read_token(const struct json_node *node, const char *text,
 		       char *token, GError **error);
 static bool fail_text(const struct json_node *node, const char *text,
@@ -258,9 +262,11 @@
 	case FIELD_OBJECT:
 		return json_read_fields(node, field->table, out, error);
 	case FIELD_NAME:
+	case FIELD_HOST:
 	case FIELD_IP:
 	case FIELD_ADDR:
 	case FIELD_PATH:
+	case FIELD_ROUTE_PATH:
 	case FIELD_TOKEN:
 		return read_text(node, field, target, error);
 	case FIELD_CUSTOM:
@@ -310,9 +316,11 @@
 	case FIELD_PORT:
 	case FIELD_BOOL:
 	case FIELD_NAME:
+	case FIELD_HOST:
 	case FIELD_IP:
 	case FIELD_ADDR:
 	case FIELD_PATH:
+	case FIELD_ROUTE_PATH:
 	case FIELD_TOKEN:
 	case FIELD_CUSTOM:
 		break;
@@ -443,12 +451,16 @@
 	switch (field->kind) {
 	case FIELD_NAME:
 		return read_name(node, text, (struct name *)target, error);
+	case FIELD_HOST:
+		return read_host(node, text, (struct host_name *)target, error);
 	case FIELD_IP:
 		return read_ip(node, text, (uint32_t *)target, error);
 	case FIELD_ADDR:
 		return read_addr(node, text, (struct net_addr *)target, error);
 	case FIELD_PATH:
 		return read_path(node, text, target, error);
+	case FIELD_ROUTE_PATH:
+		return read_route_path(node, text, target, error);
 	case FIELD_TOKEN:
 		return read_token(node, text, target, error);
 	case FIELD_U32:
@@ -477,6 +489,17 @@
 		NAME_BYTES_MAX - 1);
 }
 
+static bool read_host(const struct json_node *node, const char *text,
+		      struct host_name *host, GError **error)
+{
+	if (host_set(host, text, strlen(text)))
+		return true;
+	return fail_text(node, text, error,
+			 "is not a host; write 1 to %d letters, digits, '-', "
+			 "'_' and '.'",
+			 HOST_BYTES_MAX - 1);
+}
+
 static bool read_ip(const struct json_node *node, const char *text,
 		    uint32_t *ip, GError **error)
 {
@@ -522,6 +545,30 @@
 	return true;
 }
 
+/* Fills the pointer at @target. */
+static bool read_route_path(const struct json_node *node, const char *text,
+			    char *target, GError **error)
+{
+	size_t i;
+	char *path;
+
+	if (text[0] != '/')
+		return fail_text(node, text, error,
+				 "is not a path; begin with /");
+	for (i = 0; text[i] != '\0'; i++) {
+		if (!path_char_received(text[i]))
+			return fail_text(
+				node, text, error,
+				"is not allowed in a path at byte %zu; remove "
+				"query and fragment, and percent-encode other "
+				"characters",
+				i);
+	}
+	path = g_strdup(text);
+	memcpy(target, &path, sizeof(path));
+	return true;
+}
+
 static bool read_token(const struct json_node *node, const char *text,
 		       char *token, GError **error)
 {
--- a/src/codec/json_fields.h
+++ b/src/codec/json_fields.h
@@ -24,9 +24,12 @@
  * @FIELD_PORT: integer from 1 to 65535, stored as uint16_t
  * @FIELD_BOOL: true or false, stored as bool
  * @FIELD_NAME: string, stored as struct name
+ * @FIELD_HOST: string, stored as struct host_name
  * @FIELD_IP: "a.b.c.d", a unicast address, stored as uint32_t
  * @FIELD_ADDR: "a.b.c.d:port", a unicast address, stored as struct net_addr
  * @FIELD_PATH: absolute path of a URL, stored as char[PATH_BYTES_MAX]
+ * @FIELD_ROUTE_PATH: path that requests are matched with, of any length, stored
+ *	as an owned char *
  * @FIELD_TOKEN: name or value of a header field, stored as char[NAME_BYTES_MAX]
  * @FIELD_CHOICE: one of a set of strings; its number is stored as uint32_t
  * @FIELD_OBJECT: object with a table of its own
@@ -40,9 +43,11 @@
 	FIELD_PORT,
 	FIELD_BOOL,
 	FIELD_NAME,
+	FIELD_HOST,
 	FIELD_IP,
 	FIELD_ADDR,
 	FIELD_PATH,
+	FIELD_ROUTE_PATH,
 	FIELD_TOKEN,
 	FIELD_CHOICE,
 	FIELD_OBJECT,
--- a/src/codec/platform_json.c
+++ b/src/codec/platform_json.c
@@ -5,7 +5,6 @@
 #include "codec/json_text.h"
 #include "core/member.h"
 
-#define INDEX_DOCUMENTS_MAX 4096
 /* json-c reads integers that are too large for it as INT64_MAX. */
 #define VERSION_MAX ((uint64_t)INT64_MAX - 1)
 
@@ -87,7 +86,7 @@
 	const struct json_list spec = {
 		.key = "documents",
 		.required = true,
-		.max_items = INDEX_DOCUMENTS_MAX,
+		.max_items = DOCUMENTS_MAX,
 	};
 	struct platform_list out = { .kind = LIST_INDEX };
 
--- a/src/command/admit.c
+++ b/src/command/admit.c
@@ -86,6 +86,10 @@
 		refuse_without_ticket(state, command->request, NULL,
 				      REFUSAL_NO_SERVICE, now, out);
 		return;
+	case ROUTE_REJECTED:
+		refuse_without_ticket(state, command->request, NULL,
+				      REFUSAL_UNUSABLE_ROUTE, now, out);
+		return;
 	case ROUTE_DENIED:
 		refuse_without_ticket(state, command->request, NULL,
 				      REFUSAL_UNKNOWN_KEY, now, out);
--- a/src/core/command.h
+++ b/src/core/command.h
@@ -220,7 +220,7 @@
  */
 struct query {
 	enum query_kind kind;
-	struct name host;
+	struct host_name host;
 	struct name service;
 	uint64_t caller_hash;
 	struct name caller_domain;
--- a/src/core/document.h
+++ b/src/core/document.h
@@ -13,6 +13,8 @@
 
 #include "core/ids.h"
 
+/* Documents in force at the same time, the routing table included. */
+#define DOCUMENTS_MAX 4096
 #define DOC_BACKENDS_MAX 4096
 #define DOC_ROUTES_MAX 256
 #define DOC_CLASSES_MAX 8
@@ -156,6 +158,8 @@
  *	group of its own
  * @backends: backend servers, owned
  * @backend_count: number of entries of @backends
+ * @left_out_backends: backend servers of the service that are not listed, for
+ *	lack of room
  * @routes: routes, owned
  * @route_count: number of entries of @routes
  * @classes: priority classes, at least one
@@ -182,6 +186,7 @@
 	struct name home_group;
 	struct backend_doc *backends;
 	uint32_t backend_count;
+	uint32_t left_out_backends;
 	struct route_doc *routes;
 	uint32_t route_count;
 	struct class_doc classes[DOC_CLASSES_MAX];
--- a/src/core/ids.c
+++ b/src/core/ids.c
@@ -41,11 +41,31 @@
 		*at = g_ascii_tolower(*at);
 }
 
+bool host_set(struct host_name *host, const char *text, size_t text_bytes)
+{
+	size_t i;
+
+	if (text_bytes == 0 || text_bytes >= HOST_BYTES_MAX)
+		return false;
+	for (i = 0; i < text_bytes; i++) {
+		if (!allowed_in_name(text[i]))
+			return false;
+		host->text[i] = g_ascii_tolower(text[i]);
+	}
+	host->text[text_bytes] = '\0';
+	return true;
+}
+
 bool path_char_allowed(char c)
 {
 	return g_ascii_isalnum(c) || (c && strchr("-._~!$&'()*+,;=:@%/", c));
 }
 
+bool path_char_received(char c)
+{
+	return g_ascii_isgraph(c) && c != '?' && c != '#';
+}
+
 bool name_equal(const struct name *a, const struct name *b)
 {
 	return strcmp(a->text, b->text) == 0;
--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -12,6 +12,8 @@
 #include "core/units.h"
 
 #define NAME_BYTES_MAX 64
+/* A domain name has at most 253 characters. */
+#define HOST_BYTES_MAX 256
 #define PATH_BYTES_MAX 256
 /* Space for the text of an address, with its final NUL. */
 #define ADDR_TEXT_BYTES 24
@@ -24,6 +26,14 @@
 	char text[NAME_BYTES_MAX];
 };
 
+/**
+ * struct host_name - bounded, NUL-terminated name of a host
+ * @text: consists of the characters of a name, in lower case
+ */
+struct host_name {
+	char text[HOST_BYTES_MAX];
+};
+
 /**
  * struct net_addr - IPv4 address and port, both in host byte order
  * @ip: address
@@ -73,6 +83,17 @@
  */
 void name_lower(struct name *name);
 
+/**
+ * host_set() - copy a text into the name of a host, in lower case
+ * @host: filled on success
+ * @text: text, need not be NUL-terminated
+ * @text_bytes: length of @text
+ *
+ * Return: false if it is empty, too long or has a character that is not
+ * allowed in a name.
+ */
+bool host_set(struct host_name *host, const char *text, size_t text_bytes);
+
 /**
  * path_char_allowed() - whether a path may contain a character as it is
  * @c: the character
@@ -82,6 +103,16 @@
  */
 bool path_char_allowed(char c);
 
+/**
+ * path_char_received() - whether the path of a request may contain a character
+ * @c: the character
+ *
+ * Return: true for all printable ASCII characters but those that begin a query
+ * or a fragment; more than path_char_allowed(), as callers do not always encode
+ * what they should.
+ */
+bool path_char_received(char c);
+
 /**
  * name_equal() - compare two names
  * @a: first name
--- a/src/core/report.h
+++ b/src/core/report.h
@@ -152,6 +152,7 @@
 	uint32_t running_requests;
 	uint32_t draining_backends;
 	uint32_t paused_backends;
+	uint32_t left_out_backends;
 	uint32_t shedding;
 };
 
@@ -167,6 +168,8 @@
  * @members_alive: other instances held alive
  * @members_suspect: other instances under suspicion
  * @members_dead: other instances held dead
+ * @rejecting_routes: routes of the routing table that reject requests
+ * @left_out: items of the platform's configuration that have no effect
  * @quotas: counters of the quotas of all customers
  * @audit_records: audit records since the start of the process
  */
@@ -180,6 +183,8 @@
 	uint32_t members_alive;
 	uint32_t members_suspect;
 	uint32_t members_dead;
+	uint32_t rejecting_routes;
+	uint32_t left_out;
 	struct quota_counters quotas;
 	uint64_t audit_records;
 };
--- a/src/core/request.c
+++ b/src/core/request.c
@@ -42,6 +42,7 @@
 	ring_free(request->answer);
 	headers_clear(request->headers, request->header_count);
 	g_free(request->target);
+	g_free(request->path);
 	g_clear_pointer(&request->body, g_bytes_unref);
 	g_free(request);
 }
@@ -87,6 +88,7 @@
 		[REFUSAL_NO_SERVICE] = "no_service",
 		[REFUSAL_NO_BACKEND] = "no_backend",
 		[REFUSAL_NOT_READY] = "not_ready",
+		[REFUSAL_UNUSABLE_ROUTE] = "unusable_route",
 		[REFUSAL_UNKNOWN_KEY] = "unknown_key",
 		[REFUSAL_OVER_QUOTA] = "over_quota",
 		[REFUSAL_LEAVING] = "leaving",
--- a/src/core/request.h
+++ b/src/core/request.h
@@ -33,6 +33,7 @@
 	REFUSAL_NO_SERVICE,
 	REFUSAL_NO_BACKEND,
 	REFUSAL_NOT_READY,
+	REFUSAL_UNUSABLE_ROUTE,
 	REFUSAL_UNKNOWN_KEY,
 	REFUSAL_OVER_QUOTA,
 	REFUSAL_LEAVING,
@@ -141,6 +142,7 @@
  * @id: request id given by the caller, empty for none
  * @method: request method
  * @target: path and query as received, owned
+ * @path: path as received, owned
  * @headers: end-to-end headers, without hop-by-hop ones
  * @header_count: used entries of @headers
  * @body: complete body, owned; NULL if there is none
@@ -154,6 +156,7 @@
 	char id[NAME_BYTES_MAX];
 	enum request_method method;
 	char *target;
+	char *path;
 	struct header headers[REQUEST_HEADERS_MAX];
 	uint32_t header_count;
 	GBytes *body;
@@ -163,7 +166,7 @@
 /**
  * struct request_facts - properties of a request that routing depends on
  * @host: Host without port in lower case, empty if absent
- * @path: path without query
+ * @path: path without query, owned by the request
  * @method: request method
  * @credential: credentials of the customer
  * @caller_hash: identifies the caller, so that each gets its share of the
@@ -171,8 +174,8 @@
  * @deadline_us: deadline given by the caller, DEADLINE_NONE_US for none
  */
 struct request_facts {
-	char host[NAME_BYTES_MAX];
-	char path[PATH_BYTES_MAX];
+	struct host_name host;
+	const char *path;
 	enum request_method method;
 	struct credential credential;
 	uint64_t caller_hash;
--- a/src/core/routing.c
+++ b/src/core/routing.c
@@ -4,6 +4,8 @@
 
 static void free_host(gpointer data);
 static void add_service(struct table_host *host, const struct name *service);
+static bool may_end(const struct table_host *host, const char *prefix,
+		    size_t prefix_bytes);
 
 struct routing_table *routing_table_new(const char *text, size_t text_bytes,
 					uint64_t version)
@@ -36,38 +38,65 @@
 	return added;
 }
 
-bool table_host_add_route(struct table_host *host, struct table_route *route)
+bool routing_table_add_route(struct routing_table *table,
+			     struct table_host *host, struct table_route *route)
 {
+	size_t prefix_bytes = strlen(route->path_prefix);
 	uint32_t i;
 
 	if (g_hash_table_contains(host->routes, route->path_prefix))
 		return false;
 	g_hash_table_insert(host->routes, route->path_prefix, route);
-	for (i = 0; i < route->target_count; i++)
-		add_service(host, &route->targets[i].service);
+	if (!g_str_has_suffix(route->path_prefix, "/")) {
+		if (!host->unended_bytes)
+			host->unended_bytes = g_hash_table_new(NULL, NULL);
+		g_hash_table_add(host->unended_bytes,
+				 GSIZE_TO_POINTER(prefix_bytes));
+	}
+	table->rejecting_routes += table_route_rejects(route);
+	for (i = 0; i < route->target_count; i++) {
+		switch (route->targets[i].kind) {
+		case TARGET_SERVICE:
+			add_service(host, &route->targets[i].service);
+			break;
+		case TARGET_REJECT:
+			break;
+		}
+	}
 	return true;
 }
 
-/* Prefixes end with a slash, so the path is only tried up to each slash. */
+bool table_route_rejects(const struct table_route *route)
+{
+	uint32_t i;
+
+	for (i = 0; i < route->target_count; i++) {
+		if (route->targets[i].kind == TARGET_REJECT &&
+		    route->targets[i].weight > 0)
+			return true;
+	}
+	return false;
+}
+
 const struct table_route *routing_table_find(const struct routing_table *table,
 					     const char *host, const char *path)
 {
 	const struct table_host *found =
 		g_hash_table_lookup(table->hosts, host);
 	const struct table_route *route = NULL;
-	char prefix[PATH_BYTES_MAX];
-	char *slash;
+	size_t bytes;
+	char *prefix;
 
 	if (!found)
 		return NULL;
-	g_strlcpy(prefix, path, sizeof(prefix));
-	slash = strrchr(prefix, '/');
-	while (!route && slash) {
-		slash[1] = '\0';
+	prefix = g_strdup(path);
+	for (bytes = strlen(prefix); !route && bytes > 0; bytes--) {
+		if (!may_end(found, prefix, bytes))
+			continue;
+		prefix[bytes] = '\0';
 		route = g_hash_table_lookup(found->routes, prefix);
-		slash[0] = '\0';
-		slash = strrchr(prefix, '/');
 	}
+	g_free(prefix);
 	return route;
 }
 
@@ -77,6 +106,7 @@
 
 	if (!route)
 		return;
+	g_free(route->path_prefix);
 	g_free(route->targets);
 	g_free(route);
 }
@@ -102,6 +132,7 @@
 	struct table_host *host = data;
 
 	g_hash_table_unref(host->routes);
+	g_clear_pointer(&host->unended_bytes, g_hash_table_unref);
 	g_array_unref(host->services);
 	g_free(host);
 }
@@ -117,3 +148,14 @@
 	}
 	g_array_append_vals(host->services, service, 1);
 }
+
+/* Return: whether a route may have a prefix of this length. */
+static bool may_end(const struct table_host *host, const char *prefix,
+		    size_t prefix_bytes)
+{
+	if (prefix[prefix_bytes - 1] == '/')
+		return true;
+	return host->unended_bytes &&
+	       g_hash_table_contains(host->unended_bytes,
+				     GSIZE_TO_POINTER(prefix_bytes));
+}
--- a/src/query/list_metrics.c
+++ b/src/query/list_metrics.c
@@ -25,6 +25,10 @@
 	for (i = 0; i < REFUSAL_COUNT; i++)
 		report->refused_early[i] = state->refused_early[i];
 	count_members(state, report);
+	if (state->routes) {
+		report->rejecting_routes = state->routes->rejecting_routes;
+		report->left_out = state->routes->left_out;
+	}
 	report->quotas = state->quotas.counters;
 	report->audit_records = state->audit_next - 1;
 	return report;
@@ -46,6 +50,7 @@
 	out->crossing = service->crossing;
 	out->waiting_requests = service->waiting_requests;
 	out->running_requests = service->running_requests;
+	out->left_out_backends = doc->left_out_backends;
 	out->shedding = shed_window_active(service, now);
 	for (i = 0; i < service->backend_count; i++) {
 		backend = &service->backends[i];
--- a/src/query/route.c
+++ b/src/query/route.c
@@ -11,6 +11,7 @@
 			      struct route_match *out);
 static const struct route_target *pick_target(const struct state *state,
 					      const struct table_route *route);
+static uint64_t random_below(GRand *rand, uint64_t end);
 static uint32_t class_of_priority(const struct service_doc *doc,
 				  uint32_t priority);
 static void match_document(const struct service_doc *doc,
@@ -31,7 +32,7 @@
 	memset(out, 0, sizeof(*out));
 	out->tries_max = TICKET_TRIES_MAX;
 	if (state->routes)
-		route = routing_table_find(state->routes, facts->host,
+		route = routing_table_find(state->routes, facts->host.text,
 					   facts->path);
 	if (route)
 		return match_table(state, route, facts, out);
@@ -56,6 +57,12 @@
 {
 	const struct route_target *target = pick_target(state, route);
 
+	switch (target->kind) {
+	case TARGET_SERVICE:
+		break;
+	case TARGET_REJECT:
+		return ROUTE_REJECTED;
+	}
 	if (!identify_customer(state, facts, route->is_public, out))
 		return ROUTE_DENIED;
 	out->service = service_lookup(state, &target->service);
@@ -100,18 +107,26 @@
 static const struct route_target *pick_target(const struct state *state,
 					      const struct table_route *route)
 {
-	uint32_t offset;
+	uint64_t offset;
 	uint32_t i = 0;
 
 	if (route->target_count == 1)
 		return &route->targets[0];
-	offset = (uint32_t)g_rand_int_range(state->rand, 0,
-					    (gint32)route->weight_sum);
+	offset = random_below(state->rand, route->weight_sum);
 	while (offset >= route->targets[i].weight)
 		offset -= route->targets[i++].weight;
 	return &route->targets[i];
 }
 
+/* Return: random number from 0 to @end - 1. */
+static uint64_t random_below(GRand *rand, uint64_t end)
+{
+	uint64_t high = g_rand_int(rand);
+	uint64_t fraction = high << 32 | g_rand_int(rand);
+
+	return (uint64_t)((unsigned __int128)fraction * end >> 64);
+}
+
 /*
  * Return: index of the class with the smallest priority number not below
  * @priority; of the one with the greatest number when there is none.
@@ -173,7 +188,7 @@
 	GHashTableIter iter;
 	gpointer value;
 
-	service = g_hash_table_lookup(state->by_host, facts->host);
+	service = g_hash_table_lookup(state->by_host, facts->host.text);
 	if (service)
 		return service;
 	g_hash_table_iter_init(&iter, state->services);
--- a/src/query/route.h
+++ b/src/query/route.h
@@ -11,10 +11,17 @@
  * enum route_result - result of the search for a service
  * @ROUTE_FOUND: a service handles the request
  * @ROUTE_NONE: no service does
+ * @ROUTE_REJECTED: the platform has configured for it what cannot be used
  * @ROUTE_DENIED: the route needs the key of a customer, and the request has none
  * @ROUTE_UNKNOWN: the documents needed to decide have not been received yet
  */
-enum route_result { ROUTE_FOUND, ROUTE_NONE, ROUTE_DENIED, ROUTE_UNKNOWN };
+enum route_result {
+	ROUTE_FOUND,
+	ROUTE_NONE,
+	ROUTE_REJECTED,
+	ROUTE_DENIED,
+	ROUTE_UNKNOWN,
+};
 
 /**
  * struct route_match - properties of a request by documents and routing table
