routing: bounds of the table are above what a value of the store can hold

Cause: the routing table allowed 4,096 hosts, the platform's pages any number within the length of a value, and one bound refused the whole table.

--- a/src/core/document.h
+++ b/src/core/document.h
@@ -15,7 +15,7 @@
 
 /* Documents in force at the same time, the routing table included. */
 #define DOCUMENTS_MAX 4096
-#define DOC_BACKENDS_MAX 4096
+#define DOC_BACKENDS_MAX 8192
 #define DOC_ROUTES_MAX 256
 #define DOC_CLASSES_MAX 8
 #define DOC_HOSTS_MAX 16
--- a/src/core/routing.h
+++ b/src/core/routing.h
@@ -15,8 +15,8 @@
 
 /* Key of the table among the documents; not a valid name of a service. */
 #define ROUTING_KEY ".routes"
-#define ROUTING_HOSTS_MAX 4096
-#define ROUTING_HOST_ROUTES_MAX 16384
+#define ROUTING_HOSTS_MAX 65536
+#define ROUTING_HOST_ROUTES_MAX 65536
 #define ROUTING_TARGETS_MAX 65536
 #define ROUTING_BUDGET_MAX_MS 600000
 #define ROUTING_PRIORITY_MAX 100
