codec: one reader for the numbers of settings, documents and the platform

Settings and documents now read numbers and durations by codec/json_number.h, like the adapter: any form that JSON has, integers without a fraction however they are written.

--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "codec/json_error.h"
+#include "codec/json_number.h"
 
 /* Largest error, in thousandths, of a decimal fraction read as a double. */
 #define PERMILLE_ROUNDING 1e-6
@@ -28,7 +29,6 @@
 static bool read_duration(const struct json_node *node,
 			  const struct field_range *range,
 			  uint32_t *duration_ms, GError **error);
-static bool parse_duration(const char *text, double *ms);
 static bool read_choice(const struct json_node *node,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error);
@@ -327,24 +327,23 @@
 	}
 }
 
+/* A number without a fraction is an integer, however it is written. */
 static bool read_range(const struct json_node *node,
 		       const struct field_range *range, uint64_t *number,
 		       GError **error)
 {
-	int64_t value;
+	double value;
 
-	if (!check_type(node, json_type_int, "an integer", error))
-		return false;
-	value = json_object_get_int64(node->value);
-	if (value < 0 || (uint64_t)value < range->min ||
-	    (uint64_t)value > range->max)
-		return json_fail(node, NULL, SETTINGS_ERROR_RANGE, error,
-				 "%" G_GINT64_FORMAT
-				 " is out of range; write %" G_GUINT64_FORMAT
-				 " to %" G_GUINT64_FORMAT,
-				 value, range->min, range->max);
-	*number = (uint64_t)value;
-	return true;
+	if (!json_number_is_whole(node->value))
+		return check_type(node, json_type_int, "an integer", error);
+	if (json_number_read_down(node->value, number) &&
+	    *number >= range->min && *number <= range->max)
+		return true;
+	json_number_read(node->value, &value);
+	return json_fail(node, NULL, SETTINGS_ERROR_RANGE, error,
+			 "%.17g is out of range; write %" G_GUINT64_FORMAT
+			 " to %" G_GUINT64_FORMAT,
+			 value, range->min, range->max);
 }
 
 static bool read_permille(const struct json_node *node,
@@ -353,12 +352,10 @@
 {
 	double value;
 
-	if (!json_object_is_type(node->value, json_type_int) &&
-	    !check_type(node, json_type_double, "a number", error))
-		return false;
+	if (!json_number_read(node->value, &value))
+		return check_type(node, json_type_double, "a number", error);
 	/* 0.2, which has no exact binary form, must read as 200 thousandths. */
-	value = json_object_get_double(node->value) * PERMILLE_ONE +
-		PERMILLE_ROUNDING;
+	value = value * PERMILLE_ONE + PERMILLE_ROUNDING;
 	if (!(value >= (double)range->min) ||
 	    value >= (double)range->max + 2 * PERMILLE_ROUNDING)
 		return json_fail(node, NULL, SETTINGS_ERROR_RANGE, error,
@@ -380,7 +377,7 @@
 			error))
 		return false;
 	text = json_object_get_string(node->value);
-	if (!parse_duration(text, &ms))
+	if (!duration_parse(text, &ms))
 		return fail_text(node, text, error,
 				 "is not a duration; write one such as \"6s\" "
 				 "or \"1500ms\"");
@@ -394,23 +391,6 @@
 	return true;
 }
 
-/* Return: false unless @text is a number and its unit, without spaces. */
-static bool parse_duration(const char *text, double *ms)
-{
-	double number;
-	char *end;
-
-	if (!g_ascii_isdigit(text[0]))
-		return false;
-	number = g_ascii_strtod(text, &end);
-	if (strcmp(end, "s") == 0)
-		number *= MS_PER_S;
-	else if (strcmp(end, "ms") != 0)
-		return false;
-	*ms = number;
-	return true;
-}
-
 static bool read_choice(const struct json_node *node,
 			const struct field_choices *choices, uint32_t *value,
 			GError **error)
--- a/src/codec/json_scan.c
+++ b/src/codec/json_scan.c
@@ -282,11 +282,14 @@
 				scan, "no digits after the decimal point; add "
 				      "them");
 	}
-	if (peek(scan) == 'e' || peek(scan) == 'E')
-		return json_error_set(scan->error, SETTINGS_ERROR_TYPE,
-				      scan->label, scan->path->str,
-				      "number with an exponent; write it "
-				      "without");
+	if (peek(scan) != 'e' && peek(scan) != 'E')
+		return true;
+	scan->pos++;
+	if (peek(scan) == '-' || peek(scan) == '+')
+		scan->pos++;
+	if (scan_digits(scan) == 0)
+		return fail_syntax(scan, "no digits after the exponent; add "
+					 "them");
 	return true;
 }
 
