--- a/src/codec/json_fields.c
+++ b/src/codec/json_fields.c
@@ -49,6 +49,8 @@
 			    char *target, GError **error);
 static bool read_token(const struct json_node *node, const char *text,
 		       char *token, GError **error);
+static bool fail_path_char(const struct json_node *node, const char *text,
+			   size_t pos, GError **error);
 static bool fail_text(const struct json_node *node, const char *text,
 		      GError **error, const char *format, ...)
 	G_GNUC_PRINTF(4, 5);
@@ -514,12 +516,7 @@
 			PATH_BYTES_MAX);
 	for (i = 0; i < length; i++) {
 		if (!path_char_allowed(text[i]))
-			return fail_text(
-				node, text, error,
-				"is not allowed in a path at byte %zu; remove "
-				"query and fragment, and percent-encode other "
-				"characters",
-				i);
+			return fail_path_char(node, text, i, error);
 	}
 	memcpy(path, text, length + 1);
 	return true;
@@ -537,18 +534,22 @@
 				 "is not a path; begin with /");
 	for (i = 0; text[i] != '\0'; i++) {
 		if (!path_char_received(text[i]))
-			return fail_text(
-				node, text, error,
-				"is not allowed in a path at byte %zu; remove "
-				"query and fragment, and percent-encode other "
-				"characters",
-				i);
+			return fail_path_char(node, text, i, error);
 	}
 	path = g_strdup(text);
 	memcpy(target, &path, sizeof(path));
 	return true;
 }
 
+static bool fail_path_char(const struct json_node *node, const char *text,
+			   size_t pos, GError **error)
+{
+	return fail_text(node, text, error,
+			 "is not allowed in a path at byte %zu; remove query "
+			 "and fragment, and percent-encode other characters",
+			 pos);
+}
+
 static bool read_token(const struct json_node *node, const char *text,
 		       char *token, GError **error)
 {
