caution: servers that nothing speaks against get work each second

Cause: caution is an exclusion that no floor counts. A failure puts a server on trial for 8 s, and work that may run once goes there only when no trusted one has room. In the same way an ejected server of such a service waits 10 s in its trickle for idempotent work that the service does not have.

Change: while servers are on trial or avoided, each home gives a request that may run once to the server of its domain that has been idle the longest, if that is longer than the home's part of 1 s and no home avoids it now. So does a trickle without idempotent work. Metrics say how many servers are passed over and how often this rule chose.

--- a/src/command/schedule.c
+++ b/src/command/schedule.c
@@ -248,6 +248,7 @@
 	ticket->borrowed_index = pick->borrowed_index;
 	trace_grant(state, ticket, &pick->choice, now, out);
 	occupy_slot(state, service, ticket);
+	service->counters.idle_requests += pick->left_idle;
 	histogram_add(&service->counters.classes[ticket->class_index].queue_us,
 		      now.mono_us - ticket->queued_us);
 	granted->exchange.index = index;
@@ -300,6 +301,7 @@
 		return;
 	}
 	cross_begin(state, service, ticket);
+	backend->health.last_granted_us = ticket->granted_us;
 	backend->in_use_slots++;
 	ticket->on_long_slot = ticket->long_work;
 	if (ticket->on_long_slot)
--- a/src/core/health.h
+++ b/src/core/health.h
@@ -16,7 +16,7 @@
  * @HEALTH_IN_SERVICE: all
  * @HEALTH_EJECTED: none, as it is unhealthy
  * @HEALTH_AVOIDED: none, as only this instance cannot reach it
- * @HEALTH_TRICKLE: one idempotent request at a time, as a trial
+ * @HEALTH_TRICKLE: one request at a time, as a trial, idempotent if there is any
  * @HEALTH_RAMP: as many as fit into a growing part of its slots
  */
 enum health_state {
@@ -76,6 +76,7 @@
  * @state: which requests it gets
  * @failures_since_trusted: failed or slow requests since it was last trusted;
  *	reset by several successes in a row
+ * @last_granted_us: grant time of the latest request, whatever came of it
  * @last_success_granted_us: grant time of the latest request that succeeded
  * @consecutive_successes: successful requests since the latest failed or slow
  *	one
@@ -126,6 +127,7 @@
 	enum health_state state;
 	uint32_t failures_since_trusted;
 	uint32_t consecutive_successes;
+	uint64_t last_granted_us;
 	uint64_t last_success_granted_us;
 	uint64_t caution_until_us;
 	uint64_t trial_until_us;
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -43,6 +43,8 @@
  * @retries: requests retried
  * @retries_denied: retries not made because of overload or lack of retry
  *	budget
+ * @idle_requests: requests sent to a backend server because caution had left it
+ *	without work
  * @ejections: backend servers ejected
  * @ejections_withheld: ejections withheld because of the healthy floor
  * @leases_requested: lease requests sent to other homes
@@ -57,6 +59,7 @@
 	struct class_counters classes[DOC_CLASSES_MAX];
 	uint64_t retries;
 	uint64_t retries_denied;
+	uint64_t idle_requests;
 	uint64_t ejections;
 	uint64_t ejections_withheld;
 	uint64_t leases_requested;
--- a/src/core/report.h
+++ b/src/core/report.h
@@ -139,6 +139,8 @@
 /**
  * struct service_metrics - counters and class names of one service
  * @crossing: requests sent to other failure domains; only the domains are used
+ * @trial_backends: backend servers on trial, see enum caution_level
+ * @avoided_backends: backend servers that are avoided, see enum caution_level
  * @shedding: 1 while shed_window_active(), else 0
  */
 struct service_metrics {
@@ -152,6 +154,8 @@
 	uint32_t running_requests;
 	uint32_t draining_backends;
 	uint32_t paused_backends;
+	uint32_t trial_backends;
+	uint32_t avoided_backends;
 	uint32_t left_out_backends;
 	uint32_t shedding;
 };
--- a/src/query/list_metrics.c
+++ b/src/query/list_metrics.c
@@ -5,6 +5,8 @@
 
 static void copy_service(const struct service *service,
 			 struct service_metrics *out, struct instant now);
+static void count_caution(const struct backend *backend,
+			  struct service_metrics *out, struct instant now);
 static void count_members(const struct state *state,
 			  struct metrics_report *report);
 
@@ -56,6 +58,22 @@
 		backend = &service->backends[i];
 		out->draining_backends += backend_draining(backend, now);
 		out->paused_backends += backend_paused(backend, now);
+		count_caution(backend, out, now);
+	}
+}
+
+static void count_caution(const struct backend *backend,
+			  struct service_metrics *out, struct instant now)
+{
+	switch (backend_caution(backend, now)) {
+	case CAUTION_NONE:
+		break;
+	case CAUTION_TRIAL:
+		out->trial_backends++;
+		break;
+	case CAUTION_AVOID:
+		out->avoided_backends++;
+		break;
 	}
 }
 
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -5,6 +5,7 @@
 #include "query/backend_load.h"
 #include "query/crossing.h"
 #include "query/health.h"
+#include "query/idle.h"
 
 /* Long requests may use at least 1 / this of the slots at any load. */
 #define LONG_SLOTS_MIN_DIVISOR 6
@@ -74,8 +75,9 @@
 			  const struct service *service,
 			  const struct ticket *ticket, struct instant now,
 			  struct pick *out);
-static bool backend_allowed(const struct backend *backend,
-			    const struct ticket *ticket);
+static bool backend_allowed(const struct service *service,
+			    const struct backend *backend,
+			    const struct ticket *ticket, struct instant now);
 static uint32_t unlent_open_slots(const struct backend *backend,
 				  struct instant now);
 static bool has_room(const struct backend *backend, uint32_t open,
@@ -181,6 +183,7 @@
 	struct candidate best = { 0 };
 	struct candidate unreachable = { 0 };
 	struct candidate across = { 0 };
+	struct candidate idle = { 0 };
 	const struct backend *backend;
 	enum caution_level caution;
 	uint32_t reachable = 0;
@@ -192,7 +195,8 @@
 		backend = &service->backends[(i + service->round_robin_next) %
 					     service->backend_count];
 		open = unlent_open_slots(backend, now);
-		if (open == 0 || !backend_allowed(backend, ticket)) {
+		if (open == 0 ||
+		    !backend_allowed(service, backend, ticket, now)) {
 			out->choice.closed++;
 			continue;
 		}
@@ -211,6 +215,10 @@
 			continue;
 		}
 		count_choice(caution, &out->choice);
+		if (!ticket->idempotent &&
+		    backend_left_idle(service, backend, now))
+			consider_candidate(state, &idle, backend,
+					   backend_idle_since_us(backend));
 		if (!caution_acceptable(caution, ticket, now) ||
 		    !crossing_allows(state, service, ticket, backend))
 			continue;
@@ -224,6 +232,10 @@
 	if (across.backend &&
 	    (!best.backend || crossing_prefers_across(state, service)))
 		best = across;
+	if (idle.backend && out->choice.trial + out->choice.avoided > 0) {
+		best = idle;
+		out->left_idle = true;
+	}
 	/* When none is reachable, any may have recovered: try the best one. */
 	if (reachable == 0)
 		best = unreachable;
@@ -354,7 +366,7 @@
 		backend = &service->backends[borrowed->backend_index];
 		if (backend->health.state != HEALTH_IN_SERVICE ||
 		    backend_closed(backend, now) ||
-		    !backend_allowed(backend, ticket) ||
+		    !backend_allowed(service, backend, ticket, now) ||
 		    !caution_acceptable(caution_for(state, backend, ticket,
 						    now),
 					ticket, now))
@@ -367,15 +379,17 @@
 }
 
 /*
- * A request does not go to the same backend server twice, and a backend server
- * in HEALTH_TRICKLE gets idempotent requests only.
+ * A request does not go to the same backend server twice. A backend server in
+ * HEALTH_TRICKLE gets idempotent requests, and others while there are none.
  */
-static bool backend_allowed(const struct backend *backend,
-			    const struct ticket *ticket)
+static bool backend_allowed(const struct service *service,
+			    const struct backend *backend,
+			    const struct ticket *ticket, struct instant now)
 {
 	uint32_t i;
 
-	if (!ticket->idempotent && backend_idempotent_only(backend))
+	if (!ticket->idempotent && backend_idempotent_only(backend) &&
+	    !backend_left_idle(service, backend, now))
 		return false;
 	for (i = 0; i < ticket->tried_count; i++) {
 		if (addr_equal(ticket->tried[i], backend->addr))
--- a/src/query/pick.h
+++ b/src/query/pick.h
@@ -11,11 +11,13 @@
  * struct pick - a free slot
  * @backend_index: backend server of the slot, index into service->backends
  * @borrowed_index: index into service->borrowed, TICKET_NONE for an own slot
+ * @left_idle: chosen because caution had left the backend server without work
  * @choice: counts of the backend servers that were considered, for the trace
  */
 struct pick {
 	uint32_t backend_index;
 	uint32_t borrowed_index;
+	bool left_idle;
 	struct trace_choice choice;
 };
 
