platform: a change of the configuration waits for no silent watch

The watches of all readers hear nothing and do not end, and are given up by their time-out, 2.2 s after they were sent. Changes answer all watches at once, so all six run in step, and no reader notices before the others. Then all readers are taken to be lost, other instances begin to read (186 full reads in 40 s), and the table waits for the last page of the servers.

Change: beside a watch that waits a reader asks for the store's revision, a read without entries; the first reader of the fleet each half second, the others once the watch is overdue. A watch that does not report what the store has for 200 ms, or is overdue while the store answers, is given up without calling the platform lost. A changed table is published from the page that has the configuration.

Failed before: the cases "a watch that is not answered while the store answers" and "a new configuration does not wait for the other pages" of StoreSource.ReadsPagesAndChanges. In "a store that stops answering" the store now leaves the check unanswered too; what is expected is unchanged.

--- a/src/duty/config.c
+++ b/src/duty/config.c
@@ -201,6 +201,7 @@
 		.kind = kind,
 		.watch.after = watch->after,
 		.watch.wait_ms = watch_wait_ms(watch, duty->role),
+		.watch.urgent = duty->role == READER_FIRST,
 	};
 
 	/* Until the first answer this instance counts as no reader. */
@@ -311,6 +312,8 @@
 			       document_due_us(duty, &entry->key, now_us));
 	}
 	g_array_unref(list);
+	if (answer->partial)
+		return;
 	duty->role_is_new = false;
 	watch_record_answer(&duty->index, version, duty->role, duty->rand,
 			    now_us);
--- a/src/duty/config_source.h
+++ b/src/duty/config_source.h
@@ -26,10 +26,13 @@
  * @after: version that is known already
  * @wait_ms: longest time in ms that the platform may wait for a newer version;
  *	0 for an immediate answer
+ * @urgent: others rely on this read; a source finds out soon if the platform does
+ *	not answer it
  */
 struct source_watch {
 	uint64_t after;
 	uint32_t wait_ms;
+	bool urgent;
 };
 
 /**
@@ -50,6 +53,7 @@
  * struct source_answer - result of one read
  * @request: the read
  * @error: of PLATFORM_ERROR, owned; NULL on success
+ * @partial: with SOURCE_INDEX, the read goes on, and a further answer follows
  * @found: false when the platform holds no such document
  * @version: with SOURCE_DOCUMENT, the document's version
  * @text: owned, the list or document as JSON text
@@ -57,6 +61,7 @@
 struct source_answer {
 	struct source_request request;
 	GError *error;
+	bool partial;
 	bool found;
 	uint64_t version;
 	GByteArray *text;
--- a/test/unit/store_source_test.cc
+++ b/test/unit/store_source_test.cc
@@ -106,6 +106,8 @@
 	uint64_t version; /* version of the index */
 	uint32_t upstreams;
 	std::string last_target; /* target of the last request, if checked */
+	bool partial = false; /* further answers follow */
+	uint64_t config = 0; /* version of the routing table, if checked */
 };
 
 struct source_case {
@@ -116,6 +118,15 @@
 	uint32_t value_bytes = 1 << 20;
 };
 
+const std::string config_2_item =
+	item("op/config",
+	     "{\"version\":\"r2\",\"services\":[{\"name\":\"rolls\","
+	     "\"maxConnections\":9}],\"hosts\":[{\"host\":\"h.example\","
+	     "\"paths\":[{\"prefix\":\"/a/\",\"service\":\"rolls\","
+	     "\"routeType\":\"safe\",\"timeout\":\"1s\","
+	     "\"targetLatency\":\"1s\",\"priority\":0,"
+	     "\"maxAttempts\":1}]}]}",
+	     8);
 const std::string first_entries = config_item + "," + upstream_item("i-1", 2);
 const std::string removal =
 	"{\"key\":\"servers/i-1\",\"rev\":6,\"removed\":true}";
@@ -162,11 +173,35 @@
 	    { false, 6, 0, "/kv-watch?prefix=&after=5&waitMs=50" } } },
 	{ "a store that stops answering",
 	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
+	    { "", AFTER_STALL, 0, "" },
 	    { "", AFTER_STALL, 0, "" },
 	    { changes(removal, 6), AFTER_KEEP, 0, "" } },
 	  { { false, 5, 1, "/kv-range?prefix=" },
 	    { true, 0, 0, "" },
 	    { false, 6, 0, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "a watch that is not answered while the store answers",
+	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
+	    { "", AFTER_STALL, 0, "" },
+	    { page("", false, 5), AFTER_KEEP, 0, "" },
+	    { changes(removal, 6), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { false, 6, 0, "/kv-watch?prefix=&after=5&waitMs=50" } } },
+	{ "a watch that does not report what the store has",
+	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
+	    { "", AFTER_STALL, 0, "" },
+	    { page("", false, 9), AFTER_KEEP, 0, "" },
+	    { page(config_item, false, 9), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "/kv-range?prefix=" },
+	    { false, 9, 0, "/kv-range?prefix=" } } },
+	{ "a new configuration does not wait for the other pages",
+	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
+	    { reply("410 Gone", ""), AFTER_KEEP, 0, "" },
+	    { page(config_2_item, true, 9), AFTER_KEEP, 0, "" },
+	    { page(upstream_item("i-1", 2), false, 9), AFTER_KEEP, 100, "" },
+	    { changes("", 9), AFTER_KEEP, 0, "" } },
+	  { { false, 5, 1, "", false, 1 },
+	    { false, 5, 1, "", true, 2 },
+	    { false, 9, 1, "/kv-watch?prefix=&after=9&waitMs=0", false, 2 } } },
 	{ "a new server is published later, a configuration at once",
 	  { { page(first_entries, false, 5), AFTER_KEEP, 0, "" },
 	    { changes(upstream_item("i-2", 6), 6), AFTER_KEEP, 0, "" },
@@ -295,6 +330,18 @@
 	FAIL() << "no answer";
 }
 
+uint64_t table_version(const GArray *list)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct index_entry *entry =
+			&g_array_index(list, struct index_entry, i);
+
+		if (strcmp(entry->key.text, ROUTING_KEY) == 0)
+			return entry->version;
+	}
+	return 0;
+}
+
 uint32_t count_upstreams(struct store_source *source)
 {
 	struct source_request request = {};
@@ -334,14 +381,21 @@
 			store_source_new(&settings, nullptr);
 
 		ASSERT_NE(source, nullptr);
+		bool goes_on = false;
+
 		for (const auto &step : c.reads) {
 			struct source_request request = {};
 			struct source_answer answer = {};
 
 			request.kind = SOURCE_INDEX;
 			request.watch.wait_ms = 50;
-			ASSERT_TRUE(store_source_begin(source, &request));
+			if (!goes_on) {
+				ASSERT_TRUE(
+					store_source_begin(source, &request));
+			}
 			wait_for_answer(source, &answer);
+			goes_on = answer.partial;
+			EXPECT_EQ(answer.partial, step.partial);
 			EXPECT_EQ(answer.error != nullptr, step.fails);
 			if (!step.last_target.empty()) {
 				EXPECT_EQ(server.last_request().find(
@@ -359,6 +413,11 @@
 					answer.text->len, &version, &list,
 					nullptr));
 				EXPECT_EQ(version, step.version);
+				if (step.config > 0) {
+					EXPECT_EQ(table_version(list),
+						  (UINT64_C(1) << 62) +
+							  step.config);
+				}
 				g_array_unref(list);
 				uint32_t upstreams = count_upstreams(source);
 
