standin, tests: a store that leaves its watches without an answer

The stand-in's store ended its watches at once when its history went, so no test over real processes saw a watch that hears nothing.

--- a/test/process/store_test.cc
+++ b/test/process/store_test.cc
@@ -279,6 +279,7 @@
 enum disruption {
 	DISRUPTION_NONE,
 	DISRUPTION_HISTORY_DROPPED,
+	DISRUPTION_WATCHES_SILENT,
 	DISRUPTION_INSTANCE_REFUSED,
 	DISRUPTION_STORE_REFUSES,
 	DISRUPTION_STORE_BUSY,
@@ -297,6 +298,8 @@
 	{ "no disruption", DISRUPTION_NONE, IN_FORCE_LIMIT_MS },
 	{ "the store drops its change history", DISRUPTION_HISTORY_DROPPED,
 	  IN_FORCE_LIMIT_MS },
+	{ "the store leaves its watches without an answer",
+	  DISRUPTION_WATCHES_SILENT, IN_FORCE_LIMIT_MS },
 	{ "the store refuses calls of one instance",
 	  DISRUPTION_INSTANCE_REFUSED, IN_FORCE_LIMIT_MS },
 	{ "an instance is killed", DISRUPTION_INSTANCE_KILLED,
@@ -316,6 +319,9 @@
 	case DISRUPTION_HISTORY_DROPPED:
 		EXPECT_TRUE(fleet.store.drop_history());
 		break;
+	case DISRUPTION_WATCHES_SILENT:
+		EXPECT_TRUE(fleet.store.set_mode("silent"));
+		break;
 	case DISRUPTION_INSTANCE_REFUSED:
 		EXPECT_TRUE(fleet.store.refuse_ip(fleet.ip(0)));
 		break;
--- a/test/standin/store.c
+++ b/test/standin/store.c
@@ -20,6 +20,7 @@
  * @STORE_HANG: requests are read but never answered
  * @STORE_UNAVAILABLE: every response has status 503
  * @STORE_BUSY: every response has status 429
+ * @STORE_SILENT: watches are never answered, other requests are
  */
 enum store_mode {
 	STORE_UP,
@@ -27,10 +28,11 @@
 	STORE_HANG,
 	STORE_UNAVAILABLE,
 	STORE_BUSY,
+	STORE_SILENT,
 };
 
-static const char *const mode_names[] = { "up", "refuse", "hang", "unavailable",
-					  "busy" };
+static const char *const mode_names[] = { "up",		 "refuse", "hang",
+					  "unavailable", "busy",   "silent" };
 
 /**
  * struct item - one stored entry
@@ -445,6 +447,12 @@
 	       !changed_since(store, prefix, after) &&
 	       g_cond_wait_until(&store->changed, &store->lock, deadline_us))
 		;
+	if (store->mode == STORE_SILENT) {
+		g_mutex_unlock(&store->lock);
+		http_wait(conn, clock_now_us() + HANG_MAX_US);
+		http_abort(conn);
+		return 200;
+	}
 	if (after >= store->compacted_revision && after <= store->revision) {
 		response = json_object_new_object();
 		json_object_object_add(response, "events",
@@ -517,6 +525,7 @@
 	g_mutex_unlock(&store->lock);
 	switch (mode) {
 	case STORE_UP:
+	case STORE_SILENT:
 		return true;
 	case STORE_HANG:
 		http_wait(conn, clock_now_us() + HANG_MAX_US);
