membership: an older offer is answered with what is held

Cause: an instance that was offered an older version than its own said nothing. It had offered its own when that was new; afterwards only a pull of the list of documents could bring it, 1 s after digests differ, from whoever sends next, with a delay that each pull from a wrong peer doubles.

Change: it answers with offers of what it holds, to the sender. Each answer names newer versions than the datagram it answers, so it ends.

--- a/src/command/member.h
+++ b/src/command/member.h
@@ -59,8 +59,9 @@
  * member_send() - send a message with rumours and offers piggybacked
  * @state: routing state
  * @to: peer address
- * @message: message with its kind and union member set, from g_new0(); the
- *	other fields are set here and ownership is taken
+ * @message: message with its kind and union member set, from g_new0(), and
+ *	with offers of its own if any; the other fields are set here and
+ *	ownership is taken
  * @out: receives EVENT_PEER_SEND
  */
 void member_send(struct state *state, struct net_addr to,
@@ -75,6 +76,19 @@
 void member_send_self(struct state *state, struct net_addr to,
 		      struct event_list *out);
 
+/**
+ * member_send_offers() - like member_send_self(), with offers before the queued
+ *	ones
+ * @state: routing state
+ * @to: peer address
+ * @offers: versions that this instance holds
+ * @count: their number; those beyond PEER_OFFERS_MAX are left out
+ * @out: receives EVENT_PEER_SEND
+ */
+void member_send_offers(struct state *state, struct net_addr to,
+			const struct config_offer *offers, uint32_t count,
+			struct event_list *out);
+
 /**
  * member_announce_self() - send the changed status of this instance to all
  *	members, repeated a few times
--- a/src/command/member_gossip.c
+++ b/src/command/member_gossip.c
@@ -64,7 +64,6 @@
 	message->members_digest = membership->members_digest;
 	message->config_digest = membership->config_digest;
 	message->rumour_count = 0;
-	message->offer_count = 0;
 	add_rumour(state, message, to);
 	if (message->kind == PEER_ACK || message->kind == PEER_PING_REQUEST)
 		add_rumour(state, message, message->ping.target);
@@ -75,14 +74,24 @@
 	event_list_add(out, &event);
 }
 
-/* The datagram is the acknowledgement of no probe, so it is not answered. */
 void member_send_self(struct state *state, struct net_addr to,
 		      struct event_list *out)
+{
+	member_send_offers(state, to, NULL, 0, out);
+}
+
+/* The datagram is the acknowledgement of no probe, so it is not answered. */
+void member_send_offers(struct state *state, struct net_addr to,
+			const struct config_offer *offers, uint32_t count,
+			struct event_list *out)
 {
 	struct peer_message *message = g_new0(struct peer_message, 1);
+	uint32_t i;
 
 	message->kind = PEER_ACK;
 	message->ping.target = state->membership.self.peer;
+	for (i = 0; i < MIN(count, PEER_OFFERS_MAX); i++)
+		message->offers[message->offer_count++] = offers[i];
 	member_send(state, to, message, out);
 }
 
@@ -375,7 +384,7 @@
 	struct offer_task task;
 	uint32_t first;
 
-	while (tries-- > 0) {
+	while (tries-- > 0 && message->offer_count < PEER_OFFERS_MAX) {
 		first = least_sent_offer(offers);
 		task = g_array_index(offers, struct offer_task, first);
 		g_array_remove_index(offers, first);
--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -33,6 +33,9 @@
 			const struct config_offer *offer, uint64_t until_us);
 static void pull_list(struct state *state, const struct peer_message *message,
 		      struct instant now, struct event_list *out);
+static void answer_older_offers(struct state *state,
+				const struct peer_message *message,
+				struct event_list *out);
 
 void member_handle_offers(struct state *state,
 			  const struct peer_message *message,
@@ -45,6 +48,7 @@
 	for (i = 0; i < message->offer_count; i++)
 		difference_explained |= handle_offer(
 			state, message->sender, &message->offers[i], now, out);
+	answer_older_offers(state, message, out);
 	if (digests_match(membership, message)) {
 		membership->list_pull_attempts = 0;
 		membership->list_pull_due_us = 0;
@@ -248,3 +252,25 @@
 			!membership->list_known;
 	event_list_add(out, &event);
 }
+
+/*
+ * Offers the sender the documents of which it has offered older versions. An
+ * instance that starts again may read an old copy of the store when the others
+ * have long ceased to offer what is in force.
+ */
+static void answer_older_offers(struct state *state,
+				const struct peer_message *message,
+				struct event_list *out)
+{
+	struct config_offer newer[PEER_OFFERS_MAX];
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < message->offer_count; i++) {
+		if (offer_find(state, &message->offers[i].key, &newer[count]) &&
+		    newer[count].version > message->offers[i].version)
+			count++;
+	}
+	if (count > 0)
+		member_send_offers(state, message->sender, newer, count, out);
+}
--- a/test/unit/member_test.cc
+++ b/test/unit/member_test.cc
@@ -385,6 +385,56 @@
 	}
 }
 
+struct stale_start_case {
+	const char *name;
+	uint32_t instances;
+	uint32_t holders; /* those that go on with the newest document */
+	uint32_t loss_percent;
+	uint32_t accepted_after_ms; /* the older document, after the start */
+};
+
+const struct stale_start_case stale_start_cases[] = {
+	{ "three of four start with it", 4, 1, 0, 0 },
+	{ "three of four read it late", 4, 1, 0, 300 },
+	{ "all but one of twelve", 12, 1, 0, 0 },
+	{ "all but one of forty", 40, 1, 0, 100 },
+	{ "half of forty", 40, 20, 0, 100 },
+	{ "all but one of twelve, five percent of the datagrams lost", 12, 1, 5,
+	  100 },
+};
+
+/* Guards against an older document that restarted instances keep in force. */
+TEST(MemberTest, OlderDocumentAfterRestartsIsReplacedInTime)
+{
+	for (const struct stale_start_case &c : stale_start_cases) {
+		for (uint32_t seed : SEEDS) {
+			FleetSim fleet(c.instances, seed);
+
+			SCOPED_TRACE(std::string(c.name) + ", seed " +
+				     std::to_string(seed));
+			fleet.loss_percent = c.loss_percent;
+			fleet.pass_ms(3000);
+			fleet.insts[0]->accept(make_doc({}, 7));
+			fleet.pass_ms(5000);
+			ASSERT_EQ(fleet.count_with_version(7), c.instances);
+			for (uint32_t i = c.holders; i < c.instances; i++)
+				fleet.restart(i);
+			fleet.pass_ms(c.accepted_after_ms);
+			for (uint32_t i = c.holders; i < c.instances; i++)
+				fleet.insts[i]->accept(make_doc({}, 1));
+			EXPECT_LE(
+				fleet.until(
+					5000,
+					[&] {
+						return fleet.count_with_version(
+							       7) ==
+						       c.instances;
+					}),
+				SPREAD_MS);
+		}
+	}
+}
+
 TEST(MemberTest, NewInstanceGetsListAndDocumentsFromPeers)
 {
 	for (uint32_t seed : SEEDS) {
