choice: work that may run again also goes to servers left idle

Cause: among servers with the same load the choice is random. Only work that may run once went to idle servers.

Change: the first try of work that may run again goes to the server that has been idle the longest for longer than the home's part of 1 s, if at most half of its slots are in use and its reports leave it room. Work that may run once now also keeps from busy servers, and from idle ones while tries here fail too often and others go across domains.

--- a/src/query/idle.h
+++ b/src/query/idle.h
@@ -2,7 +2,7 @@
 #define QUERY_IDLE_H
 
 /**
- * DOC: backend servers that caution leaves without work
+ * DOC: backend servers that caution or chance leaves without work
  */
 
 #include "core/state.h"
@@ -14,8 +14,8 @@
  * @now: current time
  *
  * Caution prefers backend servers that worked last. With enough room at these,
- * all others would stay idle however long ago they failed. So the homes that
- * share the slots of a backend server give it a request in turn. One that goes
+ * all others would stay idle however long ago they failed; and with few requests
+ * for each, a choice at random leaves some out. So the homes that share the slots of a backend server give it a request in turn. One that goes
  * on failing gets few of them, since no home does so while any avoids it.
  *
  * Return: true when this home owns slots of it, nothing speaks against it now,
--- a/src/query/pick.c
+++ b/src/query/pick.c
@@ -33,6 +33,8 @@
  */
 #define UNCERTAINTY_MAX_US (2 * US_PER_S)
 #define UNCERTAINTY_MAX_PERMILLE 500
+/* With more than 1 / this of its slots in use a backend server is not idle. */
+#define IDLE_USE_DIVISOR 2
 /* Time for which a request waits for a backend server without caution. */
 #define TRUSTED_WAIT_US (200 * US_PER_MS)
 
@@ -53,6 +55,14 @@
 static bool pick_own(const struct state *state, const struct service *service,
 		     const struct ticket *ticket, struct instant now,
 		     struct pick *out);
+static bool is_left_idle(const struct service *service,
+			 const struct backend *backend,
+			 const struct ticket *ticket, uint32_t open,
+			 struct instant now);
+static bool idle_goes_first(const struct state *state,
+			    const struct service *service,
+			    const struct ticket *ticket,
+			    const struct pick *pick);
 static void consider_candidate(const struct state *state,
 			       struct candidate *best,
 			       const struct backend *backend, uint64_t rank);
@@ -215,8 +225,7 @@
 			continue;
 		}
 		count_choice(caution, &out->choice);
-		if (!ticket->idempotent &&
-		    backend_left_idle(service, backend, now))
+		if (is_left_idle(service, backend, ticket, open, now))
 			consider_candidate(state, &idle, backend,
 					   backend_idle_since_us(backend));
 		if (!caution_acceptable(caution, ticket, now) ||
@@ -232,7 +241,7 @@
 	if (across.backend &&
 	    (!best.backend || crossing_prefers_across(state, service)))
 		best = across;
-	if (idle.backend && out->choice.trial + out->choice.avoided > 0) {
+	if (idle.backend && idle_goes_first(state, service, ticket, out)) {
 		best = idle;
 		out->left_idle = true;
 	}
@@ -245,6 +254,33 @@
 	return true;
 }
 
+/* A request that has lost time on an earlier try prefers other servers. */
+static bool is_left_idle(const struct service *service,
+			 const struct backend *backend,
+			 const struct ticket *ticket, uint32_t open,
+			 struct instant now)
+{
+	return ticket->tried_count == 0 &&
+	       backend->in_use_slots * IDLE_USE_DIVISOR <= open &&
+	       backend_load_permille(service, backend, now) < PERMILLE_ONE &&
+	       backend_left_idle(service, backend, now);
+}
+
+/*
+ * Work that may run once goes on preferring recent successes while nothing
+ * keeps it from any backend server.
+ */
+static bool idle_goes_first(const struct state *state,
+			    const struct service *service,
+			    const struct ticket *ticket,
+			    const struct pick *pick)
+{
+	if (crossing_prefers_across(state, service))
+		return false;
+	return ticket->idempotent ||
+	       pick->choice.trial + pick->choice.avoided > 0;
+}
+
 /* Candidates with the same rank are equally likely to be chosen. */
 static void consider_candidate(const struct state *state,
 			       struct candidate *best,
--- a/test/unit/idle_backend_test.cc
+++ b/test/unit/idle_backend_test.cc
@@ -11,7 +11,6 @@
 namespace
 {
 
-const uint32_t INSTANCES = 6;
 const uint32_t BACKENDS = 48;
 const uint32_t FLOOR_PERMILLE = 700;
 const uint64_t RUN_MS = 30000;
@@ -24,6 +23,8 @@
 
 struct idle_case {
 	const char *name;
+	const char *path;
+	uint32_t instances;
 	enum evidence_kind kind; /* end of a request that fails */
 	uint64_t fails_after_ms; /* since its grant */
 	uint32_t failing_permille; /* of the requests to one that fails */
@@ -34,14 +35,42 @@
 };
 
 const struct idle_case idle_cases[] = {
-	{ "hangs, little load", EVIDENCE_TIMEOUT, BUDGET_MS, 750, 9000, 2700, 2,
-	  1 },
-	{ "hangs, other luck", EVIDENCE_TIMEOUT, BUDGET_MS, 750, 9000, 2700, 2,
-	  2 },
-	{ "hangs, more load", EVIDENCE_TIMEOUT, BUDGET_MS, 750, 9000, 2700, 4,
-	  3 },
-	{ "errors", EVIDENCE_SERVER_ERROR, 20, 750, 9000, 2700, 2, 4 },
-	{ "resets, long times", EVIDENCE_RESET, 20, 500, 12000, 3600, 2, 5 },
+	{ "hangs, little load", "/s/write", 6, EVIDENCE_TIMEOUT, BUDGET_MS, 750,
+	  9000, 2700, 2, 1 },
+	{ "hangs, other luck", "/s/write", 6, EVIDENCE_TIMEOUT, BUDGET_MS, 750,
+	  9000, 2700, 2, 2 },
+	{ "hangs, more load", "/s/write", 6, EVIDENCE_TIMEOUT, BUDGET_MS, 750,
+	  9000, 2700, 4, 3 },
+	{ "errors", "/s/write", 6, EVIDENCE_SERVER_ERROR, 20, 750, 9000, 2700,
+	  2, 4 },
+	{ "resets, long times", "/s/write", 6, EVIDENCE_RESET, 20, 500, 12000,
+	  3600, 2, 5 },
+	{ "hangs nearly always", "/s/write", 6, EVIDENCE_TIMEOUT, BUDGET_MS,
+	  900, 12000, 3600, 3, 6 },
+	{ "work that may run again, hangs", "/s/short", 6, EVIDENCE_TIMEOUT,
+	  BUDGET_MS, 900, 12000, 3600, 3, 7 },
+	{ "work that may run again, hangs for long", "/s/short", 6,
+	  EVIDENCE_TIMEOUT, BUDGET_MS, 900, 20000, 9000, 3, 9 },
+	{ "work that may run again, errors", "/s/short", 6,
+	  EVIDENCE_SERVER_ERROR, 20, 900, 12000, 3600, 3, 10 },
+	{ "work that may run again, resets, little load", "/s/short", 6,
+	  EVIDENCE_RESET, 20, 900, 12000, 6000, 2, 11 },
+	{ "work that may run again, resets, other luck", "/s/short", 6,
+	  EVIDENCE_RESET, 20, 900, 12000, 6000, 2, 13 },
+	{ "work that may run again, errors, least load", "/s/short", 6,
+	  EVIDENCE_SERVER_ERROR, 20, 750, 9000, 2700, 1, 15 },
+	{ "work that may run again, hangs, least load", "/s/short", 6,
+	  EVIDENCE_TIMEOUT, BUDGET_MS, 750, 9000, 2700, 1, 16 },
+	{ "work that may run again, few errors, two homes", "/s/short", 2,
+	  EVIDENCE_SERVER_ERROR, 20, 100, 9000, 2700, 1, 22 },
+	{ "work that may run again, few resets, two homes", "/s/short", 2,
+	  EVIDENCE_RESET, 20, 100, 9000, 3600, 1, 22 },
+	{ "work that may run again, few resets, one home", "/s/short", 1,
+	  EVIDENCE_RESET, 20, 200, 9000, 4500, 1, 21 },
+	{ "work that may run again, few hang, two homes", "/s/short", 2,
+	  EVIDENCE_TIMEOUT, BUDGET_MS, 200, 9000, 4500, 1, 22 },
+	{ "resets nearly always", "/s/write", 6, EVIDENCE_RESET, 20, 900, 12000,
+	  6000, 2, 14 },
 };
 
 struct running_request {
@@ -55,7 +84,7 @@
 class FailingFleet {
     public:
 	explicit FailingFleet(const struct idle_case &c_)
-	    : c(c_), sim(INSTANCES, c_.seed),
+	    : c(c_), sim(c_.instances, c_.seed),
 	      rand(g_rand_new_with_seed(c_.seed)), begins_ms(BACKENDS),
 	      granted_ms(BACKENDS, 0)
 	{
@@ -71,8 +100,9 @@
 		for (auto &inst : sim.insts) {
 			inst->state->policy.sharing = SHARING_DOMAIN;
 			inst->accept(make_doc(shape));
-			inst->service()->route_typical_us[2] =
-				SERVICE_MS * US_PER_MS;
+			for (uint32_t route : { 0u, 2u })
+				inst->service()->route_typical_us[route] =
+					SERVICE_MS * US_PER_MS;
 		}
 		sim.on_event = [this](uint32_t i, const struct event &event) {
 			if (event.kind == EVENT_GRANT)
@@ -132,8 +162,9 @@
 		due_milli += BACKENDS * c.requests_per_s * SIM_STEP_MS;
 		while (due_milli >= 1000) {
 			due_milli -= 1000;
-			sim.insts[(uint32_t)g_rand_int_range(rand, 0, INSTANCES)]
-				->request("/s/write", g_rand_int(rand));
+			sim.insts[(uint32_t)g_rand_int_range(
+					  rand, 0, (gint32)c.instances)]
+				->request(c.path, g_rand_int(rand));
 		}
 	}
 
@@ -192,8 +223,8 @@
 };
 
 /*
- * Guards against FLOOR: caution kept work from most servers of a service, long
- * after they worked again.
+ * Guards against FLOOR: caution or chance kept work from most servers of a
+ * service, long after they worked again.
  */
 TEST(IdleBackend, SoundServersGetWorkWhileOthersFail)
 {
