--- a/src/query/idle.h
+++ b/src/query/idle.h
@@ -15,8 +15,9 @@
  *
  * Caution prefers backend servers that worked last. With enough room at these,
  * all others would stay idle however long ago they failed; and with few requests
- * for each, a choice at random leaves some out. So the homes that share the slots of a backend server give it a request in turn. One that goes
- * on failing gets few of them, since no home does so while any avoids it.
+ * for each, a choice at random leaves some out. So the homes that share the
+ * slots of a backend server give it a request in turn. One that goes on failing
+ * gets few of them, since no home does so while any avoids it.
  *
  * Return: true when this home owns slots of it, nothing speaks against it now,
  * and it has been without a request of this home for its part of
