--- a/src/codec/metrics_text.c
+++ b/src/codec/metrics_text.c
@@ -76,7 +76,7 @@
 	  "Retries not made because of overload or lack of retry budget.",
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.retries_denied) },
 	{ "idle_backend_requests_total",
-	  "Requests to backend servers that caution had left without work.",
+	  "Requests to backend servers that had been left without work.",
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.idle_requests) },
 	{ "ejections_total", "Ejections of backend servers.",
 	  METRIC_SERVICE_COUNTER, IN_SERVICE(counters.ejections) },
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -43,8 +43,8 @@
  * @retries: requests retried
  * @retries_denied: retries not made because of overload or lack of retry
  *	budget
- * @idle_requests: requests sent to a backend server because caution had left it
- *	without work
+ * @idle_requests: requests sent to a backend server because caution or chance
+ *	had left it without work
  * @ejections: backend servers ejected
  * @ejections_withheld: ejections withheld because of the healthy floor
  * @leases_requested: lease requests sent to other homes
--- a/src/query/pick.h
+++ b/src/query/pick.h
@@ -11,7 +11,7 @@
  * struct pick - a free slot
  * @backend_index: backend server of the slot, index into service->backends
  * @borrowed_index: index into service->borrowed, TICKET_NONE for an own slot
- * @left_idle: chosen because caution had left the backend server without work
+ * @left_idle: chosen because the backend server was left without work
  * @choice: counts of the backend servers that were considered, for the trace
  */
 struct pick {
