--- a/src/command/health_change.c
+++ b/src/command/health_change.c
@@ -215,15 +215,10 @@
  */
 static bool healthy_at_other_homes(const struct health_change *change)
 {
-	const struct health_view *view;
 	struct tally tally = tally_peers(change->backend, change->now);
-	uint32_t i;
 
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &change->backend->health.views[i];
-		if (view->ejected && view_fresh(view, change->now))
-			return false;
-	}
+	if (any_view_claims(change->backend, VIEW_EJECTED, change->now))
+		return false;
 	return tally_total(&tally) >= OTHER_HOMES_REQUESTS_MIN &&
 	       tally.ok_requests * 2 > tally_total(&tally);
 }
--- a/src/command/health_tick.c
+++ b/src/command/health_tick.c
@@ -148,12 +148,10 @@
 static void tick_cold(struct health_change *change)
 {
 	struct health *health = &change->backend->health;
-	bool reported = change->backend->cold;
-	uint32_t i;
+	bool reported =
+		change->backend->cold ||
+		any_view_claims(change->backend, VIEW_COLD, change->now);
 
-	for (i = 0; i < HOMES_MAX && !reported; i++)
-		reported = health->views[i].cold &&
-			   view_fresh(&health->views[i], change->now);
 	if (!reported) {
 		health->cold_until_us = 0;
 		return;
--- a/src/query/floor.c
+++ b/src/query/floor.c
@@ -93,15 +93,7 @@
 
 bool floor_charged_elsewhere(const struct backend *backend, struct instant now)
 {
-	const struct health_view *view;
-	uint32_t i;
-
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &backend->health.views[i];
-		if (view->charged && view_fresh(view, now))
-			return true;
-	}
-	return false;
+	return any_view_claims(backend, VIEW_CHARGED, now);
 }
 
 bool floor_charged_by_earlier_home(const struct service *service,
--- a/src/query/health.c
+++ b/src/query/health.c
@@ -11,10 +11,6 @@
 static uint32_t scale_slots(uint32_t slots, uint32_t permille);
 static bool views_unfavorable(const struct backend *backend,
 			      struct instant now);
-static bool any_view_draining(const struct backend *backend,
-			      struct instant now);
-static bool any_view_cold(const struct backend *backend, struct instant now);
-static bool any_view_ejected(const struct backend *backend, struct instant now);
 
 uint32_t backend_open_slots(const struct backend *backend, struct instant now)
 {
@@ -54,7 +50,7 @@
 {
 	return backend->drain_document || backend->left ||
 	       now.mono_us < backend->drain_seen_until_us ||
-	       any_view_draining(backend, now);
+	       any_view_claims(backend, VIEW_DRAINING, now);
 }
 
 bool backend_paused(const struct backend *backend, struct instant now)
@@ -102,7 +98,7 @@
 		return true;
 	if (now.mono_us >= health->cold_until_us)
 		return false;
-	return backend->cold || any_view_cold(backend, now);
+	return backend->cold || any_view_claims(backend, VIEW_COLD, now);
 }
 
 enum caution_level backend_caution(const struct backend *backend,
@@ -156,7 +152,8 @@
 bool backend_in_service(const struct backend *backend, struct instant now)
 {
 	return !backend->health.ejected && !backend_closed(backend, now) &&
-	       !backend_cold(backend, now) && !any_view_ejected(backend, now);
+	       !backend_cold(backend, now) &&
+	       !any_view_claims(backend, VIEW_EJECTED, now);
 }
 
 uint32_t service_in_service_slots(const struct service *service,
@@ -253,42 +250,3 @@
 	}
 	return bad > good;
 }
-
-static bool any_view_draining(const struct backend *backend, struct instant now)
-{
-	const struct health_view *view;
-	uint32_t i;
-
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &backend->health.views[i];
-		if (view->draining && view_fresh(view, now))
-			return true;
-	}
-	return false;
-}
-
-static bool any_view_cold(const struct backend *backend, struct instant now)
-{
-	const struct health_view *view;
-	uint32_t i;
-
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &backend->health.views[i];
-		if (view->cold && view_fresh(view, now))
-			return true;
-	}
-	return false;
-}
-
-static bool any_view_ejected(const struct backend *backend, struct instant now)
-{
-	const struct health_view *view;
-	uint32_t i;
-
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &backend->health.views[i];
-		if (view->ejected && view_fresh(view, now))
-			return true;
-	}
-	return false;
-}
--- a/src/query/health_tally.c
+++ b/src/query/health_tally.c
@@ -7,6 +7,7 @@
 /* Time covered by tally_recent(). */
 #define RECENT_US (1000 * US_PER_MS)
 
+static bool view_claims(const struct health_view *view, enum view_claim claim);
 static uint32_t add_domain(uint64_t *domains, uint32_t count, uint64_t domain);
 
 uint32_t tally_total(const struct tally *tally)
@@ -136,6 +137,37 @@
 	return view->home.port != 0 && now.mono_us < view->fresh_until_us;
 }
 
+bool any_view_claims(const struct backend *backend, enum view_claim claim,
+		     struct instant now)
+{
+	const struct health_view *view;
+	uint32_t i;
+
+	for (i = 0; i < HOMES_MAX; i++) {
+		view = &backend->health.views[i];
+		if (view_claims(view, claim) && view_fresh(view, now))
+			return true;
+	}
+	return false;
+}
+
+static bool view_claims(const struct health_view *view, enum view_claim claim)
+{
+	switch (claim) {
+	case VIEW_EJECTED:
+		return view->ejected;
+	case VIEW_CHARGED:
+		return view->charged;
+	case VIEW_DRAINING:
+		return view->draining;
+	case VIEW_COLD:
+		return view->cold;
+	case VIEW_AVOIDED:
+		return view->avoided;
+	}
+	return false;
+}
+
 struct tally tally_view(const struct health_view *view)
 {
 	struct tally tally = {
--- a/src/query/health_tally.h
+++ b/src/query/health_tally.h
@@ -7,6 +7,22 @@
 
 #include "core/state.h"
 
+/**
+ * enum view_claim - what another home may say of a backend server
+ * @VIEW_EJECTED: it is ejected
+ * @VIEW_CHARGED: its ejection is charged to the budget of that home
+ * @VIEW_DRAINING: it is draining
+ * @VIEW_COLD: it has started cold
+ * @VIEW_AVOIDED: that home avoids it
+ */
+enum view_claim {
+	VIEW_EJECTED,
+	VIEW_CHARGED,
+	VIEW_DRAINING,
+	VIEW_COLD,
+	VIEW_AVOIDED
+};
+
 /* Number of requests of a home needed as evidence of its failure domain. */
 #define EVIDENCE_REQUESTS_MIN 2
 
@@ -132,4 +148,15 @@
  */
 bool view_fresh(const struct health_view *view, struct instant now);
 
+/**
+ * any_view_claims() - whether any other home says something of a backend server
+ * @backend: the backend server
+ * @claim: what it says
+ * @now: current time
+ *
+ * Return: whether a valid report says so.
+ */
+bool any_view_claims(const struct backend *backend, enum view_claim claim,
+		     struct instant now);
+
 #endif
--- a/src/query/idle.c
+++ b/src/query/idle.c
@@ -6,8 +6,6 @@
 /* Time in which the homes of a backend server together give it a request. */
 #define IDLE_MAX_US US_PER_S
 
-static bool any_view_avoided(const struct backend *backend, struct instant now);
-
 bool backend_left_idle(const struct service *service,
 		       const struct backend *backend, struct instant now)
 {
@@ -17,7 +15,7 @@
 	    backend->in_other_domain || backend->own_slots == 0)
 		return false;
 	if (backend_avoided_locally(backend, now) ||
-	    any_view_avoided(backend, now))
+	    any_view_claims(backend, VIEW_AVOIDED, now))
 		return false;
 	part_us = IDLE_MAX_US * backend->capacity_slots / backend->own_slots;
 	return now.mono_us >= backend_idle_since_us(backend) + part_us;
@@ -28,16 +26,3 @@
 	return MAX(backend->health.last_granted_us,
 		   backend->health.caution_until_us);
 }
-
-static bool any_view_avoided(const struct backend *backend, struct instant now)
-{
-	const struct health_view *view;
-	uint32_t i;
-
-	for (i = 0; i < HOMES_MAX; i++) {
-		view = &backend->health.views[i];
-		if (view->avoided && view_fresh(view, now))
-			return true;
-	}
-	return false;
-}
