membership: an offer is looked up once

answer_older_offers() of looked up each offer of a datagram again that handle_offer() had just found to be older. handle_offer() now says what an offer tells and hands out the version in force.

--- a/src/command/member_offer.c
+++ b/src/command/member_offer.c
@@ -14,11 +14,20 @@
 #define LIST_PULL_DELAY_US US_PER_S
 #define LIST_PULL_DOUBLINGS_MAX 6
 
+/**
+ * enum offer_result - what an offer tells of its sender
+ * @OFFER_SAME: it does not explain a difference between the digests
+ * @OFFER_NEWER: the sender holds a newer document
+ * @OFFER_OLDER: the sender holds an older document
+ */
+enum offer_result { OFFER_SAME, OFFER_NEWER, OFFER_OLDER };
+
 static bool digests_match(const struct membership *membership,
 			  const struct peer_message *message);
-static bool handle_offer(struct state *state, struct net_addr sender,
-			 const struct config_offer *offer, struct instant now,
-			 struct event_list *out);
+static enum offer_result
+handle_offer(struct state *state, struct net_addr sender,
+	     const struct config_offer *offer, struct config_offer *held,
+	     struct instant now, struct event_list *out);
 static void begin_pull(struct state *state, const struct config_offer *offer,
 		       struct net_addr sender, struct instant now,
 		       struct event_list *out);
@@ -33,22 +42,31 @@
 			const struct config_offer *offer, uint64_t until_us);
 static void pull_list(struct state *state, const struct peer_message *message,
 		      struct instant now, struct event_list *out);
-static void answer_older_offers(struct state *state,
-				const struct peer_message *message,
-				struct event_list *out);
 
 void member_handle_offers(struct state *state,
 			  const struct peer_message *message,
 			  struct instant now, struct event_list *out)
 {
 	struct membership *membership = &state->membership;
+	struct config_offer held[PEER_OFFERS_MAX];
 	bool difference_explained = false;
+	enum offer_result result;
+	uint32_t older = 0;
 	uint32_t i;
 
-	for (i = 0; i < message->offer_count; i++)
-		difference_explained |= handle_offer(
-			state, message->sender, &message->offers[i], now, out);
-	answer_older_offers(state, message, out);
+	for (i = 0; i < message->offer_count; i++) {
+		result = handle_offer(state, message->sender,
+				      &message->offers[i], &held[older], now,
+				      out);
+		difference_explained |= result != OFFER_SAME;
+		older += result == OFFER_OLDER;
+	}
+	/*
+	 * An instance that starts again may read an old copy of the store when
+	 * the others have long ceased to offer what is in force.
+	 */
+	if (older > 0)
+		member_send_offers(state, message->sender, held, older, out);
 	if (digests_match(membership, message)) {
 		membership->list_pull_attempts = 0;
 		membership->list_pull_due_us = 0;
@@ -108,14 +126,14 @@
  * Pulls the offered document if it is newer, or takes over its version if the
  * content is unchanged; audits other content under the version in force.
  *
- * Return: whether the offer explains a difference between the digests.
+ * @held gets the version in force, if there is one.
  */
-static bool handle_offer(struct state *state, struct net_addr sender,
-			 const struct config_offer *offer, struct instant now,
-			 struct event_list *out)
+static enum offer_result
+handle_offer(struct state *state, struct net_addr sender,
+	     const struct config_offer *offer, struct config_offer *held,
+	     struct instant now, struct event_list *out)
 {
-	struct config_offer held = { 0 };
-	bool known = offer_find(state, &offer->key, &held);
+	bool known = offer_find(state, &offer->key, held);
 	struct audit_record record = {
 		.kind = AUDIT_CONFIG_REFUSED,
 		.cause = CAUSE_SAME_VERSION_OTHER_CONTENT,
@@ -126,22 +144,22 @@
 		.config.hash = offer->hash,
 	};
 
-	if (known && held.version > offer->version)
-		return true;
-	if (known && held.version == offer->version) {
-		if (held.hash == offer->hash)
-			return false;
-		record.config.in_force = held.version;
+	if (known && held->version > offer->version)
+		return OFFER_OLDER;
+	if (known && held->version == offer->version) {
+		if (held->hash == offer->hash)
+			return OFFER_SAME;
+		record.config.in_force = held->version;
 		if (member_back_off_refused(
 			    state, offer,
 			    now.mono_us + CONFLICT_AUDIT_INTERVAL_US, now))
 			state_audit(state, &record, now, out);
-		return false;
+		return OFFER_SAME;
 	}
 	if (known && configure_raise_version(state, offer, true, now, out))
-		return true;
+		return OFFER_NEWER;
 	begin_pull(state, offer, sender, now, out);
-	return true;
+	return OFFER_NEWER;
 }
 
 /*
@@ -252,25 +270,3 @@
 			!membership->list_known;
 	event_list_add(out, &event);
 }
-
-/*
- * Offers the sender the documents of which it has offered older versions. An
- * instance that starts again may read an old copy of the store when the others
- * have long ceased to offer what is in force.
- */
-static void answer_older_offers(struct state *state,
-				const struct peer_message *message,
-				struct event_list *out)
-{
-	struct config_offer newer[PEER_OFFERS_MAX];
-	uint32_t count = 0;
-	uint32_t i;
-
-	for (i = 0; i < message->offer_count; i++) {
-		if (offer_find(state, &message->offers[i].key, &newer[count]) &&
-		    newer[count].version > message->offers[i].version)
-			count++;
-	}
-	if (count > 0)
-		member_send_offers(state, message->sender, newer, count, out);
-}
